--- /dev/null
+++ b/include/celerykeel/core/identity.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>      // for uint64_t
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+#include <tuple>        // for std::tie
+
+namespace celerykeel {
+
+/// @brief Position of a record in a stream of the log; the first is 1.
+using Offset = uint64_t;
+
+/// @brief Random number that one run of an instance joins with; 0 is none.
+using Incarnation = uint64_t;
+
+/// @brief Fencing number: the offset of the instance's Join record.
+using Fence = uint64_t;
+
+/// @brief Number of a change ticket.
+using TicketNumber = uint64_t;
+
+/// @brief A program belongs to one team; equal ids of two teams are two
+/// programs. A sub-agent's id is `<root>/<name>`.
+struct ProgramName {
+  std::string team;
+  std::string id;
+
+  friend bool operator==(const ProgramName&, const ProgramName&) = default;
+  friend bool operator<(const ProgramName& a, const ProgramName& b) {
+    return std::tie(a.team, a.id) < std::tie(b.team, b.id);
+  }
+};
+
+/// @brief The part of a program's id before the first '/'.
+///
+///     RootOf("trip-7/hotel/price");  // "trip-7"
+std::string_view RootOf(std::string_view program_id);
+
+/// @brief The name under which a sub-agent is kept: ids that do not begin
+/// with the parent's root are placed below it.
+///
+///     CanonicalProgramId("hotel", "trip-7");         // "trip-7/hotel"
+///     CanonicalProgramId("trip-7/hotel", "trip-7");  // "trip-7/hotel"
+std::string CanonicalProgramId(std::string_view id, std::string_view parent);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/include/celerykeel/core/ticket.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>  // for uint32_t, uint64_t
+#include <string>   // for std::string
+#include <vector>   // for std::vector
+
+#include "celerykeel/core/identity.h"  // for TicketNumber
+
+namespace celerykeel {
+
+/// @brief A paying tenant.
+struct Team {
+  std::string id;
+  bool removed = false;
+  double rate = 0;    // requests per second over the whole fleet
+  double burst = 0;   // requests
+  double weight = 1;  // share of service under contention
+  std::string profile;
+
+  friend bool operator==(const Team&, const Team&) = default;
+};
+
+/// @brief A caller's key: its public id and a salted digest of the whole.
+struct Key {
+  std::string id;
+  bool removed = false;
+  std::string team;
+  std::string salt;    // hex
+  std::string digest;  // hex, SHA-256 over the salt's bytes and the key's text
+  bool withdrawn = false;
+
+  friend bool operator==(const Key&, const Key&) = default;
+};
+
+struct Model {
+  std::string id;
+  bool removed = false;
+  std::string version;
+  uint32_t min_endpoints = 0;  // never fewer admitted during an upgrade
+  uint64_t weight_bytes = 0;
+
+  friend bool operator==(const Model&, const Model&) = default;
+};
+
+struct Adapter {
+  std::string id;
+  bool removed = false;
+  std::string model;
+  std::string version;
+
+  friend bool operator==(const Adapter&, const Adapter&) = default;
+};
+
+enum class EndpointKind { kUnspecified, kModelEngine, kPlainService };
+enum class EndpointState { kActive, kLeaving };
+
+/// @brief A server behind the system: a model engine or a plain service.
+struct Endpoint {
+  std::string id;
+  bool removed = false;
+  EndpointKind kind = EndpointKind::kUnspecified;
+  std::string host;  // IP number
+  uint32_t port = 0;
+  std::string availability_zone;
+  std::string model;                  // engines
+  std::vector<std::string> adapters;  // engines
+  std::string service;                // plain services
+  uint32_t slots = 0;                 // requests that it runs at once
+  uint64_t cache_tokens = 0;
+  EndpointState state = EndpointState::kActive;
+  bool checks_fencing = false;
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+/// @brief What callers may ask of a plain service; the longest matching
+/// prefix rules.
+struct Route {
+  std::string id;
+  bool removed = false;
+  std::string service;
+  std::string path_prefix;  // begins with '/'
+  std::string method;       // empty: any
+  bool idempotent = false;
+  bool open_to_all = false;
+  double value = 1;  // worth of one recorded action
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+/// @brief How the scheduler weighs its aims for a team.
+struct Profile {
+  std::string id;
+  bool removed = false;
+  bool worst_team_first = false;
+  bool value_weighted = false;
+  double program_latency_weight = 1;
+
+  friend bool operator==(const Profile&, const Profile&) = default;
+};
+
+/// @brief The whole new state of each object that it names.
+struct Ticket {
+  TicketNumber number = 0;
+  std::string operator_name;
+  std::string comment;
+  std::vector<Team> teams;
+  std::vector<Key> keys;
+  std::vector<Model> models;
+  std::vector<Adapter> adapters;
+  std::vector<Endpoint> endpoints;
+  std::vector<Route> routes;
+  std::vector<Profile> profiles;
+
+  friend bool operator==(const Ticket&, const Ticket&) = default;
+};
+
+}  // namespace celerykeel
