--- a/src/celerykeel/net/program_main.cc
+++ b/src/celerykeel/net/stop_signal.cc
@@ -1,4 +1,4 @@
-#include "celerykeel/net/program_main.h"
+#include "celerykeel/net/stop_signal.h"
 
 #include <signal.h>  // for sigtimedwait, pthread_sigmask
 
