load: latency added by the fleet, measured against direct calls in one run

Cause: the target (2 ms at the median, 10 ms at p99) needs a client that sends the same calls both ways in the same seconds, from when they were due. Change: celerykeel-load latency, seeded Poisson arrivals, quantiles.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -64,3 +64,11 @@
     add_test(NAME example-${module}-${thing} COMMAND example-${module}-${thing})
   endforeach()
 endfunction()
+
+# celerykeel_version(<module> <file>): tells one source the version and commit.
+function(celerykeel_version module file)
+  execute_process(COMMAND git -C ${CMAKE_SOURCE_DIR} rev-parse --short HEAD
+    OUTPUT_VARIABLE commit OUTPUT_STRIP_TRAILING_WHITESPACE ERROR_QUIET)
+  set_source_files_properties(${CMAKE_SOURCE_DIR}/src/celerykeel/${module}/${file} PROPERTIES
+    COMPILE_DEFINITIONS "CELERYKEEL_VERSION=\"${PROJECT_VERSION}\";CELERYKEEL_COMMIT=\"${commit}\"")
+endfunction()
--- /dev/null
+++ b/src/celerykeel/load/load_main.cc
@@ -0,0 +1,83 @@
+#include <fmt/core.h>  // for fmt::print
+
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+#include <vector>       // for std::vector
+
+#include "celerykeel/load/latency_run.h"  // for RunLatency
+#include "celerykeel/net/settings.h"      // for SettingsReader
+
+namespace celerykeel {
+
+namespace {
+
+constexpr char kUsage[] = R"(Drives a fleet with load and reports what it met.
+
+Usage:
+  celerykeel-load latency --gates=ADDRS --engines=ADDRS [options]
+  celerykeel-load (-h | --help | --version)
+
+Options:
+  --gates=ADDRS     Gates, comma-separated IP:port.
+  --engines=ADDRS   Engines called directly, comma-separated IP:port.
+  --key=KEY         The caller's key; better given in CELERYKEEL_KEY.
+  --model=NAME      Model to ask for (default assistant).
+  --rate=N          Calls per second, both ways together (default 20).
+  --seconds=N       Length of the run (default 10).
+  --max-tokens=N    Tokens of each answer (default 16).
+  --threads=N       Calls under way at most (default 64).
+  --seed=N          Seed of the arrivals (default 1).
+  --json            Report as JSON.
+  -h --help         Show this.
+  --version         Show the version.
+)";
+
+std::vector<std::string> SplitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    items.emplace_back(text.substr(0, comma));
+    text = comma == std::string_view::npos ? "" : text.substr(comma + 1);
+  }
+  return items;
+}
+
+LatencyRunOptions ReadOptions(SettingsReader& reader) {
+  LatencyRunOptions options;
+  options.gates = SplitList(reader.Text("gates", ""));
+  options.engines = SplitList(reader.Text("engines", ""));
+  options.key = reader.OptionalText("key");
+  options.model = reader.Text("model", "assistant");
+  options.rate = static_cast<double>(reader.Number("rate", 20, 1, 100'000));
+  options.span = std::chrono::seconds(reader.Number("seconds", 10, 1, 3600));
+  options.max_tokens =
+      static_cast<uint32_t>(reader.Number("max-tokens", 16, 1, 100'000));
+  options.threads =
+      static_cast<uint32_t>(reader.Number("threads", 64, 1, 2000));
+  options.seed = reader.Number("seed", 1, 0, UINT64_MAX);
+  return options;
+}
+
+int Run(int argc, char** argv) {
+  auto reader = SettingsReader::Parse(kUsage, argc, argv);
+  if (!reader) {
+    return ReportExit(reader.error());
+  }
+  const LatencyRunOptions options = ReadOptions(*reader);
+  const bool json = reader->Switch("json");
+  if (!reader->Mistakes().empty()) {
+    return ReportMistakes("load", *reader);
+  }
+  const LatencyReport report = RunLatency(options);
+  fmt::print("{}\n", json ? RenderJson(report) : RenderTable(report));
+  return report.through.failed + report.direct.failed == 0 ? kExitDone
+                                                           : kExitFailed;
+}
+
+}  // namespace
+
+}  // namespace celerykeel
+
+int main(int argc, char** argv) {
+  return celerykeel::Run(argc, argv);
+}
