--- a/include/celerykeel/core/fleet_state.h
+++ b/include/celerykeel/core/fleet_state.h
@@ -115,6 +115,7 @@
   Configuration in_force;
   std::map<std::string, Applied> applied;  // "<kind>/<id>", tombstones too
   std::set<TicketNumber> numbers;          // taken
+  TicketNumber number_floor = 0;           // numbers up to it are refused
   std::deque<AuditEntry> audit;            // the newest, oldest first
   uint64_t unreadable = 0;
   Offset roster_version = 0;  // offset of the last change of `members`
--- /dev/null
+++ b/src/celerykeel/core/roster.cc
@@ -0,0 +1,175 @@
+#include "celerykeel/core/roster.h"
+
+#include <algorithm>    // for std::find, std::min_element
+#include <cstdio>       // for std::snprintf
+#include <optional>     // for std::optional
+#include <set>          // for std::set
+#include <string_view>  // for std::string_view
+#include <vector>       // for std::vector
+
+namespace celerykeel {
+
+namespace {
+
+constexpr size_t kIncarnationDigits = 16;
+
+// The member of that name which joined last. An earlier one may still be in
+// the roster while its eviction is under way.
+std::optional<Incarnation> CurrentIncarnation(const FleetState& state,
+                                              std::string_view instance) {
+  std::optional<Incarnation> current;
+  Fence highest = 0;
+  for (const auto& [incarnation, member] : state.members) {
+    if (member.join.instance == instance && member.fence > highest) {
+      current = incarnation;
+      highest = member.fence;
+    }
+  }
+  return current;
+}
+
+void ForgetOldest(std::map<Incarnation, DepartedMember>& departed) {
+  const auto oldest = std::min_element(
+      departed.begin(), departed.end(), [](const auto& a, const auto& b) {
+        return a.second.departed_at < b.second.departed_at;
+      });
+  departed.erase(oldest);
+}
+
+void Depart(FleetState& state,
+            Offset offset,
+            Incarnation incarnation,
+            bool evicted) {
+  const auto found = state.members.find(incarnation);
+  state.departed[incarnation] =
+      DepartedMember{std::move(found->second), offset, evicted};
+  state.members.erase(found);
+  state.roster_version = offset;
+  if (state.departed.size() > kDepartedKept) {
+    ForgetOldest(state.departed);
+  }
+}
+
+tl::unexpected<RosterRefusal> Refuse(RosterRefusal refusal) {
+  return tl::unexpected<RosterRefusal>(std::move(refusal));
+}
+
+struct Render {
+  std::string operator()(const AlreadyJoined& refusal) const {
+    return "repeats the join at offset " + std::to_string(refusal.at);
+  }
+  std::string operator()(const AlreadyDeparted& refusal) const {
+    return "this incarnation departed at offset " + std::to_string(refusal.at) +
+           "; the instance has to join under a new one";
+  }
+  std::string operator()(const NotAMember& refusal) const {
+    return "incarnation " + IncarnationText(refusal.incarnation) +
+           " is no member";
+  }
+  std::string operator()(const NamelessJoin&) const {
+    return "the join gives no incarnation or no instance name";
+  }
+  std::string operator()(const ReplacesOther& refusal) const {
+    return "would replace a member of instance " + refusal.instance;
+  }
+  std::string operator()(const TooFewWords& refusal) const {
+    return "words of " + std::to_string(refusal.words) + " witnesses, " +
+           std::to_string(refusal.wanted) + " needed";
+  }
+};
+
+}  // namespace
+
+size_t WordsNeeded(const Join& evicted) {
+  return evicted.witnesses.size() / 2 + 1;
+}
+
+// A word is counted by the name of its witness, so that two incarnations of
+// one instance count once. The evicted instance's own name never counts: the
+// holder of the lease counts itself among its witnesses, so the word of its
+// successor of the same name would leave no witness in common.
+size_t CountWords(const FleetState& state,
+                  const Member& member,
+                  const std::vector<Incarnation>& words) {
+  const std::set<std::string_view> names(member.join.witnesses.begin(),
+                                         member.join.witnesses.end());
+  size_t count = 0;
+  for (const std::string_view name : names) {
+    if (name == member.join.instance) {
+      continue;
+    }
+    if (const auto current = CurrentIncarnation(state, std::string(name));
+        current &&
+        std::find(words.begin(), words.end(), *current) != words.end()) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+tl::expected<void, RosterRefusal> ApplyJoin(FleetState& state,
+                                            Offset offset,
+                                            const Join& join) {
+  if (join.incarnation == 0 || join.instance.empty()) {
+    return Refuse(NamelessJoin{});
+  }
+  if (const auto found = state.members.find(join.incarnation);
+      found != state.members.end()) {
+    return Refuse(AlreadyJoined{found->second.fence});
+  }
+  if (const auto found = state.departed.find(join.incarnation);
+      found != state.departed.end()) {
+    return Refuse(AlreadyDeparted{found->second.departed_at});
+  }
+  if (const auto replaced = state.members.find(join.replaces);
+      replaced != state.members.end()) {
+    if (replaced->second.join.instance != join.instance) {
+      return Refuse(ReplacesOther{replaced->second.join.instance});
+    }
+    // Marked as evicted: other processes of the earlier incarnation may act
+    // until its lease lapses, so a successor waits as after an eviction. Only
+    // a Leave says that the instance has stopped.
+    Depart(state, offset, join.replaces, /*evicted=*/true);
+  }
+  state.members[join.incarnation] = Member{join, offset};
+  state.roster_version = offset;
+  return {};
+}
+
+tl::expected<void, RosterRefusal> ApplyLeave(FleetState& state,
+                                             Offset offset,
+                                             const Leave& leave) {
+  if (!state.members.contains(leave.incarnation)) {
+    return Refuse(NotAMember{leave.incarnation});
+  }
+  Depart(state, offset, leave.incarnation, /*evicted=*/false);
+  return {};
+}
+
+tl::expected<void, RosterRefusal> ApplyEvict(FleetState& state,
+                                             Offset offset,
+                                             const Evict& evict) {
+  const auto found = state.members.find(evict.incarnation);
+  if (found == state.members.end()) {
+    return Refuse(NotAMember{evict.incarnation});
+  }
+  const size_t words = CountWords(state, found->second, evict.words);
+  if (const size_t needed = WordsNeeded(found->second.join); words < needed) {
+    return Refuse(TooFewWords{words, needed});
+  }
+  Depart(state, offset, evict.incarnation, /*evicted=*/true);
+  return {};
+}
+
+std::string IncarnationText(Incarnation incarnation) {
+  char digits[kIncarnationDigits + 1] = {};
+  std::snprintf(digits, sizeof(digits), "%016llx",
+                static_cast<unsigned long long>(incarnation));
+  return digits;
+}
+
+std::string RenderRefusal(const RosterRefusal& refusal) {
+  return std::visit(Render{}, refusal);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/ticket_check.cc
@@ -0,0 +1,289 @@
+#include "celerykeel/core/ticket_check.h"
+
+#include <algorithm>      // for std::find
+#include <optional>       // for std::optional
+#include <string_view>    // for std::string_view
+#include <unordered_map>  // for std::unordered_map
+
+#include "celerykeel/core/ticket_objects.h"  // for ForEachKind, FieldPath
+
+namespace celerykeel {
+
+namespace {
+
+using MaybeRefusal = std::optional<TicketRefusal>;
+
+// The objects of one kind as they would stand after the ticket. The
+// configuration is not copied: it may hold tens of thousands of teams.
+template <typename T>
+class After {
+ public:
+  After(const ObjectKind<T>& kind,
+        const Configuration& configuration,
+        const Ticket& ticket)
+      : in_force(configuration.*kind.in_force) {
+    for (const T& object : ticket.*kind.in_ticket) {
+      this->in_ticket.emplace(object.id, &object);
+    }
+  }
+
+  const T* Find(const std::string& id) const {
+    if (const auto named = this->in_ticket.find(id);
+        named != this->in_ticket.end()) {
+      return named->second->removed ? nullptr : named->second;
+    }
+    const auto found = this->in_force.find(id);
+    return found == this->in_force.end() ? nullptr : &found->second;
+  }
+
+  // Calls `visit` with each object that the ticket does not name.
+  template <typename Visit>
+  void ForEachUntouched(Visit&& visit) const {
+    for (const auto& [id, object] : this->in_force) {
+      if (!this->in_ticket.contains(id)) {
+        visit(object);
+      }
+    }
+  }
+
+  template <typename Wanted>
+  bool Any(Wanted&& wanted) const {
+    for (const auto& [id, object] : this->in_ticket) {
+      if (!object->removed && wanted(*object)) {
+        return true;
+      }
+    }
+    bool any = false;
+    this->ForEachUntouched(
+        [&](const T& object) { any = any || wanted(object); });
+    return any;
+  }
+
+  bool RemovesAny() const {
+    return std::any_of(this->in_ticket.begin(), this->in_ticket.end(),
+                       [](const auto& entry) { return entry.second->removed; });
+  }
+
+ private:
+  const std::map<std::string, T>& in_force;
+  std::unordered_map<std::string_view, const T*> in_ticket;
+};
+
+struct World {
+  World(const Configuration& configuration, const Ticket& given_ticket)
+      : ticket(given_ticket),
+        profiles(kProfiles, configuration, given_ticket),
+        teams(kTeams, configuration, given_ticket),
+        keys(kKeys, configuration, given_ticket),
+        models(kModels, configuration, given_ticket),
+        adapters(kAdapters, configuration, given_ticket),
+        endpoints(kEndpoints, configuration, given_ticket) {}
+
+  const Ticket& ticket;
+  After<Profile> profiles;
+  After<Team> teams;
+  After<Key> keys;
+  After<Model> models;
+  After<Adapter> adapters;
+  After<Endpoint> endpoints;
+};
+
+// Gives the member and the object that `object` names in vain, if any.
+struct Missing {
+  std::string member;
+  std::string object;
+  std::string detail;  // what the object would have to be, after its name
+};
+
+using MaybeMissing = std::optional<Missing>;
+
+MaybeMissing FindMissing(const World&, const Profile&) {
+  return std::nullopt;
+}
+
+MaybeMissing FindMissing(const World&, const Model&) {
+  return std::nullopt;
+}
+
+MaybeMissing FindMissing(const World& after, const Team& team) {
+  if (!team.profile.empty() && !after.profiles.Find(team.profile)) {
+    return Missing{"profile", ObjectName(kProfiles.name, team.profile), ""};
+  }
+  return std::nullopt;
+}
+
+MaybeMissing FindMissing(const World& after, const Key& key) {
+  if (!after.teams.Find(key.team)) {
+    return Missing{"team", ObjectName(kTeams.name, key.team), ""};
+  }
+  return std::nullopt;
+}
+
+MaybeMissing FindMissing(const World& after, const Adapter& adapter) {
+  if (!after.models.Find(adapter.model)) {
+    return Missing{"model", ObjectName(kModels.name, adapter.model), ""};
+  }
+  return std::nullopt;
+}
+
+// An endpoint serves only adapters of its own model.
+MaybeMissing FindMissing(const World& after, const Endpoint& endpoint) {
+  if (endpoint.kind != EndpointKind::kModelEngine) {
+    return std::nullopt;
+  }
+  if (!after.models.Find(endpoint.model)) {
+    return Missing{"model", ObjectName(kModels.name, endpoint.model), ""};
+  }
+  size_t index = 0;
+  for (const std::string& id : endpoint.adapters) {
+    const Adapter* const adapter = after.adapters.Find(id);
+    if (adapter == nullptr || adapter->model != endpoint.model) {
+      return Missing{FieldPath("adapters", index),
+                     ObjectName(kAdapters.name, id),
+                     " of " + ObjectName(kModels.name, endpoint.model)};
+    }
+    ++index;
+  }
+  return std::nullopt;
+}
+
+MaybeMissing FindMissing(const World& after, const Route& route) {
+  if (!after.endpoints.Any([&](const Endpoint& endpoint) {
+        return endpoint.service == route.service;
+      })) {
+    return Missing{"service", "service/" + route.service, ""};
+  }
+  return std::nullopt;
+}
+
+template <typename T>
+MaybeRefusal FindUnknown(const ObjectKind<T>& kind,
+                         const Configuration& in_force,
+                         const World& after) {
+  size_t index = 0;
+  for (const T& object : after.ticket.*kind.in_ticket) {
+    if (object.removed) {
+      if (!(in_force.*kind.in_force).contains(object.id)) {
+        return UnknownReference{FieldPath(kind.field, index, "id"),
+                                ObjectName(kind.name, object.id)};
+      }
+    } else if (const MaybeMissing missing = FindMissing(after, object)) {
+      return UnknownReference{FieldPath(kind.field, index, missing->member),
+                              missing->object + missing->detail};
+    }
+    ++index;
+  }
+  return std::nullopt;
+}
+
+// Where the ticket names the object that was found missing.
+template <typename T>
+std::string FieldNaming(const ObjectKind<T>& kind,
+                        const Ticket& ticket,
+                        std::string_view object) {
+  size_t index = 0;
+  for (const T& named : ticket.*kind.in_ticket) {
+    if (object == ObjectName(kind.name, named.id)) {
+      return FieldPath(kind.field, index);
+    }
+    ++index;
+  }
+  return std::string(kind.field);
+}
+
+template <typename T, typename Named>
+MaybeRefusal FindDangling(const ObjectKind<T>& kind,
+                          const After<T>& objects,
+                          const ObjectKind<Named>& named,
+                          const World& after) {
+  MaybeRefusal found;
+  objects.ForEachUntouched([&](const T& object) {
+    if (const MaybeMissing missing = FindMissing(after, object);
+        missing && !found &&
+        missing->object.starts_with(std::string(named.name) + "/")) {
+      found =
+          StillReferenced{FieldNaming(named, after.ticket, missing->object),
+                          missing->object, ObjectName(kind.name, object.id)};
+    }
+  });
+  return found;
+}
+
+// Only a ticket that removes something, or gives an adapter another model, can
+// leave an untouched object with nothing to name.
+MaybeRefusal FindStillReferenced(const World& after) {
+  MaybeRefusal found;
+  if (after.profiles.RemovesAny()) {
+    found = FindDangling(kTeams, after.teams, kProfiles, after);
+  }
+  if (!found && after.teams.RemovesAny()) {
+    found = FindDangling(kKeys, after.keys, kTeams, after);
+  }
+  if (!found && after.models.RemovesAny()) {
+    found = FindDangling(kAdapters, after.adapters, kModels, after);
+  }
+  if (!found && after.models.RemovesAny()) {
+    found = FindDangling(kEndpoints, after.endpoints, kModels, after);
+  }
+  if (!found && !after.ticket.adapters.empty()) {
+    found = FindDangling(kEndpoints, after.endpoints, kAdapters, after);
+  }
+  return found;
+}
+
+template <typename T>
+MaybeRefusal FindStale(const ObjectKind<T>& kind,
+                       const FleetState& state,
+                       const Ticket& ticket) {
+  size_t index = 0;
+  for (const T& object : ticket.*kind.in_ticket) {
+    const std::string name = ObjectName(kind.name, object.id);
+    if (const auto found = state.applied.find(name);
+        found != state.applied.end() && found->second.number > ticket.number) {
+      return StaleTicket{FieldPath(kind.field, index), name, ticket.number,
+                         found->second.number};
+    }
+    ++index;
+  }
+  return std::nullopt;
+}
+
+MaybeRefusal FindNumberFault(const FleetState& state, const Ticket& ticket) {
+  if (ticket.number <= state.number_floor) {
+    return NumberTooOld{ticket.number, state.number_floor};
+  }
+  if (state.numbers.contains(ticket.number)) {
+    return NumberTaken{ticket.number};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+tl::expected<void, TicketRefusal> CheckTicket(const FleetState& state,
+                                              const Ticket& ticket) {
+  if (auto fields = CheckTicketFields(ticket); !fields) {
+    return fields;
+  }
+  MaybeRefusal found = FindNumberFault(state, ticket);
+  ForEachKind([&](const auto& kind) {
+    if (!found) {
+      found = FindStale(kind, state, ticket);
+    }
+  });
+  const World after(state.in_force, ticket);
+  ForEachKind([&](const auto& kind) {
+    if (!found) {
+      found = FindUnknown(kind, state.in_force, after);
+    }
+  });
+  if (!found) {
+    found = FindStillReferenced(after);
+  }
+  if (found) {
+    return tl::unexpected(*found);
+  }
+  return {};
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/wire/ticket_json.cc
@@ -0,0 +1,109 @@
+#include "celerykeel/wire/ticket_json.h"
+
+#include <google/protobuf/util/json_util.h>  // for JsonStringToMessage
+
+#include <algorithm>  // for std::min
+#include <optional>   // for std::optional
+#include <set>        // for std::set
+#include <utility>    // for std::move
+#include <vector>     // for std::vector
+
+#include <nlohmann/json.hpp>  // for nlohmann::json
+
+#include "celerykeel/wire/fleet_codec.h"  // for FromProto, ToProto
+
+namespace celerykeel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kUnknownFieldMark = ": Cannot find field.";
+constexpr int kIndent = 2;
+
+// Of a name given twice in one object the library would take the last without
+// a word, so these are looked for first.
+std::optional<std::string> FindRepeatedName(std::string_view text) {
+  std::vector<std::set<std::string>> open;
+  std::optional<std::string> repeated;
+  const auto watch = [&](int, Json::parse_event_t event, Json& parsed) {
+    if (event == Json::parse_event_t::object_start) {
+      open.emplace_back();
+    } else if (event == Json::parse_event_t::object_end) {
+      open.pop_back();
+    } else if (event == Json::parse_event_t::key) {
+      auto name = parsed.get<std::string>();
+      if (!open.back().insert(name).second && !repeated) {
+        repeated = std::move(name);
+      }
+    }
+    return true;
+  };
+  const Json ignored = Json::parse(text, watch, /*allow_exceptions=*/false);
+  return ignored.is_discarded() ? std::nullopt : repeated;
+}
+
+// The library's messages read `(teams[0].rate): invalid value ...` for a value
+// and `(teams[1]) ratee: Cannot find field.` for a name.
+TicketJsonError FromMessage(std::string_view message) {
+  TicketJsonError error;
+  std::string_view rest = message;
+  if (const size_t close = rest.find(')');
+      rest.starts_with('(') && close != std::string_view::npos) {
+    error.fault = TicketJsonFault::kInvalidValue;
+    error.field = rest.substr(1, close - 1);
+    rest.remove_prefix(close + 1);
+  }
+  if (rest.ends_with(kUnknownFieldMark)) {
+    std::string_view name =
+        rest.substr(0, rest.size() - kUnknownFieldMark.size());
+    name.remove_prefix(name.starts_with(' ') ? 1 : 0);
+    error.fault = TicketJsonFault::kUnknownField;
+    error.field += error.field.empty() ? "" : ".";
+    error.field += name;
+    return error;
+  }
+  rest.remove_prefix(std::min(rest.find_first_not_of(": "), rest.size()));
+  error.detail = rest;
+  return error;
+}
+
+}  // namespace
+
+tl::expected<Ticket, TicketJsonError> ParseTicketJson(std::string_view text) {
+  if (auto name = FindRepeatedName(text)) {
+    return tl::unexpected(TicketJsonError{TicketJsonFault::kInvalidValue,
+                                          std::move(*name),
+                                          "the name stands twice"});
+  }
+  pb::Ticket message;
+  const auto status = google::protobuf::util::JsonStringToMessage(
+      {text.data(), text.size()}, &message);
+  if (!status.ok()) {
+    return tl::unexpected(
+        FromMessage({status.message().data(),
+                     static_cast<size_t>(status.message().size())}));
+  }
+  return FromProto(message);
+}
+
+std::string TicketToJson(const Ticket& ticket) {
+  std::string text;
+  google::protobuf::util::MessageToJsonString(ToProto(ticket), &text);
+  return nlohmann::ordered_json::parse(text).dump(kIndent);
+}
+
+std::string RenderError(const TicketJsonError& error) {
+  switch (error.fault) {
+    case TicketJsonFault::kUnknownField:
+      return error.field +
+             " is no field of a ticket; see docs/operators/tickets.md";
+    case TicketJsonFault::kInvalidValue:
+      return error.field + ": " + error.detail;
+    case TicketJsonFault::kNotJson:
+      break;
+  }
+  return "the ticket is no JSON object: " + error.detail;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/wire/ticket_json_unittest.cc
@@ -0,0 +1,48 @@
+#include "celerykeel/wire/ticket_json.h"
+
+#include <doctest/doctest.h>
+
+namespace celerykeel {
+namespace {
+
+TicketJsonError Fault(std::string_view text) {
+  const auto parsed = ParseTicketJson(text);
+  REQUIRE_FALSE(parsed.has_value());
+  return parsed.error();
+}
+
+TEST_CASE("a ticket reads and writes back") {
+  const auto ticket = ParseTicketJson(
+      R"({"number": 7, "teams": [{"id": "coop", "rate": 2.5, "burst": 5}]})");
+  REQUIRE(ticket.has_value());
+  CHECK(ticket->number == 7);
+  CHECK(ticket->teams[0].weight == 1);
+  CHECK(ParseTicketJson(TicketToJson(*ticket)) == *ticket);
+}
+
+TEST_CASE("a fault names its field") {
+  CHECK(Fault(R"({"nope": 1})").field == "nope");
+  const auto inner = Fault(R"({"teams": [{"id": "a"}, {"ratee": 3}]})");
+  CHECK(inner.fault == TicketJsonFault::kUnknownField);
+  CHECK(inner.field == "teams[1].ratee");
+  const auto value = Fault(R"({"teams": [{"rate": "fast"}]})");
+  CHECK(value.fault == TicketJsonFault::kInvalidValue);
+  CHECK(value.field == "teams[0].rate");
+  CHECK(Fault(R"({"endpoints": [{"kind": "ENGINE"}]})").field ==
+        "endpoints[0].kind");
+  CHECK(Fault(R"({"number": -1})").field == "number");
+}
+
+TEST_CASE("a name given twice is a fault") {
+  CHECK(Fault(R"({"number": 1, "number": 2})").field == "number");
+  CHECK(ParseTicketJson(R"({"teams": [{"id": "a"}, {"id": "b"}]})"));
+}
+
+TEST_CASE("what is no JSON object is said so") {
+  for (const char* text : {"", "{", "[]", "null", "{\"number\": 1} x"}) {
+    CHECK(Fault(text).fault == TicketJsonFault::kNotJson);
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel
