--- a/include/celerykeel/core/fleet_state.h
+++ b/include/celerykeel/core/fleet_state.h
@@ -26,6 +26,7 @@
   std::string operator_address;        // host:port
   std::vector<std::string> witnesses;  // names of instances, its own among them
   Incarnation replaces = 0;            // own earlier incarnation; 0: none
+  std::string feed_address;            // host:port; empty: not known
 
   friend bool operator==(const Join&, const Join&) = default;
 };
--- a/src/celerykeel/wire/fleet_codec.cc
+++ b/src/celerykeel/wire/fleet_codec.cc
@@ -22,6 +22,7 @@
   out.set_operator_address(join.operator_address);
   out.mutable_witnesses()->Assign(join.witnesses.begin(), join.witnesses.end());
   out.set_replaces(join.replaces);
+  out.set_feed_address(join.feed_address);
   return out;
 }
 
@@ -37,6 +38,7 @@
   join.operator_address = in.operator_address();
   join.witnesses.assign(in.witnesses().begin(), in.witnesses().end());
   join.replaces = in.replaces();
+  join.feed_address = in.feed_address();
   return join;
 }
 
--- a/src/celerykeel/wire/fleet_codec_unittest.cc
+++ b/src/celerykeel/wire/fleet_codec_unittest.cc
@@ -42,7 +42,7 @@
 TEST_CASE("records come back as they went") {
   const Ticket ticket = Everything();
   CHECK(RoundTrip(ticket) == ticket);
-  const Join join{1, "a", "utne", "g", "s", "t", "r", "o", {"a", "b"}, 2};
+  const Join join{1, "a", "utne", "g", "s", "t", "r", "o", {"a", "b"}, 2, "f"};
   CHECK(RoundTrip(join) == join);
   CHECK(RoundTrip(Leave{3}).incarnation == 3);
   const Evict evict = RoundTrip(Evict{4, {5, 6}, 7, "silent"});
@@ -52,8 +52,8 @@
 
 TEST_CASE("a snapshot carries the whole state") {
   FleetState state;
-  Fold(state, 1, Join{1, "a", "utne", "g", "s", "t", "r", "o", {"a"}, 0});
-  Fold(state, 2, Join{2, "b", "utne", "g", "s", "t", "r", "o", {"b"}, 0});
+  Fold(state, 1, Join{1, "a", "utne", "g", "s", "t", "r", "o", {"a"}, 0, "f"});
+  Fold(state, 2, Join{2, "b", "utne", "g", "s", "t", "r", "o", {"b"}, 0, ""});
   Fold(state, 3, Leave{2});
   REQUIRE(Fold(state, 4, Everything())->accepted);
   Fold(state, 5, Unreadable{});
