ctl: celerykeelctl with tickets, status, audit and keys, thin

Cause: operators drive the fleet only by tickets, and need to see what is in force. Until stewards put feed_address in their Join, members show as 'no answer'.

--- /dev/null
+++ b/src/celerykeel/ctl/commands.cc
@@ -0,0 +1,169 @@
+#include "celerykeel/ctl/commands.h"
+
+#include <fstream>   // for std::ifstream, std::ofstream
+#include <iterator>  // for std::istreambuf_iterator
+#include <optional>  // for std::optional
+#include <thread>    // for std::this_thread
+#include <utility>   // for std::move
+
+#include "celerykeel/core/ticket_check.h"  // for CheckTicket
+#include "celerykeel/ctl/exchange.h"       // for Exchange
+#include "celerykeel/ctl/fleet_access.h"   // for FetchStatus
+#include "celerykeel/ctl/key_make.h"       // for MakeKey
+#include "celerykeel/ctl/submit.h"         // for SubmitTicket
+#include "celerykeel/ctl/views.h"          // for ShowStatus
+#include "celerykeel/net/clock.h"          // for Now
+#include "celerykeel/wire/ticket_json.h"   // for ParseTicketJson
+
+namespace celerykeel {
+
+namespace {
+
+// A member that is frozen should not use up the whole time-out of a command.
+constexpr Duration kProgressTimeout = std::chrono::milliseconds(500);
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+Report NoFile(const std::string& path) {
+  return ShowFailure(kExitFailed, "no_file",
+                     path + " can't be read or written; check the path");
+}
+
+Report NoSteward(const CtlOptions& options) {
+  return ShowFailure(kExitFailed, "no_steward",
+                     "no answer from the steward at " + options.feed +
+                         "; check --feed and that it runs");
+}
+
+// One run of a command that asks the fleet.
+struct Session {
+  const CtlOptions& options;
+  Exchange& exchange;
+
+  std::optional<InstanceStatus> Status() const {
+    return FetchStatus(this->exchange, this->options.feed,
+                       this->options.timeout);
+  }
+
+  std::vector<MemberProgress> Progress(const FleetState& state) const {
+    return FetchProgress(this->exchange, state,
+                         std::min(kProgressTimeout, this->options.timeout));
+  }
+
+  Report Check(const Ticket& ticket) const {
+    const auto status = this->Status();
+    if (!status) {
+      return NoSteward(this->options);
+    }
+    if (auto checked = CheckTicket(status->state, ticket); !checked) {
+      return ShowRefused(checked.error());
+    }
+    return ShowChecked(ticket, /*against_fleet=*/true);
+  }
+
+  Report Submit(const Ticket& ticket) const {
+    SubmitAccess access;
+    access.status = [this] { return this->Status(); };
+    access.progress = [this](const FleetState& state) {
+      return this->Progress(state);
+    };
+    access.append = [this](std::string record) {
+      return AppendRecord(this->exchange, this->options.feed, std::move(record),
+                          this->options.timeout);
+    };
+    access.now = [] { return Now(); };
+    access.pause = [](Duration pause) { std::this_thread::sleep_for(pause); };
+    SubmitOptions submit;
+    submit.check_first = !this->options.unchecked;
+    submit.wait_for_all = this->options.wait;
+    submit.timeout = this->options.timeout;
+    return ShowSubmitted(ticket, SubmitTicket(ticket, submit, access));
+  }
+
+  Report Show() const {
+    const auto status = this->Status();
+    if (!status) {
+      return NoSteward(this->options);
+    }
+    switch (this->options.command) {
+      case CtlCommand::kAudit:
+        return ShowAudit(status->state, this->options.last);
+      case CtlCommand::kTicketShow:
+        return ShowTicket(status->state, this->options.number);
+      default:
+        return ShowStatus(*status, this->Progress(status->state));
+    }
+  }
+};
+
+Report RunWithFleet(const CtlOptions& options,
+                    const std::optional<Ticket>& ticket) {
+  auto exchange = Exchange::Create();
+  if (!exchange) {
+    return ShowFailure(kExitFailed, "no_sockets",
+                       "no socket could be made; check the open-file limit");
+  }
+  const Session session{options, **exchange};
+  if (options.command == CtlCommand::kTicketSubmit) {
+    return session.Submit(*ticket);
+  }
+  return ticket ? session.Check(*ticket) : session.Show();
+}
+
+Report RunTicketFile(const CtlOptions& options) {
+  const auto text = ReadFile(options.ticket_file);
+  if (!text) {
+    return NoFile(options.ticket_file);
+  }
+  auto ticket = ParseTicketJson(*text);
+  if (!ticket) {
+    return ShowRefused(ticket.error());
+  }
+  if (auto checked = CheckTicketFields(*ticket);
+      !checked && !options.unchecked) {
+    return ShowRefused(checked.error());
+  }
+  if (options.feed.empty()) {
+    return ShowChecked(*ticket, /*against_fleet=*/false);
+  }
+  return RunWithFleet(options, std::move(*ticket));
+}
+
+Report RunKeyMake(const CtlOptions& options) {
+  const MintedKey minted = MakeKey(options);
+  if (!options.ticket_file.empty()) {
+    const Ticket ticket = KeyTicket(minted, options);
+    if (auto checked = CheckTicketFields(ticket); !checked) {
+      return ShowRefused(checked.error());
+    }
+    std::ofstream file(options.ticket_file);
+    file << TicketToJson(ticket) << "\n";
+    file.close();
+    if (!file) {
+      return NoFile(options.ticket_file);
+    }
+  }
+  return ShowKey(minted, options);
+}
+
+}  // namespace
+
+Report RunCommand(const CtlOptions& options) {
+  switch (options.command) {
+    case CtlCommand::kTicketCheck:
+    case CtlCommand::kTicketSubmit:
+      return RunTicketFile(options);
+    case CtlCommand::kKeyMake:
+      return RunKeyMake(options);
+    default:
+      return RunWithFleet(options, std::nullopt);
+  }
+}
+
+}  // namespace celerykeel
