--- /dev/null
+++ b/include/celerykeel/scheduler/choose_endpoint.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>       // for std::map
+#include <optional>  // for std::optional
+#include <string>    // for std::string
+#include <vector>    // for std::vector
+
+#include <tl/expected.hpp>  // for tl::expected
+
+#include "celerykeel/core/call.h"         // for CallWork
+#include "celerykeel/core/fleet_state.h"  // for FleetState
+#include "celerykeel/core/run_queue.h"    // for QueuedCall
+
+namespace celerykeel {
+
+/// @brief What this process knows of the load of the endpoints.
+struct EndpointLoad {
+  std::map<std::string, uint32_t> outstanding;  // calls of ours, by endpoint
+};
+
+/// @brief Why no endpoint was chosen.
+enum class NoChoice {
+  kUnknown,  // nothing in force serves the model or service
+  kLeaving,  // whatever serves it is leaving, or has failed the call
+  kFull,     // every endpoint runs as many calls as it has slots
+};
+
+/// @brief The endpoint for a call, and what each alternative would have cost.
+struct EndpointChoice {
+  struct Alternative {
+    std::string endpoint;
+    double cost = 0;  // calls of ours under way
+    bool avoided = false;
+  };
+  std::string endpoint;
+  std::vector<Alternative> alternatives;
+};
+
+/// @brief The endpoint that serves the call and has the fewest calls of ours.
+tl::expected<EndpointChoice, NoChoice> ChooseEndpoint(const FleetState& view,
+                                                      const EndpointLoad& load,
+                                                      const QueuedCall& call);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/ledger_outcome.cc
@@ -0,0 +1,432 @@
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/core/ledger_turn.h"  // for Turn, Place
+
+namespace celerykeel {
+
+using ledger::Place;
+using ledger::Turn;
+
+namespace ledger {
+
+namespace {
+
+constexpr uint32_t kStatusTooManyRequests = 429;
+constexpr uint32_t kStatusServerError = 500;
+constexpr uint32_t kStatusClientError = 400;
+
+bool IsChat(const ActiveCall& call) {
+  return call.submission.work->kind == CallKind::kChat;
+}
+
+// Records that the log has not confirmed may be written twice: a reader takes
+// each version once.
+uint64_t VersionOf(const JournalRecord& record) {
+  return std::visit([](const auto& kind) { return kind.version; }, record);
+}
+
+}  // namespace
+
+void FlushJournal(Turn& turn, ProgramFamily& family) {
+  if (family.in_flight != 0 || family.unappended.empty() ||
+      !turn.moment.log_reachable) {
+    return;
+  }
+  family.in_flight = family.unappended.size();
+  turn.actions.emplace_back(AppendRecords{
+      family.root, {family.unappended.begin(), family.unappended.end()}});
+}
+
+CallRecord DraftRecord(const Turn& turn,
+                       const ProgramFamily& family,
+                       const ActiveCall& call) {
+  const CallSubmission& submission = call.submission;
+  CallRecord record;
+  record.key = submission.key;
+  record.digest = submission.digest;
+  record.idempotency_key = submission.work->idempotency_key;
+  record.budget = family.budget;
+  record.started_at = call.started_at;
+  record.finished_at = turn.moment.wall;
+  record.endpoint = call.endpoint;
+  record.model = submission.work->model;
+  record.idempotent = submission.work->idempotent;
+  return record;
+}
+
+void JournalFailure(Turn& turn,
+                    ProgramFamily& family,
+                    const ActiveCall& call,
+                    const TokenUsage& usage) {
+  CallRecord record = DraftRecord(turn, family, call);
+  record.state = CallState::kFailed;
+  record.usage = usage;
+  Journal(family, std::move(record));
+  FlushJournal(turn, family);
+}
+
+namespace {
+
+// Ends the active call without an answer. Tokens that an engine spent on it
+// are charged, since it may have run for long.
+void FailCall(Turn& turn,
+              Place place,
+              const Refusal& refusal,
+              const TokenUsage& usage) {
+  ActiveCall& call = *place.program->active;
+  RefuseAll(turn, call, refusal);
+  call.waiters.clear();
+  if (call.intent_version != 0 || usage.prompt + usage.completion != 0) {
+    JournalFailure(turn, *place.family, call, usage);
+  }
+  SettleBudget(turn, *place.family, call, usage.prompt + usage.completion);
+  ClearActive(turn, place);
+}
+
+// Only a call that may not be repeated is lost; its number stays taken.
+void LoseCall(Turn& turn, Place place) {
+  ActiveCall& call = *place.program->active;
+  CallRecord record = DraftRecord(turn, *place.family, call);
+  record.state = CallState::kLost;
+  call.record_version = Journal(*place.family, record);
+  record.version = call.record_version;
+  call.record = std::make_shared<const CallRecord>(std::move(record));
+  place.program->calls[call.submission.key.call] = call.record;
+  place.program->next_call = call.submission.key.call + 1;
+  ++place.family->calls_used;
+  call.phase = CallPhase::kOutcome;
+}
+
+void ExtendHistory(Program& program, const CallRecord& record) {
+  program.messages.insert(program.messages.end(), record.new_messages.begin(),
+                          record.new_messages.end());
+  if (record.usage.prompt != 0) {
+    program.history_tokens = record.usage.prompt + record.usage.completion;
+    program.counted_messages = program.messages.size();
+  }
+}
+
+void RecordAnswer(Turn& turn, Place place, AttemptResult result) {
+  ProgramFamily& family = *place.family;
+  Program& program = *place.program;
+  ActiveCall& call = *program.active;
+  CallRecord record = DraftRecord(turn, family, call);
+  record.status = result.status;
+  record.content_type = std::move(result.content_type);
+  record.answer = std::move(result.body);
+  record.usage = result.usage;
+  if (IsChat(call)) {
+    record.new_messages = std::move(call.new_messages);
+    record.new_messages.push_back(std::move(result.message));
+    if (record.usage.prompt == 0) {  // the engine counts nothing
+      record.usage.prompt = call.prompt_estimate;
+      record.usage.completion = EstimateTokens(record.new_messages.back());
+    }
+    ExtendHistory(program, record);
+  }
+  record.version = family.version + 1;
+  call.record_version = Journal(family, record);
+  call.record = std::make_shared<const CallRecord>(std::move(record));
+  program.calls[call.submission.key.call] = call.record;
+  program.next_call = call.submission.key.call + 1;
+  family.last_used_at = turn.moment.wall;
+  ++family.calls_used;
+  call.phase = CallPhase::kOutcome;
+  SettleBudget(turn, family, call,
+               call.record->usage.prompt + call.record->usage.completion);
+}
+
+// Tells the callers of a call whose outcome is written, or cannot be for now.
+void ReleaseOutcome(Turn& turn, Place place, bool durable) {
+  ActiveCall& call = *place.program->active;
+  const std::shared_ptr<const CallRecord> record = call.record;
+  const bool is_lost = record->state == CallState::kLost;
+  for (const Waiter waiter : call.waiters) {
+    if (!turn.moment.may_act) {
+      Refuse(turn, waiter,
+             RefusalOf(turn, RefusalType::kLeaseLapsed,
+                       is_lost ? Ran::kUnknown : Ran::kYes));
+    } else if (is_lost) {
+      Refuse(turn, waiter,
+             {.type = RefusalType::kOutcomeUnknown, .ran = Ran::kUnknown});
+    } else {
+      turn.actions.emplace_back(AnswerCaller{.waiter = waiter,
+                                             .record = record,
+                                             .replayed = false,
+                                             .durable = durable});
+    }
+  }
+  const bool single = call.submission.single;
+  ClearActive(turn, place);
+  if (single) {
+    turn.actions.emplace_back(ReleaseProgram{place.program->name});
+    place.program->ended = true;
+  }
+}
+
+void AwaitOutcome(Turn& turn, Place place) {
+  if (turn.moment.log_reachable) {
+    FlushJournal(turn, *place.family);
+  } else {
+    ReleaseOutcome(turn, place, /*durable=*/false);
+  }
+}
+
+void Dispatch(Turn& turn, Place place) {
+  ActiveCall& call = *place.program->active;
+  call.phase = CallPhase::kDispatched;
+  call.dispatch = ++turn.ledger.last_dispatch;
+  DispatchCall dispatch{.key = call.submission.key,
+                        .dispatch = call.dispatch,
+                        .endpoint = call.endpoint,
+                        .work = call.submission.work,
+                        .messages = {},
+                        .max_tokens = call.submission.max_tokens};
+  if (IsChat(call)) {
+    dispatch.messages = place.program->messages;
+    dispatch.messages.insert(dispatch.messages.end(), call.new_messages.begin(),
+                             call.new_messages.end());
+  }
+  turn.actions.emplace_back(std::move(dispatch));
+}
+
+// The intent is in the log, so the first byte may leave.
+void IntentAppended(Turn& turn, Place place) {
+  ActiveCall& call = *place.program->active;
+  if (!turn.moment.may_act) {
+    FailCall(turn, place, RefusalOf(turn, RefusalType::kLeaseLapsed, Ran::kNo),
+             {});
+  } else if (call.stopping) {
+    FailCall(turn, place, {.type = RefusalType::kCancelled}, {});
+  } else {
+    Dispatch(turn, place);
+  }
+}
+
+// Acts on each active call whose record was in the answered append.
+void SettleAppended(Turn& turn, ProgramFamily& family, uint64_t up_to) {
+  for (auto& [id, program] : family.programs) {
+    if (!program.active) {
+      continue;
+    }
+    const ActiveCall& call = *program.active;
+    if (call.phase == CallPhase::kIntent && call.intent_version <= up_to) {
+      IntentAppended(turn, {&family, &program});
+    } else if (call.phase == CallPhase::kOutcome &&
+               call.record_version <= up_to) {
+      ReleaseOutcome(turn, {&family, &program}, /*durable=*/true);
+    }
+  }
+}
+
+// The log did not confirm: intents are given up and never dispatched, answers
+// that exist are told with the warning that they may be lost.
+void SettleUnappended(Turn& turn, ProgramFamily& family, bool is_certain) {
+  for (auto& [id, program] : family.programs) {
+    if (!program.active) {
+      continue;
+    }
+    ActiveCall& call = *program.active;
+    if (call.phase == CallPhase::kIntent) {
+      if (is_certain) {
+        std::erase_if(family.unappended, [&](const JournalRecord& record) {
+          return VersionOf(record) == call.intent_version;
+        });
+        call.intent_version = 0;
+      }
+      FailCall(turn, {&family, &program},
+               RefusalOf(turn, RefusalType::kLogUnavailable, Ran::kNo), {});
+    } else if (call.phase == CallPhase::kOutcome) {
+      ReleaseOutcome(turn, {&family, &program}, /*durable=*/false);
+    }
+  }
+}
+
+bool IsRetryableStatus(uint32_t status) {
+  return status == kStatusTooManyRequests || status >= kStatusServerError;
+}
+
+// An engine that answers 429 or 5xx has not served the request.
+AttemptResult::Kind KindOf(const ActiveCall& call,
+                           const AttemptResult& result) {
+  if (result.kind == AttemptResult::Kind::kAnswered && IsChat(call) &&
+      IsRetryableStatus(result.status)) {
+    return AttemptResult::Kind::kUnknown;
+  }
+  return result.kind;
+}
+
+bool MayRetry(const Turn& turn,
+              const ActiveCall& call,
+              const AttemptResult& result,
+              AttemptResult::Kind kind) {
+  const bool is_safe = kind == AttemptResult::Kind::kNotRun ||
+                       (call.submission.work->idempotent && !result.relayed);
+  return is_safe && result.may_retry && !call.stopping &&
+         call.attempts < turn.ledger.options.attempts;
+}
+
+void RetryCall(Turn& turn, ActiveCall& call) {
+  call.phase = CallPhase::kQueued;
+  call.avoid.push_back(call.endpoint);
+  turn.actions.emplace_back(
+      QueueCall{call.submission.key, call.submission.work, call.avoid});
+}
+
+// An engine's refusal of the request itself: the caller may correct it and use
+// the number again.
+void PassRefusal(Turn& turn, Place place, AttemptResult result) {
+  ActiveCall& call = *place.program->active;
+  CallRecord record = DraftRecord(turn, *place.family, call);
+  record.state = CallState::kFailed;
+  record.status = result.status;
+  record.content_type = std::move(result.content_type);
+  record.answer = std::move(result.body);
+  const auto shared = std::make_shared<const CallRecord>(std::move(record));
+  for (const Waiter waiter : call.waiters) {
+    turn.actions.emplace_back(AnswerCaller{.waiter = waiter,
+                                           .record = shared,
+                                           .replayed = false,
+                                           .durable = true});
+  }
+  ClearActive(turn, place);
+}
+
+Refusal FailureOf(const Turn& turn,
+                  const ActiveCall& call,
+                  const AttemptResult& result,
+                  AttemptResult::Kind kind) {
+  if (call.stopping) {
+    return {.type = RefusalType::kCancelled, .ran = Ran::kUnknown};
+  }
+  if (kind == AttemptResult::Kind::kNotRun) {
+    return RefusalOf(turn, RefusalType::kEndpointFailed, Ran::kNo);
+  }
+  return RefusalOf(turn, RefusalType::kEndpointFailed,
+                   result.relayed ? Ran::kYes : Ran::kUnknown);
+}
+
+}  // namespace
+
+}  // namespace ledger
+
+AttemptResult EndedAs(AttemptResult::Kind kind) {
+  AttemptResult result;
+  result.kind = kind;
+  return result;
+}
+
+LedgerActions StartCall(ProgramLedger& ledger,
+                        const CallKey& key,
+                        std::string endpoint,
+                        const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const Place place = ledger::Find(ledger, key.program);
+  ActiveCall* const call = ledger::FindActive(place, key);
+  if (call == nullptr || call->phase != CallPhase::kQueued || !call->reserved) {
+    return {};
+  }
+  if (!moment.may_act) {
+    ledger::FailCall(
+        turn, place,
+        ledger::RefusalOf(turn, RefusalType::kLeaseLapsed, Ran::kNo), {});
+    return std::move(turn.actions);
+  }
+  ++call->attempts;
+  call->endpoint = std::move(endpoint);
+  if (call->submission.work->idempotent || call->intent_version != 0) {
+    ledger::Dispatch(turn, place);
+  } else if (!moment.log_reachable) {
+    ledger::FailCall(
+        turn, place,
+        ledger::RefusalOf(turn, RefusalType::kLogUnavailable, Ran::kNo), {});
+  } else {
+    call->phase = CallPhase::kIntent;
+    call->intent_version = ledger::Journal(
+        *place.family,
+        CallIntent{.key = key,
+                   .digest = call->submission.digest,
+                   .endpoint = call->endpoint,
+                   .idempotency_key = call->submission.work->idempotency_key,
+                   .fence = moment.fence,
+                   .version = 0});
+    ledger::FlushJournal(turn, *place.family);
+  }
+  return std::move(turn.actions);
+}
+
+LedgerActions RefuseQueued(ProgramLedger& ledger,
+                           const CallKey& key,
+                           const Refusal& refusal,
+                           const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const Place place = ledger::Find(ledger, key.program);
+  if (const ActiveCall* const call = ledger::FindActive(place, key);
+      call != nullptr && call->phase == CallPhase::kQueued) {
+    ledger::FailCall(turn, place, refusal, {});
+  }
+  return std::move(turn.actions);
+}
+
+LedgerActions FinishAttempt(ProgramLedger& ledger,
+                            const CallKey& key,
+                            DispatchId dispatch,
+                            AttemptResult result,
+                            const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const Place place = ledger::Find(ledger, key.program);
+  ActiveCall* const call = ledger::FindActive(place, key);
+  if (call == nullptr || call->phase != CallPhase::kDispatched ||
+      call->dispatch != dispatch) {
+    return {};
+  }
+  const AttemptResult::Kind kind = ledger::KindOf(*call, result);
+  const bool is_answer = kind == AttemptResult::Kind::kAnswered;
+  const bool is_refusal = is_answer && ledger::IsChat(*call) &&
+                          result.status >= ledger::kStatusClientError;
+  if (is_refusal) {
+    ledger::PassRefusal(turn, place, std::move(result));
+  } else if (is_answer) {
+    ledger::RecordAnswer(turn, place, std::move(result));
+    ledger::AwaitOutcome(turn, place);
+  } else if (ledger::MayRetry(turn, *call, result, kind)) {
+    ledger::RetryCall(turn, *call);
+  } else if (kind == AttemptResult::Kind::kNotRun ||
+             call->submission.work->idempotent) {
+    ledger::FailCall(turn, place, ledger::FailureOf(turn, *call, result, kind),
+                     result.usage);
+  } else {
+    ledger::LoseCall(turn, place);
+    ledger::AwaitOutcome(turn, place);
+  }
+  return std::move(turn.actions);
+}
+
+LedgerActions FinishAppend(ProgramLedger& ledger,
+                           const ProgramName& root,
+                           AppendVerdict verdict,
+                           const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const auto found = ledger.families.find(root);
+  if (found == ledger.families.end() || found->second.in_flight == 0) {
+    return {};
+  }
+  ProgramFamily& family = found->second;
+  const size_t answered = std::min(family.in_flight, family.unappended.size());
+  family.in_flight = 0;
+  if (verdict == AppendVerdict::kAppended) {
+    const auto end =
+        family.unappended.begin() + static_cast<std::ptrdiff_t>(answered);
+    family.appended_version = ledger::VersionOf(*(end - 1));
+    family.unappended.erase(family.unappended.begin(), end);
+    ledger::SettleAppended(turn, family, family.appended_version);
+    ledger::FlushJournal(turn, family);
+  } else {
+    ledger::SettleUnappended(turn, family,
+                             verdict == AppendVerdict::kNotAppended);
+  }
+  return std::move(turn.actions);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/ledger_upkeep.cc
@@ -0,0 +1,177 @@
+#include <algorithm>  // for std::erase
+#include <utility>    // for std::move
+
+#include "celerykeel/core/ledger_turn.h"  // for Turn, Place
+
+namespace celerykeel {
+
+using ledger::Place;
+using ledger::Turn;
+
+namespace {
+
+// Stops a call that may be repeated; one that may not runs to its end, so that
+// its outcome is known.
+void StopActive(Turn& turn, Place place, const Refusal& refusal) {
+  ActiveCall& call = *place.program->active;
+  const bool idempotent = call.submission.work->idempotent;
+  const bool has_left = call.phase == CallPhase::kDispatched;
+  if (call.phase == CallPhase::kOutcome || (has_left && !idempotent)) {
+    return;
+  }
+  Refusal told = refusal;
+  told.ran = has_left ? Ran::kUnknown : Ran::kNo;
+  ledger::RefuseAll(turn, call, told);
+  call.waiters.clear();
+  if (call.phase == CallPhase::kIntent) {
+    call.stopping = true;
+    return;
+  }
+  turn.actions.emplace_back(StopCall{call.submission.key});
+  if (has_left) {
+    const TokenUsage spent{.prompt = call.prompt_estimate};
+    ledger::JournalFailure(turn, *place.family, call, spent);
+    ledger::SettleBudget(turn, *place.family, call, spent.prompt);
+  }
+  ledger::ClearActive(turn, place);
+}
+
+void RefuseWaiting(Turn& turn, Program& program, const Refusal& refusal) {
+  for (const auto& [number, waiting] : program.waiting) {
+    ledger::Refuse(turn, waiting.submission.waiter, refusal);
+  }
+  program.waiting.clear();
+}
+
+void EndOne(Turn& turn, Place place) {
+  Program& program = *place.program;
+  if (program.ended) {
+    return;
+  }
+  program.ended = true;
+  const Refusal refusal{.type = RefusalType::kProgramEnded};
+  RefuseWaiting(turn, program, refusal);
+  if (program.active) {
+    StopActive(turn, place, refusal);
+  }
+  ledger::Journal(*place.family,
+                  ProgramEnd{.program = program.name, .version = 0});
+  ledger::FlushJournal(turn, *place.family);
+  turn.actions.emplace_back(ReleaseProgram{program.name});
+}
+
+void EndFamily(Turn& turn, ProgramFamily& family) {
+  for (auto& [id, program] : family.programs) {
+    EndOne(turn, {&family, &program});
+  }
+}
+
+void ExpireWaiting(Turn& turn, Program& program) {
+  if (program.active) {
+    return;
+  }
+  std::erase_if(program.waiting, [&](const auto& entry) {
+    if (entry.second.until > turn.moment.now) {
+      return false;
+    }
+    ledger::Refuse(turn, entry.second.submission.waiter,
+                   {.type = RefusalType::kCallOutOfOrder,
+                    .expected_call = program.next_call});
+    return true;
+  });
+}
+
+bool IsBusy(const ProgramFamily& family) {
+  return std::any_of(
+      family.programs.begin(), family.programs.end(), [](const auto& entry) {
+        return entry.second.active.has_value() || !entry.second.waiting.empty();
+      });
+}
+
+bool HasEnded(const ProgramFamily& family) {
+  return std::all_of(family.programs.begin(), family.programs.end(),
+                     [](const auto& entry) { return entry.second.ended; });
+}
+
+// A family that nothing was ever recorded of, such as one that was asked for a
+// call out of order.
+bool IsEmpty(const ProgramFamily& family) {
+  return family.version == 0 && family.unappended.empty();
+}
+
+bool MayForget(const ProgramFamily& family,
+               const LedgerOptions& options,
+               const Moment& moment) {
+  if (IsBusy(family) || !family.unappended.empty()) {
+    return false;
+  }
+  const Duration unused =
+      std::chrono::milliseconds(moment.wall - family.last_used_at);
+  return IsEmpty(family) || (HasEnded(family) && unused > options.ended_kept);
+}
+
+void TickFamily(Turn& turn, ProgramFamily& family) {
+  const LedgerOptions& options = turn.ledger.options;
+  for (auto& [id, program] : family.programs) {
+    ExpireWaiting(turn, program);
+  }
+  const Duration unused =
+      std::chrono::milliseconds(turn.moment.wall - family.last_used_at);
+  const bool is_idle = !IsBusy(family) && unused > options.idle_end;
+  if ((is_idle && !IsEmpty(family)) ||
+      ledger::SecondsAreOver(family, turn.moment)) {
+    EndFamily(turn, family);
+  }
+  ledger::FlushJournal(turn, family);
+}
+
+}  // namespace
+
+LedgerActions CancelWaiter(ProgramLedger& ledger,
+                           const ProgramName& program,
+                           Waiter waiter,
+                           const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const Place place = ledger::Find(ledger, program);
+  if (!place) {
+    return {};
+  }
+  std::erase_if(place.program->waiting, [&](const auto& entry) {
+    return entry.second.submission.waiter == waiter;
+  });
+  if (!place.program->active ||
+      std::erase(place.program->active->waiters, waiter) == 0) {
+    return {};
+  }
+  if (place.program->active->waiters.empty()) {
+    StopActive(turn, place, {.type = RefusalType::kCancelled});
+  }
+  return std::move(turn.actions);
+}
+
+LedgerActions EndProgram(ProgramLedger& ledger,
+                         const ProgramName& name,
+                         const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  if (const Place place = ledger::Find(ledger, name); place) {
+    if (place.program->name == place.family->root) {
+      EndFamily(turn, *place.family);
+    } else {
+      EndOne(turn, place);
+    }
+  }
+  return std::move(turn.actions);
+}
+
+LedgerActions Tick(ProgramLedger& ledger, const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  for (auto& [root, family] : ledger.families) {
+    TickFamily(turn, family);
+  }
+  std::erase_if(ledger.families, [&](const auto& entry) {
+    return MayForget(entry.second, ledger.options, moment);
+  });
+  return std::move(turn.actions);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <atomic>   // for std::atomic
+#include <map>      // for std::map
+#include <set>      // for std::set
+#include <string>   // for std::string
+#include <thread>   // for std::thread
+#include <variant>  // for std::variant
+#include <vector>   // for std::vector
+
+#include "celerykeel/call.pb.h"                    // for pb::CallMessage
+#include "celerykeel/core/program_ledger.h"        // for ProgramLedger
+#include "celerykeel/core/run_queue.h"             // for RunQueue
+#include "celerykeel/net/bounded_ring.h"           // for BoundedRing
+#include "celerykeel/net/feed_client.h"            // for FeedClient
+#include "celerykeel/scheduler/call_stream.h"      // for CallStream
+#include "celerykeel/scheduler/choose_endpoint.h"  // for EndpointLoad
+#include "celerykeel/scheduler/endpoint_call.h"    // for AttemptStop
+#include "celerykeel/scheduler/owner.h"            // for Owner
+#include "celerykeel/scheduler/worker_pool.h"      // for WorkerPool
+
+// What the parts of the owner share. Private to the scheduler.
+namespace celerykeel {
+
+/// @brief A message of a gate or of another scheduler.
+struct PeerMessage {
+  Peer peer;
+  pb::CallMessage message;
+};
+
+struct AttemptEnded {
+  CallKey key;
+  DispatchId dispatch = 0;
+  std::string endpoint;
+  AttemptResult result;
+};
+
+struct AppendEnded {
+  ProgramName root;
+  AppendVerdict verdict = AppendVerdict::kUncertain;
+};
+
+using OwnerEvent =
+    std::variant<std::monostate, PeerMessage, AttemptEnded, AppendEnded>;
+
+/// @brief A gate that waits for the answer of a call.
+struct WaitingCaller {
+  Requester requester;
+  CallKey key;
+  bool stream = false;
+  bool accepted = false;
+  std::shared_ptr<CallStream> following;
+};
+
+struct RunningAttempt {
+  std::string endpoint;
+  std::shared_ptr<AttemptStop> stop;
+};
+
+struct Owner::State {
+  State(const SchedulerOptions& given,
+        std::shared_ptr<prometheus::Registry> metrics);
+
+  // The owner's thread.
+  void Run();
+  void Handle(OwnerEvent event);
+  void HandleMessage(PeerMessage message);
+  void HandleCall(const Requester& requester, const pb::CallRequest& request);
+  void HandleCancel(const Peer& peer, uint64_t id);
+  void HandleQuery(const Requester& requester, const pb::ProgramQuery& query);
+  void HandleDelete(const Requester& requester,
+                    const pb::ProgramDelete& request);
+  void HandleAttempt(AttemptEnded ended);
+  void TickIfDue();
+  void StartQueued();
+  Moment Read();
+
+  // Actions of the ledger.
+  void Perform(LedgerActions actions);
+  void Do(const RefuseCaller& action);
+  void Do(const AnswerCaller& action);
+  void Do(const QueueCall& action);
+  void Do(const FollowCall& action);
+  void Do(const DispatchCall& action);
+  void Do(const StopCall& action);
+  void Do(const AppendRecords& action);
+  void Do(const ReleaseProgram& action);
+
+  std::shared_ptr<CallStream> StreamOf(const DispatchCall& action);
+  void AcceptWaiters(const DispatchCall& action,
+                     const std::shared_ptr<CallStream>& stream);
+  std::string AddressOf(const std::string& endpoint) const;
+
+  // Replies.
+  void Refuse(const Requester& requester, const Refusal& refusal);
+  void Accept(WaitingCaller& caller,
+              const std::string& endpoint,
+              bool replayed,
+              bool durable);
+  void Follow(WaitingCaller& caller, std::shared_ptr<CallStream> stream);
+  void Forget(Waiter waiter);
+
+  // From other threads.
+  void PushFromPeer(Messenger& through, PeerMessage message);
+  void PushOwn(OwnerEvent event);
+
+  SchedulerOptions options;
+  std::shared_ptr<prometheus::Registry> registry;
+  BoundedRing<OwnerEvent> events;
+  std::atomic<bool> stopping{false};
+  std::atomic<bool> draining{false};
+  std::atomic<bool> drained{false};
+
+  // Only the owner's thread uses these.
+  FleetView view;
+  ProgramLedger ledger;
+  RunQueue queue;
+  EndpointLoad load;
+  Waiter last_waiter = 0;
+  std::map<Waiter, WaitingCaller> callers;
+  std::map<std::pair<std::string, uint64_t>, Waiter> waiter_of;
+  std::map<CallKey, std::shared_ptr<CallStream>> streams;
+  std::map<DispatchId, RunningAttempt> attempts;
+  std::map<CallKey, DispatchId> newest_attempt;
+  std::map<ProgramName, std::set<std::string>> cached_at;  // endpoints
+  Duration ticked_at{};
+
+  std::unique_ptr<Messenger> messenger;
+  std::unique_ptr<FeedClient> feed;
+  std::unique_ptr<WorkerPool> workers;
+  std::thread thread;
+};
+
+}  // namespace celerykeel
