--- a/src/celerykeel/wire/fleet_codec.cc
+++ b/src/celerykeel/wire/fleet_codec.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/wire/fleet_codec.h"
 
+#include <google/protobuf/stubs/logging.h>  // for LogSilencer
+
 #include <memory>   // for std::make_shared
 #include <utility>  // for std::move
 #include <variant>  // for std::visit
@@ -155,6 +157,8 @@
 }
 
 FleetRecord DecodeFleetRecord(std::string_view bytes) {
+  // The caller counts what does not decode; the library need not log it.
+  const google::protobuf::LogSilencer silencer;
   pb::FleetRecord message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return Unreadable{};
