--- a/include/celerykeel/standin/chat.h
+++ b/include/celerykeel/standin/chat.h
@@ -42,10 +42,6 @@
 
 tl::expected<Chat, BadChat> ParseChat(std::string_view body);
 
-/// @brief Splits a text into tokens of up to four bytes, never within a
-/// character.
-std::vector<std::string> SplitTokens(std::string_view text);
-
 /// @brief A function of the request alone: a digest of the prompt, then the
 /// last user message, so that a test can tell whose answer it has.
 ///
--- a/include/celerykeel/standin/lagged.h
+++ b/include/celerykeel/standin/lagged.h
@@ -20,11 +20,6 @@
   std::deque<Version> versions;  // by time
 };
 
-template <typename T>
-void SetLagged(Lagged<T>& lagged, T value, Duration now) {
-  lagged.versions.push_back({now, std::move(value)});
-}
-
 /// @brief The value set last at least `lag` before `now`.
 template <typename T>
 const T& ReadLagged(Lagged<T>& lagged, Duration now) {
@@ -36,6 +31,12 @@
   return lagged.oldest;
 }
 
+template <typename T>
+void SetLagged(Lagged<T>& lagged, T value, Duration now) {
+  lagged.versions.push_back({now, std::move(value)});
+  ReadLagged(lagged, now);  // drops what nobody can read any more
+}
+
 /// @brief The value set last, whatever its age.
 template <typename T>
 const T& NewestOf(const Lagged<T>& lagged) {
--- a/src/celerykeel/standin/chat.cc
+++ b/src/celerykeel/standin/chat.cc
@@ -2,18 +2,19 @@
 
 #include <xxhash.h>  // for XXH3_64bits
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::max
 
 #include <fmt/format.h>       // for fmt::format
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
+#include "celerykeel/standin/tokens.h"  // for SplitTokens
+
 namespace celerykeel {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr size_t kBytesPerToken = 4;
 constexpr char kFiller[] = " and";  // one token
 
 std::string TextOf(const json& content) {
@@ -32,10 +33,6 @@
   return text;
 }
 
-bool IsContinuation(char c) {
-  return (static_cast<unsigned char>(c) & 0xC0U) == 0x80U;
-}
-
 uint32_t NumberOf(const json& body, const char* name) {
   const auto found = body.find(name);
   return found != body.end() && found->is_number_unsigned()
@@ -101,19 +98,6 @@
   return chat;
 }
 
-std::vector<std::string> SplitTokens(std::string_view text) {
-  std::vector<std::string> tokens;
-  while (!text.empty()) {
-    size_t size = std::min(kBytesPerToken, text.size());
-    while (size > 1 && size < text.size() && IsContinuation(text[size])) {
-      --size;
-    }
-    tokens.emplace_back(text.substr(0, size));
-    text.remove_prefix(size);
-  }
-  return tokens;
-}
-
 ChatAnswer MakeAnswer(const Chat& chat, std::string_view request_id) {
   const uint64_t digest = XXH3_64bits(chat.prompt.data(), chat.prompt.size());
   ChatAnswer answer{.id = std::string(request_id),
--- a/src/celerykeel/standin/engine_server.cc
+++ b/src/celerykeel/standin/engine_server.cc
@@ -11,6 +11,7 @@
 #include "celerykeel/standin/chat.h"         // for ParseChat
 #include "celerykeel/standin/credentials.h"  // for HasCredential
 #include "celerykeel/standin/http_host.h"    // for HttpHost
+#include "celerykeel/standin/tokens.h"       // for SplitTokens
 
 namespace celerykeel {
 
