gate: callers' HTTP, to the owner and back

Cause: the gate had no code. Change: chat (whole and streamed), services and programs; keys by the folded configuration; CallRequest to the owner by rendezvous and its answers back through a bounded ring for each call; refusals as problem+json. Measured: nothing yet.

--- a/include/celerykeel/net/http_guard.h
+++ b/include/celerykeel/net/http_guard.h
@@ -7,6 +7,7 @@
 
 namespace httplib {
 class Server;
+struct Request;
 }  // namespace httplib
 
 namespace celerykeel {
@@ -20,6 +21,10 @@
   Duration keep_alive_timeout = std::chrono::seconds(30);
 };
 
+/// @brief True if two readers of the connection may not agree where the body
+/// ends.
+bool HasAmbiguousLength(const httplib::Request& request);
+
 /// @brief Sets limits on a server, and refuses what the library lets pass:
 /// Content-Length with Transfer-Encoding, several or negative Content-Length.
 void ConfigureServer(httplib::Server& server, const HttpServerOptions& options);
--- /dev/null
+++ b/src/celerykeel/gate/gate_server.cc
@@ -0,0 +1,427 @@
+#include "celerykeel/gate/gate_server.h"
+
+#include <httplib.h>  // for httplib::Request, httplib::Response
+
+#include <openssl/rand.h>  // for RAND_bytes
+
+#include <algorithm>  // for std::all_of
+#include <array>      // for std::array
+#include <optional>   // for std::optional
+#include <utility>    // for std::move
+
+#include <fmt/format.h>  // for fmt::format
+
+#include "celerykeel/gate/call_relay.h"      // for CallRelay
+#include "celerykeel/gate/caller_request.h"  // for ReadProgramHeaders
+#include "celerykeel/gate/credentials.h"     // for Authenticate
+#include "celerykeel/gate/program_json.h"    // for ProgramJson
+#include "celerykeel/gate/route_match.h"     // for FindRoute
+#include "celerykeel/net/clock.h"            // for Now
+#include "celerykeel/net/http_server.h"      // for HttpServer
+#include "celerykeel/wire/problem_json.h"    // for ProblemJson
+
+namespace celerykeel {
+
+namespace {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicesPath = "/services/";
+constexpr std::string_view kProgramsPath = "/v1/programs/";
+constexpr char kEventStream[] = "text/event-stream";
+constexpr char kJson[] = "application/json";
+constexpr size_t kIdBytes = 16;
+
+using httplib::Request;
+using httplib::Response;
+using Refused = tl::unexpected<pb::CallRefused>;
+
+void Answer(Response& response, const pb::CallRefused& refusal) {
+  response.status = HttpStatus(refusal.type());
+  if (const uint64_t seconds = RetryAfterSeconds(refusal); seconds > 0) {
+    response.set_header("Retry-After", std::to_string(seconds));
+  }
+  if (response.status == 401) {
+    response.set_header("WWW-Authenticate", "Bearer");
+  }
+  response.set_content(ProblemJson(refusal), kProblemJsonType);
+}
+
+void AnswerError(int status, Response& response) {
+  if (status == 413) {
+    Answer(response, Refuse(pb::BODY_TOO_LARGE, "the body is over the limit"));
+  } else if (status >= 500) {
+    Answer(response, RefuseUnknown(pb::REFUSAL_UNSPECIFIED,
+                                   "the gate failed; see its log"));
+  } else {
+    Answer(response, Refuse(pb::BAD_REQUEST,
+                            "the HTTP request is malformed, over a limit, or "
+                            "did not arrive in time"));
+  }
+  response.status = status;
+}
+
+std::string FreshId() {
+  std::array<unsigned char, kIdBytes> bytes{};
+  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+  std::string id = "once-";
+  for (const unsigned char byte : bytes) {
+    id += fmt::format("{:02x}", byte);
+  }
+  return id;
+}
+
+ProgramHeaders HeadersOf(const Request& request) {
+  return {.id = request.get_header_value("Program-Id"),
+          .call = request.get_header_value("Program-Call"),
+          .parent = request.get_header_value("Program-Parent"),
+          .budget = request.get_header_value("Program-Budget"),
+          .history = request.get_header_value("Program-History"),
+          .idempotency_key = request.get_header_value("Idempotency-Key")};
+}
+
+bool IsPrintable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+// A header of ours that is not ASCII, or comes twice, has no one meaning.
+tl::expected<void, pb::CallRefused> CheckHeaders(const Request& request) {
+  for (const char* name :
+       {"Authorization", "Program-Id", "Program-Call", "Program-Parent",
+        "Program-Budget", "Program-History", "Idempotency-Key",
+        kBodyTypeHeader}) {
+    if (request.get_header_value_count(name) > 1 ||
+        !IsPrintable(request.get_header_value(name))) {
+      return Refused(Refuse(pb::BAD_REQUEST,
+                            "a header comes twice or is not printable ASCII"));
+    }
+  }
+  return {};
+}
+
+void SetAnswerHeaders(Response& response, const pb::CallRequest& request) {
+  response.set_header("Program-Id", request.program().id());
+  if (request.call() > 0) {
+    response.set_header("Program-Call", std::to_string(request.call()));
+  }
+}
+
+// A streamed answer between two calls of the library's content provider.
+struct OpenStream {
+  std::unique_ptr<CallRelay> relay;
+  std::string data;  // to be written next
+  bool last = false;
+  bool abandoned_is_cancelled = false;
+};
+
+bool WriteNext(OpenStream& stream, httplib::DataSink& sink) {
+  if (!stream.data.empty()) {
+    if (!sink.is_writable() ||
+        !sink.write(stream.data.data(), stream.data.size())) {
+      return false;
+    }
+    stream.data.clear();
+  }
+  if (stream.last) {
+    sink.done();
+    return true;
+  }
+  RelayItem item = stream.relay->Next();
+  if (auto* chunk = std::get_if<AnswerChunk>(&item)) {
+    stream.data = std::move(chunk->data);
+  } else if (auto* finished = std::get_if<pb::CallFinished>(&item)) {
+    stream.data = std::move(*finished->mutable_body());
+    stream.last = true;
+  } else if (const auto* refused = std::get_if<pb::CallRefused>(&item)) {
+    stream.data = ProblemEvent(*refused);
+    stream.last = true;
+  }
+  return true;
+}
+
+}  // namespace
+
+struct GateServer::State {
+  void Handle(const Request& request, Response& response) {
+    tl::expected<void, pb::CallRefused> done = CheckHeaders(request);
+    if (done) {
+      done = this->Dispatch(request, response);
+    }
+    if (!done) {
+      Answer(response, done.error());
+    }
+  }
+
+  tl::expected<void, pb::CallRefused> Dispatch(const Request& request,
+                                               Response& response) {
+    const std::string_view path = request.path;
+    if (path == kChatPath && request.method == "POST") {
+      return this->HandleChat(request, response);
+    }
+    if (path.starts_with(kServicesPath)) {
+      return this->HandleService(request, response);
+    }
+    if (path.starts_with(kProgramsPath) &&
+        (request.method == "GET" || request.method == "DELETE")) {
+      return this->HandleProgram(request, response);
+    }
+    return Refused(
+        Refuse(pb::UNKNOWN_ROUTE, "there is no such path for this method"));
+  }
+
+  tl::expected<Caller, pb::CallRefused> Identify(const FleetView& view,
+                                                 const Request& request) const {
+    auto caller = Authenticate(view.state->in_force,
+                               request.get_header_value("Authorization"));
+    // A stale instance cannot tell a new key from a wrong one.
+    if (Now() - view.fresh_at > this->options.config_patience) {
+      return Refused(Refuse(pb::CONFIGURATION_STALE,
+                            "this instance cannot tell whether the key holds",
+                            std::chrono::seconds(2)));
+    }
+    return caller;
+  }
+
+  tl::expected<void, pb::CallRefused> HandleChat(const Request& request,
+                                                 Response& response) {
+    const FleetView view = this->parts.view();
+    const auto caller = this->Identify(view, request);
+    if (!caller) {
+      return Refused(caller.error());
+    }
+    pb::CallMessage message;
+    pb::CallRequest& call = *message.mutable_request();
+    if (auto read = ReadProgramHeaders(HeadersOf(request), caller->team,
+                                       FreshId(), call);
+        !read) {
+      return read;
+    }
+    if (auto read = ReadChatBody(request.body, call); !read) {
+      return read;
+    }
+    const Configuration& in_force = view.state->in_force;
+    if (!in_force.models.contains(call.model()) &&
+        !in_force.adapters.contains(call.model())) {
+      return Refused(Refuse(pb::UNKNOWN_MODEL,
+                            fmt::format("no model \"{}\"", call.model())));
+    }
+    call.set_key_id(caller->key_id);
+    return this->Run(std::move(message), *caller, response);
+  }
+
+  tl::expected<void, pb::CallRefused> HandleService(const Request& request,
+                                                    Response& response) {
+    const FleetView view = this->parts.view();
+    const std::string_view target =
+        std::string_view(request.target).substr(kServicesPath.size() - 1);
+    const size_t question = target.find('?');
+    const std::string_view decoded =
+        std::string_view(request.path).substr(kServicesPath.size());
+    const size_t slash = decoded.find('/');
+    const std::string_view service = decoded.substr(0, slash);
+    const std::string_view path =
+        slash == std::string_view::npos ? "/" : decoded.substr(slash);
+    if (!request.target.starts_with(kServicesPath) ||
+        IsAmbiguousPath(target.substr(0, question)) ||
+        !IsPrintable(request.target)) {
+      return Refused(Refuse(pb::BAD_REQUEST, "the path is ambiguous"));
+    }
+    const Route* const route =
+        FindRoute(view.state->in_force, service, request.method, path);
+    std::optional<Caller> caller;
+    if (route == nullptr || !route->open_to_all) {
+      const auto identified = this->Identify(view, request);
+      if (!identified) {
+        return Refused(identified.error());
+      }
+      caller = *identified;
+    }
+    if (route == nullptr) {
+      return Refused(
+          Refuse(pb::UNKNOWN_ROUTE, "no route in force covers the path"));
+    }
+    pb::CallMessage message;
+    pb::CallRequest& call = *message.mutable_request();
+    if (auto read = ReadProgramHeaders(
+            HeadersOf(request), caller ? caller->team : "", FreshId(), call);
+        !read) {
+      return read;
+    }
+    const std::string stripped = StripCredentials(target);
+    const size_t path_start = stripped.find_first_of("/?", 1);
+    call.set_kind(pb::SERVICE);
+    call.set_route(route->id);
+    call.set_service(std::string(service));
+    call.set_method(request.method);
+    call.set_path(
+        path_start == std::string::npos ? "/" : stripped.substr(path_start));
+    call.set_content_type(request.get_header_value(kBodyTypeHeader));
+    call.set_body(request.body);
+    call.set_key_id(caller ? caller->key_id : "");
+    return this->Run(std::move(message), caller, response);
+  }
+
+  tl::expected<void, pb::CallRefused> HandleProgram(const Request& request,
+                                                    Response& response) {
+    const FleetView view = this->parts.view();
+    const auto caller = this->Identify(view, request);
+    if (!caller) {
+      return Refused(caller.error());
+    }
+    const auto target = ParseProgramTarget(
+        std::string_view(request.path).substr(kProgramsPath.size()));
+    if (!target) {
+      return Refused(target.error());
+    }
+    pb::CallMessage message;
+    pb::ProgramName* program = nullptr;
+    if (request.method == "GET") {
+      message.mutable_program_query()->set_call(target->call);
+      program = message.mutable_program_query()->mutable_program();
+    } else if (target->call == 0) {
+      program = message.mutable_program_delete()->mutable_program();
+    } else {
+      return Refused(
+          Refuse(pb::UNKNOWN_ROUTE, "a single call cannot be deleted"));
+    }
+    program->set_team(caller->team);
+    program->set_id(target->id);
+    return this->Run(std::move(message), *caller, response);
+  }
+
+  tl::expected<void, pb::CallRefused> Run(pb::CallMessage message,
+                                          std::optional<Caller> caller,
+                                          Response& response) {
+    const pb::CallRequest call =
+        message.has_request() ? message.request() : pb::CallRequest();
+    const bool one_call = message.has_request() && call.call() == 0 &&
+                          call.kind() == pb::CHAT &&
+                          call.idempotency_key().empty();
+    if (message.has_request()) {
+      SetAnswerHeaders(response, call);
+    }
+    auto relay = std::make_unique<CallRelay>(
+        RelayContext{.view = this->parts.view,
+                     .link = this->parts.link,
+                     .owner_patience = this->options.owner_patience,
+                     .config_patience = this->options.config_patience,
+                     .caller_waits = CallerIsConnected},
+        std::move(message), std::move(caller));
+    for (;;) {
+      RelayItem item = relay->Next();
+      if (const auto* accepted = std::get_if<pb::CallAccepted>(&item)) {
+        if (!accepted->durable()) {
+          response.set_header("Program-Durable", "no");
+        }
+      } else if (auto* chunk = std::get_if<AnswerChunk>(&item)) {
+        this->Stream(std::move(relay), std::move(chunk->data), one_call,
+                     response);
+        return {};
+      } else if (const auto* finished = std::get_if<pb::CallFinished>(&item)) {
+        AnswerWhole(*finished, response);
+        return {};
+      } else if (const auto* report = std::get_if<pb::ProgramReport>(&item)) {
+        return AnswerReport(*report, response);
+      } else {
+        const auto& refused = std::get<pb::CallRefused>(item);
+        if (refused.type() == pb::CANCELLED && one_call) {
+          relay->Cancel("the caller has gone away");
+        }
+        return Refused(refused);
+      }
+    }
+  }
+
+  static void AnswerWhole(const pb::CallFinished& finished,
+                          Response& response) {
+    response.status = static_cast<int>(finished.status());
+    if (!finished.durable()) {
+      response.headers.erase("Program-Durable");
+      response.set_header("Program-Durable", "no");
+    }
+    response.set_content(finished.body(), finished.content_type().empty()
+                                              ? std::string(kJson)
+                                              : finished.content_type());
+  }
+
+  static tl::expected<void, pb::CallRefused> AnswerReport(
+      const pb::ProgramReport& report,
+      Response& response) {
+    if (!report.found()) {
+      return Refused(
+          Refuse(pb::UNKNOWN_PROGRAM, "the team has no such program or call"));
+    }
+    if (report.has_call()) {
+      response.set_header("Program-Id", report.call().program().id());
+    }
+    const ProgramAnswer answer = ToAnswer(report);
+    response.status = answer.status;
+    response.set_content(answer.body, answer.content_type);
+    return {};
+  }
+
+  void Stream(std::unique_ptr<CallRelay> relay,
+              std::string first,
+              bool one_call,
+              Response& response) {
+    auto stream = std::make_shared<OpenStream>(
+        OpenStream{.relay = std::move(relay),
+                   .data = std::move(first),
+                   .abandoned_is_cancelled = one_call});
+    response.set_header("Cache-Control", "no-cache");
+    response.set_chunked_content_provider(
+        kEventStream,
+        [stream](size_t, httplib::DataSink& sink) {
+          return WriteNext(*stream, sink);
+        },
+        [stream](bool complete) {
+          if (!complete && stream->abandoned_is_cancelled) {
+            stream->relay->Cancel("the caller has gone away");
+          }
+        });
+  }
+
+  GateServerOptions options;
+  GateParts parts;
+  std::unique_ptr<HttpServer> server;  // last: its threads use the rest
+};
+
+tl::expected<std::unique_ptr<GateServer>, ListenError> GateServer::Create(
+    GateServerOptions options,
+    GateParts parts) {
+  auto state = std::make_unique<State>();
+  State* const shared = state.get();
+  state->options = std::move(options);
+  state->parts = std::move(parts);
+  auto server = HttpServer::Create(
+      {.listen = shared->options.listen,
+       .limits = shared->options.limits,
+       .handler =
+           [shared](const Request& request, Response& response) {
+             shared->Handle(request, response);
+           },
+       .on_error = AnswerError,
+       .busy_answer =
+           ProblemJson(Refuse(pb::OVERLOADED, "too many open connections",
+                              std::chrono::seconds(1)))});
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  state->server = std::move(*server);
+  return std::unique_ptr<GateServer>(new GateServer(std::move(state)));
+}
+
+GateServer::GateServer(std::unique_ptr<State> initial)
+    : state(std::move(initial)) {}
+
+GateServer::~GateServer() = default;
+
+void GateServer::CloseConnectionsAfterAnswers() {
+  this->state->server->CloseConnectionsAfterAnswers();
+}
+
+void GateServer::Stop() {
+  this->state->server->Stop();
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/net/http_guard.cc
+++ b/src/celerykeel/net/http_guard.cc
@@ -13,17 +13,6 @@
          text.find_first_not_of("0123456789") == std::string::npos;
 }
 
-// Two readers of one connection must agree where a body ends; these three are
-// where they may not.
-bool HasAmbiguousLength(const httplib::Request& request) {
-  const size_t lengths = request.get_header_value_count("Content-Length");
-  if (lengths > 1 ||
-      (lengths == 1 && request.has_header("Transfer-Encoding"))) {
-    return true;
-  }
-  return lengths == 1 && !IsDigits(request.get_header_value("Content-Length"));
-}
-
 std::pair<time_t, time_t> SecondsAndMicros(Duration duration) {
   const auto seconds =
       std::chrono::duration_cast<std::chrono::seconds>(duration);
@@ -34,6 +23,15 @@
 
 }  // namespace
 
+bool HasAmbiguousLength(const httplib::Request& request) {
+  const size_t lengths = request.get_header_value_count("Content-Length");
+  if (lengths > 1 ||
+      (lengths == 1 && request.has_header("Transfer-Encoding"))) {
+    return true;
+  }
+  return lengths == 1 && !IsDigits(request.get_header_value("Content-Length"));
+}
+
 void ConfigureServer(httplib::Server& server,
                      const HttpServerOptions& options) {
   server.new_task_queue = [threads = options.threads] {
--- a/src/celerykeel/steward/log_appender.cc
+++ b/src/celerykeel/steward/log_appender.cc
@@ -167,7 +167,8 @@
   void Pace() {
     const double per_second = this->rate.load();
     if (per_second > 0 && !this->queue.Closed()) {
-      std::this_thread::sleep_for(std::chrono::duration<double>(1.0 / per_second));
+      std::this_thread::sleep_for(
+          std::chrono::duration<double>(1.0 / per_second));
     }
   }
 
