--- a/include/celerykeel/core/program_ledger.h
+++ b/include/celerykeel/core/program_ledger.h
@@ -167,6 +167,8 @@
   uint64_t history_tokens = 0;  // as the engine last counted them
   size_t counted_messages = 0;  // part of `messages` in `history_tokens`
   std::map<uint32_t, std::shared_ptr<const CallRecord>> calls;
+  std::optional<CallIntent> open_intent;  // found in a journal, no outcome
+  bool has_gap = false;                   // a journal lacks part of it
   std::optional<ActiveCall> active;
   std::multimap<uint32_t, WaitingCall> waiting;
 };
@@ -249,6 +251,25 @@
 std::optional<ProgramState> ExportProgram(const ProgramLedger& ledger,
                                           const ProgramName& name);
 
+/// @brief Takes a family over from its former owner and journals it. A call
+/// whose intent has no outcome is lost. An older state than the ledger's is
+/// dropped.
+LedgerActions AdoptFamily(ProgramLedger& ledger,
+                          ProgramFamily family,
+                          const Moment& moment);
+
+/// @brief Refuses what waits in a family that moves to another owner; what has
+/// left for an endpoint runs to its end.
+LedgerActions StopActing(ProgramLedger& ledger,
+                         const ProgramName& root,
+                         const Moment& moment);
+
+/// @brief True while a call of the family runs or waits.
+bool IsBusy(const ProgramFamily& family);
+
+/// @brief The states of a family's programs, to be handed over.
+std::vector<ProgramState> ExportFamily(const ProgramFamily& family);
+
 const Program* FindProgram(const ProgramLedger& ledger,
                            const ProgramName& name);
 
--- /dev/null
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -0,0 +1,135 @@
+#include <algorithm>  // for std::any_of
+#include <utility>    // for std::move
+
+#include "celerykeel/core/ledger_turn.h"  // for Turn, Place
+
+namespace celerykeel {
+
+using ledger::Place;
+using ledger::Turn;
+
+namespace {
+
+ProgramState ExportOne(const ProgramFamily& family, const Program& program) {
+  ProgramState state{.name = program.name,
+                     .budget = family.budget,
+                     .tokens_used = family.tokens_used,
+                     .calls_used = family.calls_used,
+                     .started_at = family.started_at,
+                     .last_used_at = family.last_used_at,
+                     .ended = program.ended,
+                     .messages = program.messages,
+                     .calls = {},
+                     .version = family.version};
+  state.calls.reserve(program.calls.size());
+  for (const auto& [number, record] : program.calls) {
+    state.calls.push_back(*record);
+  }
+  return state;
+}
+
+// The former owner may have sent the call and died: it is never sent again.
+void LoseOpenIntent(Turn& turn, ProgramFamily& family, Program& program) {
+  const CallIntent& intent = *program.open_intent;
+  CallRecord record;
+  record.key = intent.key;
+  record.digest = intent.digest;
+  record.state = CallState::kLost;
+  record.idempotency_key = intent.idempotency_key;
+  record.budget = family.budget;
+  record.finished_at = turn.moment.wall;
+  record.endpoint = intent.endpoint;
+  record.idempotent = false;
+  record.version = family.version + 1;
+  ledger::Journal(family, record);
+  program.calls[intent.key.call] =
+      std::make_shared<const CallRecord>(std::move(record));
+  program.next_call = intent.key.call + 1;
+  ++family.calls_used;
+  program.open_intent.reset();
+}
+
+}  // namespace
+
+namespace ledger {
+
+void JournalFamily(Turn& turn, ProgramFamily& family) {
+  family.rewritten_at = turn.moment.wall;
+  for (const auto& [id, program] : family.programs) {
+    Journal(family, ExportOne(family, program));
+  }
+}
+
+}  // namespace ledger
+
+LedgerActions AdoptFamily(ProgramLedger& ledger,
+                          ProgramFamily family,
+                          const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  if (const auto kept = ledger.families.find(family.root);
+      kept != ledger.families.end() && kept->second.version >= family.version) {
+    return {};
+  }
+  const ProgramName root = family.root;
+  ProgramFamily& adopted = ledger.families[root] = std::move(family);
+  for (auto& [id, program] : adopted.programs) {
+    if (program.open_intent) {
+      LoseOpenIntent(turn, adopted, program);
+    }
+    // A history with a gap must not be continued; its answers are kept.
+    program.ended |= program.has_gap;
+    if (program.ended) {
+      turn.actions.emplace_back(ReleaseProgram{program.name});
+    }
+  }
+  ledger::JournalFamily(turn, adopted);
+  ledger::FlushJournal(turn, adopted);
+  return std::move(turn.actions);
+}
+
+LedgerActions StopActing(ProgramLedger& ledger,
+                         const ProgramName& root,
+                         const Moment& moment) {
+  Turn turn{ledger, moment, {}};
+  const auto family = ledger.families.find(root);
+  if (family == ledger.families.end()) {
+    return {};
+  }
+  const Refusal refusal =
+      ledger::RefusalOf(turn, RefusalType::kNotOwner, Ran::kNo);
+  for (auto& [id, program] : family->second.programs) {
+    ledger::RefuseWaiting(turn, program, refusal);
+    if (program.active && (program.active->phase == CallPhase::kQueued ||
+                           program.active->phase == CallPhase::kIntent)) {
+      ledger::StopActive(turn, {&family->second, &program}, refusal);
+    }
+  }
+  return std::move(turn.actions);
+}
+
+bool IsBusy(const ProgramFamily& family) {
+  return std::any_of(
+      family.programs.begin(), family.programs.end(), [](const auto& entry) {
+        return entry.second.active.has_value() || !entry.second.waiting.empty();
+      });
+}
+
+std::vector<ProgramState> ExportFamily(const ProgramFamily& family) {
+  std::vector<ProgramState> states;
+  states.reserve(family.programs.size());
+  for (const auto& [id, program] : family.programs) {
+    states.push_back(ExportOne(family, program));
+  }
+  return states;
+}
+
+std::optional<ProgramState> ExportProgram(const ProgramLedger& ledger,
+                                          const ProgramName& name) {
+  const Program* const program = FindProgram(ledger, name);
+  if (program == nullptr) {
+    return std::nullopt;
+  }
+  return ExportOne(ledger.families.at(ledger::RootName(name)), *program);
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/core/ledger_turn.h
+++ b/src/celerykeel/core/ledger_turn.h
@@ -27,6 +27,16 @@
 /// @brief The program's active call if it has the number of `key`.
 ActiveCall* FindActive(Place place, const CallKey& key);
 
+/// @brief Stops the active call if it may be stopped, and refuses its callers.
+/// One that may not be repeated and has left runs on, so that its outcome is
+/// known.
+void StopActive(Turn& turn, Place place, const Refusal& refusal);
+
+void RefuseWaiting(Turn& turn, Program& program, const Refusal& refusal);
+
+/// @brief Journals the whole state of each program of a family.
+void JournalFamily(Turn& turn, ProgramFamily& family);
+
 void Refuse(Turn& turn, Waiter waiter, const Refusal& refusal);
 void RefuseAll(Turn& turn, const ActiveCall& call, const Refusal& refusal);
 Refusal RefusalOf(const Turn& turn, RefusalType type, Ran ran);
--- a/src/celerykeel/core/ledger_upkeep.cc
+++ b/src/celerykeel/core/ledger_upkeep.cc
@@ -8,10 +8,8 @@
 using ledger::Place;
 using ledger::Turn;
 
-namespace {
+namespace ledger {
 
-// Stops a call that may be repeated; one that may not runs to its end, so that
-// its outcome is known.
 void StopActive(Turn& turn, Place place, const Refusal& refusal) {
   ActiveCall& call = *place.program->active;
   const bool idempotent = call.submission.work->idempotent;
@@ -21,7 +19,7 @@
   }
   Refusal told = refusal;
   told.ran = has_left ? Ran::kUnknown : Ran::kNo;
-  ledger::RefuseAll(turn, call, told);
+  RefuseAll(turn, call, told);
   call.waiters.clear();
   if (call.phase == CallPhase::kIntent) {
     call.stopping = true;
@@ -30,19 +28,23 @@
   turn.actions.emplace_back(StopCall{call.submission.key});
   if (has_left) {
     const TokenUsage spent{.prompt = call.prompt_estimate};
-    ledger::JournalFailure(turn, *place.family, call, spent);
-    ledger::SettleBudget(turn, *place.family, call, spent.prompt);
+    JournalFailure(turn, *place.family, call, spent);
+    SettleBudget(turn, *place.family, call, spent.prompt);
   }
-  ledger::ClearActive(turn, place);
+  ClearActive(turn, place);
 }
 
 void RefuseWaiting(Turn& turn, Program& program, const Refusal& refusal) {
   for (const auto& [number, waiting] : program.waiting) {
-    ledger::Refuse(turn, waiting.submission.waiter, refusal);
+    Refuse(turn, waiting.submission.waiter, refusal);
   }
   program.waiting.clear();
 }
 
+}  // namespace ledger
+
+namespace {
+
 void EndOne(Turn& turn, Place place) {
   Program& program = *place.program;
   if (program.ended) {
@@ -50,9 +52,9 @@
   }
   program.ended = true;
   const Refusal refusal{.type = RefusalType::kProgramEnded};
-  RefuseWaiting(turn, program, refusal);
+  ledger::RefuseWaiting(turn, program, refusal);
   if (program.active) {
-    StopActive(turn, place, refusal);
+    ledger::StopActive(turn, place, refusal);
   }
   ledger::Journal(*place.family,
                   ProgramEnd{.program = program.name, .version = 0});
@@ -81,13 +83,6 @@
   });
 }
 
-bool IsBusy(const ProgramFamily& family) {
-  return std::any_of(
-      family.programs.begin(), family.programs.end(), [](const auto& entry) {
-        return entry.second.active.has_value() || !entry.second.waiting.empty();
-      });
-}
-
 bool HasEnded(const ProgramFamily& family) {
   return std::all_of(family.programs.begin(), family.programs.end(),
                      [](const auto& entry) { return entry.second.ended; });
@@ -122,6 +117,11 @@
       ledger::SecondsAreOver(family, turn.moment)) {
     EndFamily(turn, family);
   }
+  const Duration since_rewritten =
+      std::chrono::milliseconds(turn.moment.wall - family.rewritten_at);
+  if (!IsEmpty(family) && since_rewritten > options.rewrite_every) {
+    ledger::JournalFamily(turn, family);
+  }
   ledger::FlushJournal(turn, family);
 }
 
@@ -144,7 +144,7 @@
     return {};
   }
   if (place.program->active->waiters.empty()) {
-    StopActive(turn, place, {.type = RefusalType::kCancelled});
+    ledger::StopActive(turn, place, {.type = RefusalType::kCancelled});
   }
   return std::move(turn.actions);
 }
--- a/src/celerykeel/core/program_ledger.cc
+++ b/src/celerykeel/core/program_ledger.cc
@@ -346,30 +346,6 @@
   return std::move(turn.actions);
 }
 
-std::optional<ProgramState> ExportProgram(const ProgramLedger& ledger,
-                                          const ProgramName& name) {
-  const Program* const program = FindProgram(ledger, name);
-  if (program == nullptr) {
-    return std::nullopt;
-  }
-  const ProgramFamily& family = ledger.families.at(ledger::RootName(name));
-  ProgramState state{.name = name,
-                     .budget = family.budget,
-                     .tokens_used = family.tokens_used,
-                     .calls_used = family.calls_used,
-                     .started_at = family.started_at,
-                     .last_used_at = family.last_used_at,
-                     .ended = program->ended,
-                     .messages = program->messages,
-                     .calls = {},
-                     .version = family.version};
-  state.calls.reserve(program->calls.size());
-  for (const auto& [number, record] : program->calls) {
-    state.calls.push_back(*record);
-  }
-  return state;
-}
-
 const Program* FindProgram(const ProgramLedger& ledger,
                            const ProgramName& name) {
   const auto family = ledger.families.find(ledger::RootName(name));
