ctl: explain, and submissions tested against lost answers

Cause: an operator needs to see why a program, team or endpoint is as it is, and a lost append answer must neither repeat nor lose a ticket. Change: explain program|team|endpoint (decisions of all live schedulers, a program's calls from its owner, state in force, its tickets and audit lines). submit runs against SubmitAccess, so that tests play the log: refused, lost before, lost after, late, repeated.

--- a/include/celerykeel/ctl/fleet_access.h
+++ b/include/celerykeel/ctl/fleet_access.h
@@ -20,11 +20,13 @@
   Duration lease_left{};
 };
 
-/// @brief How far one live instance has folded; nothing if it did not answer.
+/// @brief How far one live instance has folded. `offset` is empty if it did
+/// not answer, and `asked` false if its Join gave no address to ask at.
 struct MemberProgress {
   std::string instance;
   std::string availability_zone;
   Incarnation incarnation = 0;
+  bool asked = false;
   std::optional<Offset> offset;
   bool log_reachable = false;
   Duration lease_left{};
@@ -35,9 +37,11 @@
                                           const std::string& feed,
                                           Duration timeout);
 
-/// @brief Asks each live instance of `state` how far it has folded.
+/// @brief Asks each live instance of `status` how far it has folded. `feed` is
+/// the address that gave `status`.
 std::vector<MemberProgress> FetchProgress(Exchange& exchange,
-                                          const FleetState& state,
+                                          const InstanceStatus& status,
+                                          const std::string& feed,
                                           Duration timeout);
 
 /// @brief Appends one record to the fleet stream through the steward at
--- a/include/celerykeel/ctl/submit.h
+++ b/include/celerykeel/ctl/submit.h
@@ -17,7 +17,7 @@
 /// @brief How a submission reaches the fleet and the clock.
 struct SubmitAccess {
   std::function<std::optional<InstanceStatus>()> status;
-  std::function<std::vector<MemberProgress>(const FleetState&)> progress;
+  std::function<std::vector<MemberProgress>(const InstanceStatus&)> progress;
   std::function<AppendResult(std::string record)> append;
   std::function<Duration()> now;
   std::function<void(Duration)> pause;
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -1,13 +1,15 @@
 #include "celerykeel/ctl/commands.h"
 
-#include <fstream>   // for std::ifstream, std::ofstream
-#include <iterator>  // for std::istreambuf_iterator
-#include <optional>  // for std::optional
-#include <thread>    // for std::this_thread
-#include <utility>   // for std::move
+#include <algorithm>  // for std::min
+#include <fstream>    // for std::ifstream, std::ofstream
+#include <iterator>   // for std::istreambuf_iterator
+#include <optional>   // for std::optional
+#include <thread>     // for std::this_thread
+#include <utility>    // for std::move
 
 #include "celerykeel/core/ticket_check.h"  // for CheckTicket
 #include "celerykeel/ctl/exchange.h"       // for Exchange
+#include "celerykeel/ctl/explain.h"        // for FetchMemory, ShowExplain
 #include "celerykeel/ctl/fleet_access.h"   // for FetchStatus
 #include "celerykeel/ctl/key_make.h"       // for MakeKey
 #include "celerykeel/ctl/submit.h"         // for SubmitTicket
@@ -20,7 +22,7 @@
 namespace {
 
 // A member that is frozen should not use up the whole time-out of a command.
-constexpr Duration kProgressTimeout = std::chrono::milliseconds(500);
+constexpr Duration kMemberTimeout = std::chrono::milliseconds(500);
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -51,9 +53,21 @@
                        this->options.timeout);
   }
 
-  std::vector<MemberProgress> Progress(const FleetState& state) const {
-    return FetchProgress(this->exchange, state,
-                         std::min(kProgressTimeout, this->options.timeout));
+  std::vector<MemberProgress> Progress(const InstanceStatus& status) const {
+    return FetchProgress(this->exchange, status, this->options.feed,
+                         this->MemberTimeout());
+  }
+
+  Duration MemberTimeout() const {
+    return std::min(kMemberTimeout, this->options.timeout);
+  }
+
+  Report Explain(const FleetState& state) const {
+    const ExplainSubject subject{this->options.explain, this->options.subject,
+                                 this->options.team};
+    return ShowExplain(
+        state, subject,
+        FetchMemory(this->exchange, state, subject, this->MemberTimeout()));
   }
 
   Report Check(const Ticket& ticket) const {
@@ -70,8 +84,8 @@
   Report Submit(const Ticket& ticket) const {
     SubmitAccess access;
     access.status = [this] { return this->Status(); };
-    access.progress = [this](const FleetState& state) {
-      return this->Progress(state);
+    access.progress = [this](const InstanceStatus& status) {
+      return this->Progress(status);
     };
     access.append = [this](std::string record) {
       return AppendRecord(this->exchange, this->options.feed, std::move(record),
@@ -96,8 +110,10 @@
         return ShowAudit(status->state, this->options.last);
       case CtlCommand::kTicketShow:
         return ShowTicket(status->state, this->options.number);
+      case CtlCommand::kExplain:
+        return this->Explain(status->state);
       default:
-        return ShowStatus(*status, this->Progress(status->state));
+        return ShowStatus(*status, this->Progress(*status));
     }
   }
 };
--- a/src/celerykeel/ctl/fleet_access.cc
+++ b/src/celerykeel/ctl/fleet_access.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/ctl/fleet_access.h"
 
-#include <utility>  // for std::move
+#include <algorithm>  // for std::stable_sort
+#include <utility>    // for std::move
 
 #include "celerykeel/feed.pb.h"           // for pb::FeedRequest, pb::FeedReply
 #include "celerykeel/wire/fleet_codec.h"  // for FromProto
@@ -31,6 +32,18 @@
       }};
 }
 
+// An address may by now belong to another instance; that is no answer.
+void TakeProgress(const std::optional<std::string>& answer,
+                  MemberProgress& entry) {
+  const auto reply = answer ? ParseReply(*answer) : std::nullopt;
+  if (!reply || reply->status().instance() != entry.instance) {
+    return;
+  }
+  entry.offset = reply->status().state().offset();
+  entry.log_reachable = reply->status().log_reachable();
+  entry.lease_left = std::chrono::milliseconds(reply->status().lease_left_ms());
+}
+
 AppendResult ToResult(const pb::FeedAppendReply& reply) {
   AppendResult result;
   result.first_offset = reply.first_offset();
@@ -61,34 +74,33 @@
 }
 
 std::vector<MemberProgress> FetchProgress(Exchange& exchange,
-                                          const FleetState& state,
+                                          const InstanceStatus& status,
+                                          const std::string& feed,
                                           Duration timeout) {
   std::vector<MemberProgress> progress;
   std::vector<Question> questions;
-  for (const auto& [incarnation, member] : state.members) {
-    MemberProgress entry;
+  for (const auto& [incarnation, member] : status.state.members) {
+    MemberProgress& entry = progress.emplace_back();
     entry.instance = member.join.instance;
     entry.availability_zone = member.join.availability_zone;
     entry.incarnation = incarnation;
-    progress.push_back(std::move(entry));
-    questions.push_back(StatusQuestion(exchange, member.join.feed_address,
-                                       /*brief=*/true));
+    const std::string& address =
+        entry.instance == status.instance ? feed : member.join.feed_address;
+    entry.asked = !address.empty();
+    if (entry.asked) {
+      questions.push_back(StatusQuestion(exchange, address, /*brief=*/true));
+    }
   }
   const auto answers = exchange.Ask(std::move(questions), timeout);
-  for (size_t i = 0; i < progress.size(); ++i) {
-    if (!answers[i]) {
-      continue;
-    }
-    // An address may by now belong to another instance.
-    const auto reply = ParseReply(*answers[i]);
-    if (reply->status().instance() != progress[i].instance) {
-      continue;
+  auto answer = answers.begin();
+  for (MemberProgress& entry : progress) {
+    if (entry.asked) {
+      TakeProgress(*answer++, entry);
     }
-    progress[i].offset = reply->status().state().offset();
-    progress[i].log_reachable = reply->status().log_reachable();
-    progress[i].lease_left =
-        std::chrono::milliseconds(reply->status().lease_left_ms());
   }
+  std::stable_sort(
+      progress.begin(), progress.end(),
+      [](const auto& a, const auto& b) { return a.instance < b.instance; });
   return progress;
 }
 
--- a/src/celerykeel/ctl/submit.cc
+++ b/src/celerykeel/ctl/submit.cc
@@ -133,10 +133,10 @@
     }
     do {
       if (const auto status = this->access.status()) {
-        accepted.members = this->access.progress(status->state);
+        accepted.members = this->access.progress(*status);
         accepted.missing.clear();
         for (const MemberProgress& member : accepted.members) {
-          if (!member.offset || *member.offset < accepted.offset) {
+          if (member.asked && member.offset.value_or(0) < accepted.offset) {
             accepted.missing.push_back(member.instance);
           }
         }
--- a/src/celerykeel/ctl/views.cc
+++ b/src/celerykeel/ctl/views.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/ctl/views.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::count_if, std::max, std::min
 #include <utility>    // for std::move
 #include <variant>    // for std::visit
 
@@ -30,6 +30,7 @@
   Json json{{"instance", member.instance},
             {"availability_zone", member.availability_zone},
             {"incarnation", IncarnationText(member.incarnation)},
+            {"asked", member.asked},
             {"offset", nullptr}};
   if (member.offset) {
     json["offset"] = *member.offset;
@@ -69,8 +70,12 @@
 
 TableRow MemberRow(const MemberProgress& member, Offset newest) {
   if (!member.offset) {
-    return {
-        member.instance, member.availability_zone, "-", "no answer", "-", "-"};
+    return {member.instance,
+            member.availability_zone,
+            "-",
+            member.asked ? "no answer" : "not asked",
+            "-",
+            "-"};
   }
   const std::string behind =
       *member.offset >= newest
@@ -159,12 +164,20 @@
 
   void AddMembers(const SubmitAccepted& accepted, Report& report) const {
     const size_t live = accepted.members.size();
-    const size_t folded = live - accepted.missing.size();
+    const auto unasked = static_cast<size_t>(
+        std::count_if(accepted.members.begin(), accepted.members.end(),
+                      [](const auto& member) { return !member.asked; }));
+    const size_t folded = live - unasked - accepted.missing.size();
     report.data["members"] = live;
     report.data["folded"] = folded;
+    report.data["not_asked"] = unasked;
     report.data["missing"] = accepted.missing;
     report.text += "in force on " + std::to_string(folded) + " of " +
                    std::to_string(live) + " live instances\n";
+    if (unasked > 0) {
+      report.text += std::to_string(unasked) +
+                     " gave no feed address and were not asked\n";
+    }
     for (const std::string& instance : accepted.missing) {
       report.text += "not yet on " + instance +
                      "; see `celerykeelctl status` and "
