--- a/src/celerykeel/steward/control.cc
+++ b/src/celerykeel/steward/control.cc
@@ -73,6 +73,7 @@
   join.gate_address = options.gate_address;
   join.scheduler_address = options.scheduler_address;
   join.steward_address = options.peers;
+  join.feed_address = options.feed;
   join.rate_address = options.rate_address;
   join.operator_address = options.operators;
   join.witnesses = {options.instance};
