--- a/src/celerykeel/core/fold_unittest.cc
+++ b/src/celerykeel/core/fold_unittest.cc
@@ -84,7 +84,7 @@
   FleetState state = FleetOfThree();
   SUBCASE("one word of three is too few") {
     CHECK_FALSE(Fold(state, 4, Evict{11, {22}, 22, "silent"})->accepted);
-    CHECK(state.audit.back().reason == "words of 1 witnesses, 2 needed");
+    CHECK(state.audit.back().reason == "1 of the 2 words needed");
   }
   SUBCASE("its own word does not count") {
     CHECK_FALSE(Fold(state, 4, Evict{11, {22, 11}, 22, "silent"})->accepted);
--- a/src/celerykeel/core/roster.cc
+++ b/src/celerykeel/core/roster.cc
@@ -73,8 +73,8 @@
     return "would replace a member of instance " + refusal.instance;
   }
   std::string operator()(const TooFewWords& refusal) const {
-    return "words of " + std::to_string(refusal.words) + " witnesses, " +
-           std::to_string(refusal.wanted) + " needed";
+    return std::to_string(refusal.words) + " of the " +
+           std::to_string(refusal.wanted) + " words needed";
   }
 };
 
--- a/src/celerykeel/wire/ticket_json.cc
+++ b/src/celerykeel/wire/ticket_json.cc
@@ -44,7 +44,8 @@
 }
 
 // The library's messages read `(teams[0].rate): invalid value ...` for a value
-// and `(teams[1]) ratee: Cannot find field.` for a name.
+// and `(teams[1]) ratee: Cannot find field.` for a name. What follows the first
+// line repeats the text.
 TicketJsonError FromMessage(std::string_view message) {
   TicketJsonError error;
   std::string_view rest = message;
@@ -64,7 +65,7 @@
     return error;
   }
   rest.remove_prefix(std::min(rest.find_first_not_of(": "), rest.size()));
-  error.detail = rest;
+  error.detail = rest.substr(0, rest.find('\n'));
   return error;
 }
 
