--- a/tests/scenario/interpreter.py
+++ b/tests/scenario/interpreter.py
@@ -272,14 +272,18 @@
                           f"found {call.summary()} {call.text[:300]!r}")
 
     def do_witness(self, plain, options):
-        """witness STANDIN PATH.TO.VALUE (is=|max=|min=) [within=S] [path=]."""
+        """witness STANDIN PATH.TO.VALUE [of=sum|max] (is=|max=|min=)
+        [within=S] [path=]."""
         last = [None]
 
         def holds():
             value = self.fleet.witness(plain[0], options.get("path", "/witness"))
             for part in plain[1].split("."):
                 value = value.get(part, 0) if isinstance(value, dict) else value
-            if isinstance(value, (dict, list)):
+            if isinstance(value, dict) and "of" in options:
+                value = {"sum": sum, "max": lambda v: max(v, default=0)}[
+                    options["of"]](value.values())
+            elif isinstance(value, (dict, list)):
                 value = len(value)
             last[0] = value
             return ((("is" not in options) or float(value) == float(options["is"]))
