scheduler: slots move with their programs

A process acts for a slot only after every live member has handed over and the journals of departed members are read; an evicted member's lease is waited out first. Until then calls wait a bounded time.

Found by the tests with a fake engine, each mended here: - a call that an engine may have run was told as not run when its retry found no endpoint: the ledger now remembers what the attempts may have done. - a repeat after a broken stream began with the old stream's text. - a resumed stream that answered 404 hid the first answer's status.

--- a/include/celerykeel/core/program_ledger.h
+++ b/include/celerykeel/core/program_ledger.h
@@ -141,6 +141,7 @@
   CallPhase phase = CallPhase::kQueued;
   uint32_t attempts = 0;
   DispatchId dispatch = 0;  // the newest attempt
+  Ran ran = Ran::kNo;       // by the attempts that have ended
   std::string endpoint;
   std::vector<std::string> avoid;
   std::vector<std::string> new_messages;
--- a/include/celerykeel/scheduler/call_reader.h
+++ b/include/celerykeel/scheduler/call_reader.h
@@ -10,6 +10,9 @@
 
 namespace celerykeel {
 
+/// @brief The program that a request is for, under its canonical name.
+ProgramName ProgramOf(const pb::CallRequest& request);
+
 /// @brief Reads a request of a gate against what is in force.
 tl::expected<CallSubmission, Refusal> ReadCall(const pb::CallRequest& request,
                                                const FleetState& view);
--- a/include/celerykeel/scheduler/choose_endpoint.h
+++ b/include/celerykeel/scheduler/choose_endpoint.h
@@ -21,7 +21,7 @@
 /// @brief Why no endpoint was chosen.
 enum class NoChoice {
   kUnknown,  // nothing in force serves the model or service
-  kLeaving,  // whatever serves it is leaving, or has failed the call
+  kLeaving,  // whatever serves it is leaving
   kFull,     // every endpoint runs as many calls as it has slots
 };
 
@@ -36,7 +36,8 @@
   std::vector<Alternative> alternatives;
 };
 
-/// @brief The endpoint that serves the call and has the fewest calls of ours.
+/// @brief The endpoint that serves the call and has the fewest calls of ours;
+/// one that has failed the call only if there is no other.
 tl::expected<EndpointChoice, NoChoice> ChooseEndpoint(const FleetState& view,
                                                       const EndpointLoad& load,
                                                       const QueuedCall& call);
--- a/include/celerykeel/scheduler/scheduler_options.h
+++ b/include/celerykeel/scheduler/scheduler_options.h
@@ -2,6 +2,7 @@
 
 #include <string>  // for std::string
 
+#include "celerykeel/core/adoption.h"        // for AdoptionOptions
 #include "celerykeel/core/program_ledger.h"  // for LedgerOptions
 #include "celerykeel/net/settings.h"         // for SettingsReader
 
@@ -16,7 +17,9 @@
   Duration queue_wait = std::chrono::seconds(10);  // for an endpoint
   Duration connect_timeout = std::chrono::seconds(2);
   Duration read_timeout = std::chrono::seconds(120);  // between two bytes
+  Duration adoption_wait = std::chrono::seconds(10);  // for a former owner
   LedgerOptions ledger;
+  AdoptionOptions adoption;
 };
 
 inline constexpr char kSchedulerUsage[] =
@@ -36,6 +39,9 @@
   --read-timeout-ms=N        longest silence of an endpoint, 120000
   --predecessor-wait-ms=N    wait of a call for the one before it, 1000
   --idle-end-ms=N            a program unused for so long ends, 3600000
+  --lease-ms=N               lease of an instance, as at the steward, 4000
+  --margin-ms=N              for drift of clocks, as at the steward, 500
+  --adoption-wait-ms=N       wait of a call for its former owner, 10000
   --rewrite-every-ms=N       programs are journaled again, 21600000
   --help                     this text
   --version                  version and commit
--- /dev/null
+++ b/src/celerykeel/core/adoption_unittest.cc
@@ -0,0 +1,171 @@
+#include "celerykeel/core/adoption.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>  // for std::count_if
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Incarnation kSelf = 1;
+constexpr Incarnation kOther = 2;
+const ProgramName kTrip{"coop", "trip"};
+
+FleetState Fleet(std::initializer_list<Incarnation> members, Offset version) {
+  FleetState state;
+  for (const Incarnation member : members) {
+    state.members[member].join.incarnation = member;
+    state.members[member].join.instance = "instance-" + std::to_string(member);
+  }
+  state.roster_version = version;
+  return state;
+}
+
+void Depart(FleetState& state, Incarnation incarnation, bool evicted) {
+  DepartedMember departed;
+  departed.member.join.incarnation = incarnation;
+  departed.evicted = evicted;
+  state.departed[incarnation] = departed;
+}
+
+template <typename Action>
+size_t Count(const AdoptionActions& actions) {
+  return static_cast<size_t>(
+      std::count_if(actions.begin(), actions.end(), [](const auto& action) {
+        return std::holds_alternative<Action>(action);
+      }));
+}
+
+FamilyImages Image(uint64_t version) {
+  FamilyImages images;
+  images[kTrip].root = kTrip;
+  images[kTrip].version = version;
+  return images;
+}
+
+TEST_CASE("the first instance of a fleet acts at once") {
+  Adoption adoption;
+  const auto actions = TakeRoster(adoption, Fleet({kSelf}, 1), kSelf, {});
+  CHECK(Count<AdoptSlots>(actions) == 1);
+  CHECK(IsReadyFor(adoption, kTrip));
+}
+
+TEST_CASE("slots of a live member wait until it has let go") {
+  Adoption adoption;
+  TakeRoster(adoption, Fleet({kSelf, kOther}, 2), kSelf, {});
+  CHECK(adoption.ready.none());
+  CHECK(Count<AskMember>(Tick(adoption, seconds(1))) == 1);
+  SUBCASE("an answer by an older roster does not count") {
+    TakeHandover(adoption, kOther, 1, /*is_last=*/true, {});
+    CHECK(adoption.ready.none());
+  }
+  SUBCASE("the last part counts") {
+    TakeHandover(adoption, kOther, 2, /*is_last=*/false, Image(3));
+    CHECK(adoption.ready.none());
+    const auto actions =
+        TakeHandover(adoption, kOther, 2, /*is_last=*/true, {});
+    CHECK(Count<AdoptSlots>(actions) == 1);
+    CHECK(adoption.ready == adoption.owned);
+  }
+}
+
+TEST_CASE("an evicted member's lease is waited out, then its journal is read") {
+  Adoption adoption;
+  FleetState state = Fleet({kSelf}, 2);
+  Depart(state, kOther, /*evicted=*/true);
+  TakeRoster(adoption, state, kSelf, seconds(100));
+  const Duration lease = adoption.options.lease + adoption.options.margin;
+  CHECK(Tick(adoption, seconds(100) + lease - milliseconds(1)).empty());
+  CHECK(Count<ReadJournalPage>(Tick(adoption, seconds(100) + lease)) == 1);
+  CHECK(adoption.ready.none());
+  TakeJournalPage(adoption, kOther, true, 0, {}, seconds(105));
+  CHECK(IsReadyFor(adoption, kTrip));
+}
+
+TEST_CASE(
+    "a member that left is not waited for, a journal is read to its end") {
+  Adoption adoption;
+  FleetState state = Fleet({kSelf}, 2);
+  Depart(state, kOther, /*evicted=*/false);
+  TakeRoster(adoption, state, kSelf, seconds(100));
+  CHECK(Count<ReadJournalPage>(Tick(adoption, seconds(100))) == 1);
+  CHECK(Count<ReadJournalPage>(
+            TakeJournalPage(adoption, kOther, true, 7, {}, seconds(100))) == 1);
+  CHECK(adoption.ready.none());
+  TakeJournalPage(adoption, kOther, true, 0, {}, seconds(100));
+  CHECK(IsReadyFor(adoption, kTrip));
+}
+
+TEST_CASE("while the log is down nothing of a departed member is adopted") {
+  Adoption adoption;
+  FleetState state = Fleet({kSelf}, 2);
+  Depart(state, kOther, /*evicted=*/false);
+  TakeRoster(adoption, state, kSelf, {});
+  Tick(adoption, {});
+  TakeJournalPage(adoption, kOther, false, 0, {}, {});
+  CHECK(adoption.ready.none());
+  CHECK(Count<ReadJournalPage>(Tick(adoption, seconds(1))) == 1);
+}
+
+TEST_CASE("of all sources the newest state is adopted") {
+  Adoption adoption;
+  FleetState state = Fleet({kSelf, kOther}, 2);
+  Depart(state, 3, /*evicted=*/false);
+  // Takes a program that falls to this instance, whatever the hash.
+  TakeRoster(adoption, state, kSelf, {});
+  ProgramName mine = kTrip;
+  while (!IsOwnerOf(adoption, mine)) {
+    mine.id += "x";
+  }
+  Tick(adoption, {});
+  CallRecord record;
+  record.key = {mine, 1};
+  record.version = 5;
+  TakeJournalPage(adoption, 3, true, 0, {record}, {});
+  FamilyImages older;
+  older[mine].root = mine;
+  older[mine].version = 4;
+  const auto actions =
+      TakeHandover(adoption, kOther, 2, /*is_last=*/true, older);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<AdoptSlots>(actions[0]).families.at(mine).version == 5);
+}
+
+TEST_CASE("slots that stay are served while others are gained") {
+  Adoption adoption;
+  TakeRoster(adoption, Fleet({kSelf, kOther, 3}, 3), kSelf, {});
+  TakeHandover(adoption, kOther, 3, true, {});
+  TakeHandover(adoption, 3, 3, true, {});
+  const SlotSet before = adoption.ready;
+  REQUIRE(before.any());
+  FleetState after = Fleet({kSelf, 3}, 4);
+  Depart(after, kOther, /*evicted=*/true);
+  TakeRoster(adoption, after, kSelf, seconds(1));
+  CHECK(adoption.ready == before);
+  CHECK(adoption.owned.count() > before.count());
+}
+
+TEST_CASE("lost slots are given up at once, a new incarnation starts over") {
+  Adoption adoption;
+  TakeRoster(adoption, Fleet({kSelf}, 1), kSelf, {});
+  SUBCASE("another member joins") {
+    const auto actions =
+        TakeRoster(adoption, Fleet({kSelf, kOther}, 2), kSelf, {});
+    CHECK(Count<LoseSlots>(actions) == 1);
+    CHECK(adoption.ready == adoption.owned);
+    CHECK(adoption.ready.count() < kSlots);
+  }
+  SUBCASE("this instance joins anew") {
+    FleetState state = Fleet({9}, 2);
+    Depart(state, kSelf, /*evicted=*/true);
+    const auto actions = TakeRoster(adoption, state, 9, {});
+    CHECK(Count<LoseSlots>(actions) == 1);
+    CHECK(adoption.ready.none());
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/core/ledger_outcome.cc
+++ b/src/celerykeel/core/ledger_outcome.cc
@@ -382,6 +382,9 @@
     return {};
   }
   const AttemptResult::Kind kind = ledger::KindOf(*call, result);
+  if (kind != AttemptResult::Kind::kNotRun) {
+    call->ran = Ran::kUnknown;
+  }
   const bool is_answer = kind == AttemptResult::Kind::kAnswered;
   const bool is_refusal = is_answer && ledger::IsChat(*call) &&
                           result.status >= ledger::kStatusClientError;
--- a/src/celerykeel/core/ledger_ownership.cc
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -62,13 +62,35 @@
 
 }  // namespace ledger
 
+namespace {
+
+// Callers of a state that another owner has gone beyond.
+void RefuseStale(Turn& turn, ProgramFamily& family) {
+  for (auto& [id, program] : family.programs) {
+    ledger::RefuseWaiting(
+        turn, program,
+        ledger::RefusalOf(turn, RefusalType::kNotOwner, Ran::kNo));
+    if (program.active) {
+      ledger::RefuseAll(
+          turn, *program.active,
+          ledger::RefusalOf(turn, RefusalType::kLeaseLapsed, Ran::kUnknown));
+      turn.actions.emplace_back(StopCall{program.active->submission.key});
+    }
+  }
+}
+
+}  // namespace
+
 LedgerActions AdoptFamily(ProgramLedger& ledger,
                           ProgramFamily family,
                           const Moment& moment) {
   Turn turn{ledger, moment, {}};
   if (const auto kept = ledger.families.find(family.root);
-      kept != ledger.families.end() && kept->second.version >= family.version) {
-    return {};
+      kept != ledger.families.end()) {
+    if (kept->second.version >= family.version) {
+      return {};
+    }
+    RefuseStale(turn, kept->second);
   }
   const ProgramName root = family.root;
   ProgramFamily& adopted = ledger.families[root] = std::move(family);
--- a/src/celerykeel/core/program_ledger.cc
+++ b/src/celerykeel/core/program_ledger.cc
@@ -98,8 +98,11 @@
 }
 
 void RefuseAll(Turn& turn, const ActiveCall& call, const Refusal& refusal) {
+  // An earlier attempt may have run whatever became of the last one.
+  Refusal told = refusal;
+  told.ran = told.ran == Ran::kNo ? call.ran : told.ran;
   for (const Waiter waiter : call.waiters) {
-    Refuse(turn, waiter, refusal);
+    Refuse(turn, waiter, told);
   }
 }
 
--- a/src/celerykeel/core/program_ledger_unittest.cc
+++ b/src/celerykeel/core/program_ledger_unittest.cc
@@ -176,6 +176,31 @@
   CHECK(fixture.Start(1).messages == std::vector<std::string>{"hello"});
 }
 
+TEST_CASE("a call that an engine may have run is never told as not run") {
+  LedgerFixture fixture;
+  fixture.Submit(1, 1, "hello");
+  fixture.Fail(fixture.Start(1), AttemptResult::Kind::kUnknown);
+  REQUIRE(fixture.IsQueued(1));
+  SUBCASE("no endpoint is left") {
+    fixture.Take(RefuseQueued(fixture.ledger, fixture.queued.at(1).key,
+                              {.type = RefusalType::kNoEndpoint},
+                              fixture.moment));
+  }
+  SUBCASE("the lease is lost") {
+    fixture.moment.may_act = false;
+    fixture.Place(1);
+  }
+  SUBCASE("the program moves") {
+    fixture.Take(StopActing(fixture.ledger, {"coop", "trip"}, fixture.moment));
+  }
+  SUBCASE("the next attempt cannot connect") {
+    fixture.ledger.options.attempts = 2;
+    fixture.Fail(fixture.Start(1), AttemptResult::Kind::kNotRun);
+  }
+  REQUIRE(fixture.Refused(1) != nullptr);
+  CHECK(fixture.Refused(1)->ran == Ran::kUnknown);
+}
+
 TEST_CASE("nothing is sent or told without the lease") {
   LedgerFixture fixture;
   fixture.Submit(1, 1, "hello");
--- a/src/celerykeel/scheduler/call_reader.cc
+++ b/src/celerykeel/scheduler/call_reader.cc
@@ -183,14 +183,18 @@
 
 }  // namespace
 
+ProgramName ProgramOf(const pb::CallRequest& request) {
+  ProgramName name = FromProto(request.program());
+  name.id = CanonicalProgramId(name.id, request.parent());
+  return name;
+}
+
 tl::expected<CallSubmission, Refusal> ReadCall(const pb::CallRequest& request,
                                                const FleetState& view) {
   CallSubmission submission;
   submission.single = request.call() == 0;
-  submission.key = {.program = FromProto(request.program()),
+  submission.key = {.program = ProgramOf(request),
                     .call = std::max(request.call(), 1U)};
-  submission.key.program.id =
-      CanonicalProgramId(submission.key.program.id, request.parent());
   submission.budget = FromProto(request.budget());
   submission.whole_history = request.whole_history();
   auto work = std::make_shared<CallWork>();
--- a/src/celerykeel/scheduler/choose_endpoint.cc
+++ b/src/celerykeel/scheduler/choose_endpoint.cc
@@ -1,7 +1,7 @@
 #include "celerykeel/scheduler/choose_endpoint.h"
 
 #include <algorithm>  // for std::find
-#include <utility>    // for std::move
+#include <tuple>      // for std::tie
 
 namespace celerykeel {
 
@@ -32,6 +32,7 @@
                                                       const QueuedCall& call) {
   EndpointChoice choice;
   NoChoice reason = NoChoice::kUnknown;
+  bool is_avoided = true;  // the best so far has failed the call
   double least = 0;
   for (const auto& [id, endpoint] : view.in_force.endpoints) {
     if (!Serves(endpoint, *call.work)) {
@@ -46,8 +47,11 @@
     const double cost = Outstanding(load, id);
     const bool avoided = IsAvoided(call, id);
     choice.alternatives.push_back({id, cost, avoided});
-    if (!avoided && (choice.endpoint.empty() || cost < least)) {
+    const bool is_better =
+        std::tie(avoided, cost) < std::tie(is_avoided, least);
+    if (choice.endpoint.empty() || is_better) {
       choice.endpoint = id;
+      is_avoided = avoided;
       least = cost;
     }
   }
--- a/src/celerykeel/scheduler/endpoint_call.cc
+++ b/src/celerykeel/scheduler/endpoint_call.cc
@@ -130,8 +130,13 @@
                               Reception& reception,
                               const EndpointCall& call) {
   request.response_handler = [&](const httplib::Response& response) {
+    const std::string content_type = response.get_header_value("Content-Type");
+    if (reception.last_event != 0) {  // only a stream goes on
+      return response.status == kStatusOk &&
+             content_type.starts_with(kEventStream);
+    }
     reception.status = response.status;
-    reception.content_type = response.get_header_value("Content-Type");
+    reception.content_type = content_type;
     // An engine that names the request it answers must name ours.
     const std::string answered = response.get_header_value("Request-Id");
     return answered.empty() || answered == call.request_id;
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -29,13 +29,14 @@
                     std::shared_ptr<prometheus::Registry> metrics)
     : options(given), registry(std::move(metrics)), events(kEvents) {
   this->ledger.options = given.ledger;
+  this->adoption.options = given.adoption;
   this->view.state = std::make_shared<const FleetState>();
 }
 
 void Owner::State::Run() {
   while (!this->stopping.load()) {
     if (auto event = this->events.Pop(kTick)) {
-      this->view = this->feed->View();
+      this->TakeView();
       this->Handle(std::move(*event));
     }
     this->StartQueued();
@@ -52,7 +53,7 @@
           .fence = FenceOf(this->view)};
 }
 
-void Owner::State::Handle(OwnerEvent event) {
+void Owner::State::Handle(SchedulerEvent event) {
   if (auto* message = std::get_if<PeerMessage>(&event)) {
     this->HandleMessage(std::move(*message));
   } else if (auto* attempt = std::get_if<AttemptEnded>(&event)) {
@@ -60,40 +61,54 @@
   } else if (const auto* append = std::get_if<AppendEnded>(&event)) {
     this->Perform(FinishAppend(this->ledger, append->root, append->verdict,
                                this->Read()));
+  } else if (auto* handover = std::get_if<HandoverCame>(&event)) {
+    this->HandleHandover(handover->reply);
+  } else if (const auto* page = std::get_if<JournalPageCame>(&event)) {
+    this->HandleJournalPage(*page);
   }
 }
 
 void Owner::State::HandleMessage(PeerMessage message) {
   const pb::CallMessage& kind = message.message;
   if (kind.has_request()) {
-    this->HandleCall({message.peer, kind.request().id()}, kind.request());
+    this->HandleCall(message);
   } else if (kind.has_cancel()) {
     this->HandleCancel(message.peer, kind.cancel().id());
   } else if (kind.has_program_query()) {
-    this->HandleQuery({message.peer, kind.program_query().id()},
-                      kind.program_query());
+    if (!this->RefuseOrPark(message,
+                            FromProto(kind.program_query().program()))) {
+      this->HandleQuery({message.peer, kind.program_query().id()},
+                        kind.program_query());
+    }
   } else if (kind.has_program_delete()) {
-    this->HandleDelete({message.peer, kind.program_delete().id()},
-                       kind.program_delete());
+    if (!this->RefuseOrPark(message,
+                            FromProto(kind.program_delete().program()))) {
+      this->HandleDelete({message.peer, kind.program_delete().id()},
+                         kind.program_delete());
+    }
+  } else if (kind.has_handover_request()) {
+    this->HandleHandoverRequest({message.peer, kind.handover_request().id()},
+                                kind.handover_request());
   }
 }
 
-void Owner::State::HandleCall(const Requester& requester,
-                              const pb::CallRequest& request) {
+void Owner::State::HandleCall(const PeerMessage& message) {
+  const pb::CallRequest& request = message.message.request();
+  const Requester requester{message.peer, request.id()};
+  // A request that was meant for an earlier run of this instance, or for
+  // another one, is never run here.
+  if (request.owner() != 0 && request.owner() != this->view.self) {
+    this->Refuse(requester, this->NotOwner());
+    return;
+  }
+  if (this->RefuseOrPark(message, ProgramOf(request))) {
+    return;
+  }
   auto submission = ReadCall(request, *this->view.state);
   if (!submission) {
     this->Refuse(requester, submission.error());
     return;
   }
-  const bool is_ours =
-      this->view.self != 0 &&
-      (request.owner() == 0 || request.owner() == this->view.self) &&
-      OwnerOf(*this->view.state, submission->key.program) == this->view.self;
-  if (!is_ours) {
-    this->Refuse(requester, {.type = RefusalType::kNotOwner,
-                             .retry_after = this->options.ledger.retry_after});
-    return;
-  }
   const Waiter waiter = ++this->last_waiter;
   submission->waiter = waiter;
   this->callers[waiter] = {.requester = requester,
@@ -114,6 +129,10 @@
 }
 
 void Owner::State::HandleCancel(const Peer& peer, uint64_t id) {
+  std::erase_if(this->parked, [&](const ParkedMessage& entry) {
+    return entry.message.peer == peer &&
+           entry.message.message.request().id() == id;
+  });
   const auto found = this->waiter_of.find({peer.routing_id, id});
   if (found == this->waiter_of.end()) {
     return;
@@ -146,8 +165,9 @@
     return;
   }
   this->ticked_at = now;
-  this->view = this->feed->View();
-  this->Perform(Tick(this->ledger, this->Read()));
+  this->TakeView();
+  this->TickOwnership(now);
+  this->Perform(celerykeel::Tick(this->ledger, this->Read()));
   std::erase_if(this->streams, [](const auto& entry) {
     return entry.second.use_count() == 1;
   });
@@ -157,7 +177,7 @@
 
 // Own results must not be lost: they wait for room, which callers' messages
 // cannot take.
-void Owner::State::PushOwn(OwnerEvent event) {
+void Owner::State::PushOwn(SchedulerEvent event) {
   while (!this->stopping.load() && this->events.Size() + 1 >= kEvents) {
     std::this_thread::sleep_for(kFullPause);
   }
@@ -182,6 +202,15 @@
   }
 }
 
+// Answers of other schedulers, over connections that we made.
+void Owner::State::PushReply(std::string_view bytes) {
+  pb::CallReply reply;
+  if (reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
+      reply.has_handover()) {
+    this->PushOwn(HandoverCame{std::move(*reply.mutable_handover())});
+  }
+}
+
 tl::expected<std::unique_ptr<Owner>, MessengerError> Owner::Create(
     const SchedulerOptions& options,
     std::shared_ptr<prometheus::Registry> registry) {
@@ -199,6 +228,10 @@
       messenger_options,
       {.on_message =
            [shared](Messenger& self, const Peer& peer, std::string_view bytes) {
+             if (!peer.address.empty()) {
+               shared->PushReply(bytes);
+               return;
+             }
              PeerMessage message{peer, {}};
              if (message.message.ParseFromArray(
                      bytes.data(), static_cast<int>(bytes.size()))) {
--- a/src/celerykeel/scheduler/owner_actions.cc
+++ b/src/celerykeel/scheduler/owner_actions.cc
@@ -138,6 +138,12 @@
 }
 
 void Owner::State::Do(const QueueCall& action) {
+  // Of a call that is run anew nothing was relayed: what an earlier request
+  // under its number has sent is not part of this answer.
+  if (const auto stream = this->streams.find(action.key);
+      stream != this->streams.end() && stream->second->HasStarted()) {
+    this->streams.erase(stream);
+  }
   Push(this->queue, {.key = action.key,
                      .work = action.work,
                      .avoid = action.avoid,
--- a/src/celerykeel/scheduler/owner_state.h
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -9,6 +9,7 @@
 #include <vector>   // for std::vector
 
 #include "celerykeel/call.pb.h"                    // for pb::CallMessage
+#include "celerykeel/core/adoption.h"              // for Adoption
 #include "celerykeel/core/program_ledger.h"        // for ProgramLedger
 #include "celerykeel/core/run_queue.h"             // for RunQueue
 #include "celerykeel/net/bounded_ring.h"           // for BoundedRing
@@ -40,8 +41,28 @@
   AppendVerdict verdict = AppendVerdict::kUncertain;
 };
 
-using OwnerEvent =
-    std::variant<std::monostate, PeerMessage, AttemptEnded, AppendEnded>;
+/// @brief What another scheduler hands over.
+struct HandoverCame {
+  pb::HandoverReply reply;
+};
+
+struct JournalPageCame {
+  Incarnation incarnation = 0;
+  JournalPage page;
+};
+
+using SchedulerEvent = std::variant<std::monostate,
+                                    PeerMessage,
+                                    AttemptEnded,
+                                    AppendEnded,
+                                    HandoverCame,
+                                    JournalPageCame>;
+
+/// @brief A message for a slot that this process does not act for yet.
+struct ParkedMessage {
+  PeerMessage message;
+  Duration until{};
+};
 
 /// @brief A gate that waits for the answer of a call.
 struct WaitingCaller {
@@ -63,9 +84,9 @@
 
   // The owner's thread.
   void Run();
-  void Handle(OwnerEvent event);
+  void Handle(SchedulerEvent event);
   void HandleMessage(PeerMessage message);
-  void HandleCall(const Requester& requester, const pb::CallRequest& request);
+  void HandleCall(const PeerMessage& message);
   void HandleCancel(const Peer& peer, uint64_t id);
   void HandleQuery(const Requester& requester, const pb::ProgramQuery& query);
   void HandleDelete(const Requester& requester,
@@ -74,6 +95,23 @@
   void TickIfDue();
   void StartQueued();
   Moment Read();
+  Refusal NotOwner() const;
+  void TakeView();
+
+  // Ownership of slots.
+  bool RefuseOrPark(const PeerMessage& message, const ProgramName& program);
+  void HandleHandover(const pb::HandoverReply& reply);
+  void HandleJournalPage(const JournalPageCame& came);
+  void HandleHandoverRequest(const Requester& requester,
+                             const pb::HandoverRequest& request);
+  void PerformAdoption(AdoptionActions actions);
+  void Do(const AskMember& action);
+  void Do(const ReadJournalPage& action);
+  void Do(const AdoptSlots& action);
+  void Do(const LoseSlots& action);
+  void ReleaseMoved();
+  void RetryParked();
+  void TickOwnership(Duration now);
 
   // Actions of the ledger.
   void Perform(LedgerActions actions);
@@ -102,11 +140,12 @@
 
   // From other threads.
   void PushFromPeer(Messenger& through, PeerMessage message);
-  void PushOwn(OwnerEvent event);
+  void PushOwn(SchedulerEvent event);
+  void PushReply(std::string_view bytes);
 
   SchedulerOptions options;
   std::shared_ptr<prometheus::Registry> registry;
-  BoundedRing<OwnerEvent> events;
+  BoundedRing<SchedulerEvent> events;
   std::atomic<bool> stopping{false};
   std::atomic<bool> draining{false};
   std::atomic<bool> drained{false};
@@ -114,6 +153,10 @@
   // Only the owner's thread uses these.
   FleetView view;
   ProgramLedger ledger;
+  Adoption adoption;
+  FamilyImages released;  // copies of what was handed over
+  std::vector<ParkedMessage> parked;
+  uint64_t last_request = 0;  // of ours to other schedulers
   RunQueue queue;
   EndpointLoad load;
   Waiter last_waiter = 0;
--- a/src/celerykeel/scheduler/scheduler_options.cc
+++ b/src/celerykeel/scheduler/scheduler_options.cc
@@ -26,6 +26,10 @@
   ledger.idle_end = reader.Millis("idle-end-ms", 3'600'000, 1, kDayMillis);
   ledger.rewrite_every =
       reader.Millis("rewrite-every-ms", 21'600'000, 1, 30 * kDayMillis);
+  options.adoption_wait =
+      reader.Millis("adoption-wait-ms", 10'000, 1, kDayMillis);
+  options.adoption.lease = reader.Millis("lease-ms", 4'000, 1, kDayMillis);
+  options.adoption.margin = reader.Millis("margin-ms", 500, 0, kDayMillis);
   return options;
 }
 
