--- /dev/null
+++ b/include/celerykeel/core/lease.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>      // for uint64_t
+#include <map>          // for std::map
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+#include <vector>       // for std::vector
+
+#include "celerykeel/core/time.h"  // for Duration
+
+namespace celerykeel {
+
+/// @brief The holder's side of a lease among peers. It holds while most of the
+/// witnesses vouched for heartbeats that were sent less than a lease ago.
+struct HolderLease {
+  std::string instance;                  // counts itself as a witness
+  std::vector<std::string> witnesses;    // names of instances, its own included
+  uint64_t sequence = 0;                 // of the newest heartbeat
+  std::map<uint64_t, Duration> sent_at;  // heartbeats a vouch may answer
+  std::map<std::string, Duration> vouched_at;  // by witness: when the newest
+                                               // vouched heartbeat was sent
+};
+
+/// @brief Notes a heartbeat that is sent now. The same one goes to every
+/// witness.
+/// @return its sequence number.
+uint64_t NoteHeartbeat(HolderLease& lease, Duration duration, Duration now);
+
+/// @brief Takes the answer of a witness to a heartbeat.
+/// @return false if it answers none that still counts.
+bool TakeVouch(HolderLease& lease, std::string_view witness, uint64_t sequence);
+
+/// @brief The holder may act only before this reading of its clock.
+///
+///     if (now < LeaseUntil(lease, std::chrono::seconds(4))) { ... }
+Duration LeaseUntil(const HolderLease& lease, Duration duration);
+
+/// @brief Witnesses that vouched for nothing sent after `since`.
+std::vector<std::string> SilentWitnesses(const HolderLease& lease,
+                                         Duration since);
+
+/// @brief How many of `witnesses` make most of them.
+size_t MajorityOf(size_t witnesses);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/lease.cc
@@ -0,0 +1,74 @@
+#include "celerykeel/core/lease.h"
+
+#include <algorithm>   // for std::find, std::sort
+#include <functional>  // for std::greater
+
+namespace celerykeel {
+
+namespace {
+
+bool IsWitness(const HolderLease& lease, std::string_view name) {
+  return std::find(lease.witnesses.begin(), lease.witnesses.end(), name) !=
+         lease.witnesses.end();
+}
+
+}  // namespace
+
+size_t MajorityOf(size_t witnesses) {
+  return witnesses / 2 + 1;
+}
+
+// The lease runs from when the heartbeat was sent, not from its answer: a
+// witness may give its word against the holder as soon as it has vouched, so
+// only a time before that is safe to count from.
+uint64_t NoteHeartbeat(HolderLease& lease, Duration duration, Duration now) {
+  std::erase_if(lease.sent_at, [&](const auto& entry) {
+    return now - entry.second >= duration;
+  });
+  ++lease.sequence;
+  lease.sent_at[lease.sequence] = now;
+  lease.vouched_at[lease.instance] = now;
+  return lease.sequence;
+}
+
+bool TakeVouch(HolderLease& lease,
+               std::string_view witness,
+               uint64_t sequence) {
+  const auto sent = lease.sent_at.find(sequence);
+  if (sent == lease.sent_at.end() || !IsWitness(lease, witness)) {
+    return false;
+  }
+  Duration& vouched = lease.vouched_at[std::string(witness)];
+  vouched = std::max(vouched, sent->second);
+  return true;
+}
+
+Duration LeaseUntil(const HolderLease& lease, Duration duration) {
+  std::vector<Duration> times;
+  for (const std::string& witness : lease.witnesses) {
+    if (const auto found = lease.vouched_at.find(witness);
+        found != lease.vouched_at.end()) {
+      times.push_back(found->second);
+    }
+  }
+  const size_t majority = MajorityOf(lease.witnesses.size());
+  if (lease.witnesses.empty() || times.size() < majority) {
+    return Duration{};
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[majority - 1] + duration;
+}
+
+std::vector<std::string> SilentWitnesses(const HolderLease& lease,
+                                         Duration since) {
+  std::vector<std::string> silent;
+  for (const std::string& witness : lease.witnesses) {
+    const auto found = lease.vouched_at.find(witness);
+    if (found == lease.vouched_at.end() || found->second <= since) {
+      silent.push_back(witness);
+    }
+  }
+  return silent;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/lease_unittest.cc
@@ -0,0 +1,158 @@
+#include "celerykeel/core/lease.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <iostream>  // for std::cerr
+#include <vector>    // for std::vector
+
+#include "celerykeel/testing/lease_model.h"  // for LeaseModel, Without
+
+namespace celerykeel {
+namespace {
+
+using namespace lease_model;
+
+constexpr int kRuns = 1000;
+constexpr int kRunsUntilFailure = 4000;
+constexpr uint64_t kSeed = 20261204;
+
+struct Disturbance {
+  int kind = 0;
+  int process = 0;
+  int tenths = 0;  // of a second
+};
+
+void Apply(LeaseModel& model, const Disturbance& disturbance) {
+  Process& process = model.processes[static_cast<size_t>(disturbance.process)];
+  const Duration span = milliseconds(100) * disturbance.tenths;
+  switch (disturbance.kind) {
+    case 0:
+      process.frozen_until = model.now + span;
+      break;
+    case 1:
+      process.cut_until = model.now + span * 2;
+      break;
+    case 2:
+      process.alone_until = model.now + span;
+      break;
+    case 3:
+      model.Restart(disturbance.process);
+      break;
+    case 4:
+      model.delay = span / 4;
+      break;
+    case 5:
+      model.append_delay = span;
+      break;
+    case 6:
+      for (Process& other : model.processes) {
+        other.cut_until = model.now + (&other == &process ? 0 : 2) * span;
+      }
+      break;
+    default:
+      break;
+  }
+  model.Advance(milliseconds(100) * (disturbance.tenths % 20));
+}
+
+rc::Gen<std::vector<Disturbance>> Disturbances() {
+  return rc::gen::container<std::vector<Disturbance>>(
+      rc::gen::construct<Disturbance>(rc::gen::inRange(0, 8),
+                                      rc::gen::inRange(0, kProcesses),
+                                      rc::gen::inRange(0, 150)));
+}
+
+std::ostream& operator<<(std::ostream& out, const Disturbance& disturbance) {
+  return out << "{" << disturbance.kind << "," << disturbance.process << ","
+             << disturbance.tenths << "}";
+}
+
+struct Verdict {
+  bool holds = false;
+  uint64_t held = 0;
+  uint64_t evictions = 0;
+};
+
+Verdict Check(Without without, int runs) {
+  Verdict verdict;
+  rc::detail::TestMetadata metadata;
+  metadata.id = "lease";
+  rc::detail::TestParams params;
+  params.seed = kSeed;
+  params.maxSuccess = runs;
+  params.disableShrinking = true;
+  const auto result = rc::detail::checkTestable(
+      [&] {
+        LeaseModel model(without);
+        for (const Disturbance& disturbance : *Disturbances()) {
+          Apply(model, disturbance);
+        }
+        model.Advance(std::chrono::seconds(10));
+        verdict.held += model.held;
+        for (const Process& process : model.processes) {
+          for (const auto& [gone, member] : process.state.departed) {
+            verdict.evictions += member.evicted ? 1 : 0;
+          }
+        }
+        RC_ASSERT_FALSE(model.violated);
+      },
+      metadata, params);
+  verdict.holds = result.template is<rc::detail::SuccessResult>();
+  if (!verdict.holds && without == Without::kNothing) {
+    rc::detail::printResultMessage(result, std::cerr);
+  }
+  return verdict;
+}
+
+TEST_CASE("a successor and a holder never both act") {
+  const Verdict verdict = Check(Without::kNothing, kRuns);
+  CHECK(verdict.holds);
+  CHECK(verdict.held > 0);
+  CHECK(verdict.evictions > 0);
+}
+
+TEST_CASE("each mechanism of the lease is needed") {
+  CHECK_FALSE(Check(Without::kMemoryOfWords, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(Without::kLeaseFromSending, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(Without::kMajority, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(Without::kOwnJoinFirst, kRunsUntilFailure).holds);
+}
+
+// A word is given after a silence that outlasts the lease, and a successor
+// waits as long again: each alone is enough.
+TEST_CASE(
+    "either the silence before a word or the successor's wait is needed") {
+  CHECK(Check(Without::kSilence, kRuns / 4).holds);
+  CHECK_FALSE(Check(Without::kSilenceAndWait, kRunsUntilFailure).holds);
+}
+
+TEST_CASE("a lease runs from the heartbeat that most witnesses vouched for") {
+  HolderLease lease;
+  lease.instance = "a";
+  lease.witnesses = {"a", "b", "c"};
+  CHECK(LeaseUntil(lease, kLease) == Duration{});
+  const uint64_t first = NoteHeartbeat(lease, kLease, milliseconds(100));
+  CHECK(LeaseUntil(lease, kLease) == Duration{});
+  CHECK_FALSE(TakeVouch(lease, "stranger", first));
+  CHECK(TakeVouch(lease, "b", first));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4100));
+  const uint64_t second = NoteHeartbeat(lease, kLease, milliseconds(600));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4100));
+  CHECK(TakeVouch(lease, "c", second));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4600));
+  CHECK(TakeVouch(lease, "c", first));  // late, and changes nothing
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4600));
+}
+
+TEST_CASE("a heartbeat older than a lease is vouched for in vain") {
+  HolderLease lease;
+  lease.instance = "a";
+  lease.witnesses = {"a", "b", "c"};
+  const uint64_t first = NoteHeartbeat(lease, kLease, milliseconds(0));
+  NoteHeartbeat(lease, kLease, kLease);
+  CHECK_FALSE(TakeVouch(lease, "b", first));
+}
+
+}  // namespace
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/witness.cc
@@ -0,0 +1,96 @@
+#include "celerykeel/core/witness.h"
+
+#include <algorithm>  // for std::find, std::max
+
+namespace celerykeel {
+
+namespace {
+
+// True if `self` is among the witnesses of `subject`, by name. An instance is
+// no witness against its own name.
+bool IsWitnessOf(const FleetState& state,
+                 Incarnation self,
+                 Incarnation subject) {
+  const auto own = state.members.find(self);
+  const auto other = state.members.find(subject);
+  if (own == state.members.end() || other == state.members.end()) {
+    return false;
+  }
+  const std::string& name = own->second.join.instance;
+  const auto& witnesses = other->second.join.witnesses;
+  return name != other->second.join.instance &&
+         std::find(witnesses.begin(), witnesses.end(), name) != witnesses.end();
+}
+
+bool IsSilent(const Witness& witness,
+              Incarnation subject,
+              Duration silence,
+              Duration now) {
+  const auto heard = witness.heard.find(subject);
+  const Duration since = heard == witness.heard.end()
+                             ? witness.listening_since
+                             : std::max(heard->second, witness.listening_since);
+  return now - since >= silence;
+}
+
+}  // namespace
+
+void Listen(Witness& witness, Duration now) {
+  witness.listening_since = now;
+}
+
+// A process that lost its memory comes back under a new incarnation. It vouches
+// only once it has folded its own Join: words of its earlier incarnation no
+// longer count after that record, and an eviction before it is folded too.
+bool Vouches(Witness& witness,
+             const FleetState& state,
+             Incarnation self,
+             Incarnation holder,
+             Duration now) {
+  if (!state.members.contains(self) || !state.members.contains(holder) ||
+      witness.words.contains(holder)) {
+    return false;
+  }
+  witness.heard[holder] = now;
+  return true;
+}
+
+bool GivesWord(Witness& witness,
+               const FleetState& state,
+               Incarnation self,
+               Incarnation subject,
+               Duration silence,
+               Duration now) {
+  if (!IsWitnessOf(state, self, subject) ||
+      !IsSilent(witness, subject, silence, now)) {
+    return false;
+  }
+  witness.words.insert(subject);
+  return true;
+}
+
+std::vector<Incarnation> Suspects(const Witness& witness,
+                                  const FleetState& state,
+                                  Incarnation self,
+                                  Duration silence,
+                                  Duration now) {
+  std::vector<Incarnation> suspects;
+  for (const auto& [incarnation, member] : state.members) {
+    if (IsWitnessOf(state, self, incarnation) &&
+        IsSilent(witness, incarnation, silence, now)) {
+      suspects.push_back(incarnation);
+    }
+  }
+  return suspects;
+}
+
+void ForgetDeparted(Witness& witness, const FleetState& state) {
+  std::erase_if(witness.heard, [&](const auto& entry) {
+    return !state.members.contains(entry.first);
+  });
+  std::erase_if(witness.words, [&](Incarnation incarnation) {
+    return !state.members.contains(incarnation);
+  });
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/testing/lease_model.h
@@ -0,0 +1,321 @@
+#pragma once
+
+#include <cmath>    // for std::llround
+#include <map>      // for std::map
+#include <string>   // for std::string, std::to_string
+#include <utility>  // for std::pair
+#include <vector>   // for std::vector
+
+#include "celerykeel/core/fold.h"     // for Fold
+#include "celerykeel/core/lease.h"    // for HolderLease
+#include "celerykeel/core/witness.h"  // for Witness, GivesWord
+
+namespace celerykeel::lease_model {
+
+using std::chrono::milliseconds;
+
+inline constexpr Duration kLease = milliseconds(4000);
+inline constexpr Duration kMargin = milliseconds(500);
+inline constexpr Duration kHeartbeat = milliseconds(500);
+inline constexpr Duration kStep = milliseconds(100);
+inline constexpr int kProcesses = 5;
+inline constexpr double kDrift =
+    0.05;  // of a clock; 2 * kDrift * kLease < kMargin
+
+// A mechanism that the model switches off, to show that the property sees it.
+enum class Without {
+  kNothing,
+  kMemoryOfWords,     // a witness vouches again after its word
+  kLeaseFromSending,  // the lease runs from the answer
+  kWaitOfSuccessor,   // it acts as soon as it sees the eviction
+  kSilence,           // a word is given after three heartbeats
+  kSilenceAndWait,    // both
+  kMajority,          // one word evicts
+  kOwnJoinFirst,      // a restarted witness vouches before it folded its Join
+};
+
+struct Heartbeat {
+  int from = 0;
+  int to = 0;
+  uint64_t sequence = 0;
+  Incarnation holder = 0;
+  bool answer = false;
+  bool vouched = false;
+  Duration due_at{};  // real time
+};
+
+struct Process {
+  std::string name;
+  double rate = 1;          // of its clock against real time
+  Duration frozen_until{};  // real times
+  Duration cut_until{};     // from the log
+  Duration alone_until{};   // from its peers
+  Incarnation self = 0;
+  FleetState state;
+  HolderLease lease;
+  Witness witness;
+  Duration heartbeat_at{};
+  std::map<Incarnation, Duration> may_act_at;  // own clock, for an evicted one
+};
+
+// Five processes, their log and the messages between them, in real time.
+struct LeaseModel {
+  explicit LeaseModel(Without mechanism) : without(mechanism) {
+    for (int i = 0; i < kProcesses; ++i) {
+      Process process;
+      process.name = "instance-" + std::to_string(i);
+      process.rate = 1 + kDrift * (i - 2) / 2.0;
+      this->processes.push_back(process);
+      this->Restart(i);
+    }
+  }
+
+  Duration Clock(int i) const {
+    const double rate = this->processes[static_cast<size_t>(i)].rate;
+    return Duration(
+        std::llround(static_cast<double>(this->now.count()) * rate));
+  }
+
+  // The process starts again with no memory, and joins once it can.
+  void Restart(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    process.self = 0;
+    process.state = FleetState{};
+    process.lease = HolderLease{};
+    process.witness = Witness{};
+    process.may_act_at.clear();
+    process.frozen_until = Duration{};
+    Listen(process.witness, this->Clock(i));
+    this->incarnation[i] = ++this->last_incarnation;
+    this->joined[i] = false;
+  }
+
+  void JoinIfDue(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    if (!this->joined[i]) {
+      Join join;
+      join.incarnation = this->incarnation[i];
+      join.instance = process.name;
+      for (const Process& other : this->processes) {
+        join.witnesses.push_back(other.name);
+      }
+      for (const auto& [other, member] : process.state.members) {
+        if (member.join.instance == process.name) {
+          join.replaces = other;
+        }
+      }
+      this->log.push_back(join);
+      this->joined[i] = true;
+    }
+  }
+
+  void ReadLog(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    if (this->now < process.cut_until) {
+      return;
+    }
+    while (process.state.offset < this->log.size()) {
+      const Offset offset = process.state.offset + 1;
+      Fold(process.state, offset, this->log[offset - 1]);
+    }
+    for (const auto& [gone, member] : process.state.departed) {
+      process.may_act_at.emplace(gone, this->Clock(i) + this->SuccessorWait());
+    }
+    this->JoinIfDue(i);
+    if (process.self == 0 &&
+        process.state.members.contains(this->incarnation[i])) {
+      process.self = this->incarnation[i];
+      process.lease.instance = process.name;
+      process.lease.witnesses =
+          process.state.members.at(process.self).join.witnesses;
+    }
+    // An evicted process joins again.
+    if (process.self != 0 && process.state.departed.contains(process.self)) {
+      process.self = 0;
+      process.lease = HolderLease{};
+      this->incarnation[i] = ++this->last_incarnation;
+      this->joined[i] = false;
+    }
+  }
+
+  Duration SuccessorWait() const {
+    return this->without == Without::kWaitOfSuccessor ||
+                   this->without == Without::kSilenceAndWait
+               ? Duration{}
+               : kLease + kMargin;
+  }
+
+  void SendHeartbeats(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    const Duration clock = this->Clock(i);
+    if (process.self == 0 || clock < process.heartbeat_at + kHeartbeat) {
+      return;
+    }
+    process.heartbeat_at = clock;
+    const uint64_t sequence = NoteHeartbeat(process.lease, kLease, clock);
+    for (int j = 0; j < kProcesses; ++j) {
+      if (j != i) {
+        this->Send({i, j, sequence, process.self, false, false,
+                    this->now + this->delay});
+      }
+    }
+  }
+
+  bool Linked(int i, int j) const {
+    return this->now >= this->processes[static_cast<size_t>(i)].alone_until &&
+           this->now >= this->processes[static_cast<size_t>(j)].alone_until;
+  }
+
+  void Send(const Heartbeat& message) {
+    if (this->Linked(message.from, message.to)) {
+      this->messages.push_back(message);
+    }
+  }
+
+  bool Frozen(int i) const {
+    return this->now < this->processes[static_cast<size_t>(i)].frozen_until;
+  }
+
+  void Deliver() {
+    std::vector<Heartbeat> due;
+    std::erase_if(this->messages, [&](const Heartbeat& message) {
+      const bool taken =
+          message.due_at <= this->now && !this->Frozen(message.to);
+      if (taken) {
+        due.push_back(message);
+      }
+      return taken;
+    });
+    for (const Heartbeat& message : due) {
+      message.answer ? this->TakeAnswer(message) : this->AnswerTo(message);
+    }
+  }
+
+  void AnswerTo(const Heartbeat& message) {
+    Process& process = this->processes[static_cast<size_t>(message.to)];
+    if (this->without == Without::kMemoryOfWords) {
+      process.witness.words.clear();
+    }
+    bool vouched = Vouches(process.witness, process.state, process.self,
+                           message.holder, this->Clock(message.to));
+    if (this->without == Without::kOwnJoinFirst && process.self == 0) {
+      vouched = true;
+    }
+    this->Send({message.to, message.from, message.sequence, message.holder,
+                true, vouched, this->now + this->delay});
+  }
+
+  void TakeAnswer(const Heartbeat& message) {
+    Process& process = this->processes[static_cast<size_t>(message.to)];
+    if (!message.vouched || message.holder != process.self) {
+      return;
+    }
+    if (this->without == Without::kLeaseFromSending &&
+        process.lease.sent_at.contains(message.sequence)) {
+      process.lease.sent_at[message.sequence] = this->Clock(message.to);
+    }
+    TakeVouch(process.lease,
+              this->processes[static_cast<size_t>(message.from)].name,
+              message.sequence);
+  }
+
+  // A suspicious witness asks the others and appends the eviction. Asking takes
+  // no time here; the append may come much later (`pending`).
+  void Suspect(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    const Duration silence = this->without == Without::kSilence ||
+                                     this->without == Without::kSilenceAndWait
+                                 ? 3 * kHeartbeat
+                                 : kLease + kMargin;
+    for (const Incarnation suspect :
+         Suspects(process.witness, process.state, process.self, silence,
+                  this->Clock(i))) {
+      Evict evict{suspect, {}, process.self, "silent"};
+      for (int j = 0; j < kProcesses; ++j) {
+        Process& other = this->processes[static_cast<size_t>(j)];
+        if (!this->Frozen(j) && (i == j || this->Linked(i, j)) &&
+            GivesWord(other.witness, other.state, other.self, suspect, silence,
+                      this->Clock(j))) {
+          evict.words.push_back(other.self);
+        }
+      }
+      const size_t needed =
+          this->without == Without::kMajority ? 1 : MajorityOf(kProcesses);
+      if (evict.words.size() >= needed) {
+        this->pending.emplace_back(this->now + this->append_delay, evict);
+      }
+    }
+  }
+
+  void Append() {
+    std::erase_if(this->pending, [&](auto& entry) {
+      if (entry.first > this->now) {
+        return false;
+      }
+      if (this->without == Without::kMajority) {
+        // The fold itself asks for most of the words.
+        for (const Process& process : this->processes) {
+          if (process.self != 0) {
+            entry.second.words.push_back(process.self);
+          }
+        }
+      }
+      this->log.push_back(entry.second);
+      return true;
+    });
+  }
+
+  void Advance(Duration span) {
+    for (const Duration end = this->now + span; this->now < end;
+         this->now += kStep) {
+      this->Append();
+      this->Deliver();
+      for (int i = 0; i < kProcesses; ++i) {
+        if (!this->Frozen(i)) {
+          this->ReadLog(i);
+          this->SendHeartbeats(i);
+          this->Suspect(i);
+        }
+      }
+      this->CheckNobodyActsTwice();
+    }
+  }
+
+  // A successor may act for a departed incarnation from some time on: its
+  // holder must not, by its own clock, whether frozen or awake. A restarted
+  // process replaces its earlier incarnation and is no holder of it.
+  void CheckNobodyActsTwice() {
+    for (int holder = 0; holder < kProcesses; ++holder) {
+      const Process& process = this->processes[static_cast<size_t>(holder)];
+      if (process.self == 0 ||
+          this->Clock(holder) >= LeaseUntil(process.lease, kLease)) {
+        continue;
+      }
+      ++this->held;
+      for (int i = 0; i < kProcesses; ++i) {
+        const Process& other = this->processes[static_cast<size_t>(i)];
+        const auto found = other.may_act_at.find(process.self);
+        if (i != holder && found != other.may_act_at.end() &&
+            this->Clock(i) >= found->second) {
+          this->violated = true;
+        }
+      }
+    }
+  }
+
+  Without without;
+  Duration now{};
+  Duration delay = milliseconds(1);
+  Duration append_delay{};
+  std::vector<Process> processes;
+  std::map<int, Incarnation> incarnation;
+  std::map<int, bool> joined;
+  Incarnation last_incarnation = 0;
+  std::vector<FleetRecord> log;
+  std::vector<Heartbeat> messages;
+  std::vector<std::pair<Duration, Evict>> pending;
+  uint64_t held = 0;  // times that a lease was seen held
+  bool violated = false;
+};
+
+}  // namespace celerykeel::lease_model
