--- a/include/celerykeel/ctl/submit.h
+++ b/include/celerykeel/ctl/submit.h
@@ -14,11 +14,12 @@
 
 namespace celerykeel {
 
-/// @brief How a submission reaches the fleet and the clock.
+/// @brief How a submission reaches the fleet and the clock. A request is given
+/// up after the time it is given.
 struct SubmitAccess {
-  std::function<std::optional<InstanceStatus>()> status;
+  std::function<std::optional<InstanceStatus>(Duration limit)> status;
   std::function<std::vector<MemberProgress>(const InstanceStatus&)> progress;
-  std::function<AppendResult(std::string record)> append;
+  std::function<AppendResult(std::string record, Duration limit)> append;
   std::function<Duration()> now;
   std::function<void(Duration)> pause;
 };
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -49,8 +49,11 @@
   Exchange& exchange;
 
   std::optional<InstanceStatus> Status() const {
-    return FetchStatus(this->exchange, this->options.feed,
-                       this->options.timeout);
+    return this->Status(this->options.timeout);
+  }
+
+  std::optional<InstanceStatus> Status(Duration limit) const {
+    return FetchStatus(this->exchange, this->options.feed, limit);
   }
 
   std::vector<MemberProgress> Progress(const InstanceStatus& status) const {
@@ -83,13 +86,13 @@
 
   Report Submit(const Ticket& ticket) const {
     SubmitAccess access;
-    access.status = [this] { return this->Status(); };
+    access.status = [this](Duration limit) { return this->Status(limit); };
     access.progress = [this](const InstanceStatus& status) {
       return this->Progress(status);
     };
-    access.append = [this](std::string record) {
+    access.append = [this](std::string record, Duration limit) {
       return AppendRecord(this->exchange, this->options.feed, std::move(record),
-                          this->options.timeout);
+                          limit);
     };
     access.now = [] { return Now(); };
     access.pause = [](Duration pause) { std::this_thread::sleep_for(pause); };
--- a/src/celerykeel/ctl/submit.cc
+++ b/src/celerykeel/ctl/submit.cc
@@ -54,8 +54,18 @@
 
   bool InTime() const { return this->access.now() < this->deadline; }
 
+  Duration Left() const { return this->deadline - this->access.now(); }
+
+  void PauseInTime(Duration pause) const {
+    this->access.pause(std::min(pause, this->Left()));
+  }
+
+  std::optional<InstanceStatus> Status() const {
+    return this->access.status(std::max(this->Left(), kPoll));
+  }
+
   SubmitResult Run() const {
-    auto before = this->access.status();
+    auto before = this->Status();
     if (!before) {
       return SubmitFailed{SubmitFault::kNoSteward};
     }
@@ -75,7 +85,7 @@
     const std::string record = EncodeFleetRecord(this->ticket);
     bool may_be_there = false;
     while (this->InTime()) {
-      const AppendResult result = this->access.append(record);
+      const AppendResult result = this->access.append(record, this->Left());
       if (result.outcome == AppendOutcome::kAppended) {
         return this->WaitForVerdict(result.first_offset);
       }
@@ -85,7 +95,7 @@
           return this->Finish({*offset, /*already=*/false, {}, {}});
         }
       } else {
-        this->access.pause(std::max(result.retry_after, kPoll));
+        this->PauseInTime(std::max(result.retry_after, kPoll));
       }
     }
     return SubmitFailed{may_be_there ? SubmitFault::kUnknown
@@ -97,7 +107,7 @@
     const Duration until =
         std::min(this->deadline, this->access.now() + kLookBeforeRetry);
     do {
-      if (const auto status = this->access.status()) {
+      if (const auto status = this->Status()) {
         if (const AuditEntry* const entry =
                 FindAccepted(status->state, this->ticket)) {
           return entry->offset;
@@ -112,7 +122,7 @@
   // repetition is then refused as a number taken, and the ticket is in force.
   SubmitResult WaitForVerdict(Offset offset) const {
     while (this->InTime()) {
-      if (const auto status = this->access.status();
+      if (const auto status = this->Status();
           status && status->state.offset >= offset) {
         if (const AuditEntry* const entry =
                 FindAccepted(status->state, this->ticket)) {
@@ -132,7 +142,7 @@
       return accepted;
     }
     do {
-      if (const auto status = this->access.status()) {
+      if (const auto status = this->Status()) {
         accepted.members = this->access.progress(*status);
         accepted.missing.clear();
         for (const MemberProgress& member : accepted.members) {
--- a/src/celerykeel/ctl/submit_unittest.cc
+++ b/src/celerykeel/ctl/submit_unittest.cc
@@ -65,14 +65,16 @@
 
   SubmitAccess Access() {
     SubmitAccess access;
-    access.status = [this]() -> std::optional<InstanceStatus> {
+    access.status = [this](Duration) -> std::optional<InstanceStatus> {
       if (!this->steward_answers) {
         return std::nullopt;
       }
       return InstanceStatus{"utne-1", this->state, true, {}};
     };
     access.progress = [this](const InstanceStatus&) { return this->members; };
-    access.append = [this](std::string record) { return this->Append(record); };
+    access.append = [this](std::string record, Duration) {
+      return this->Append(record);
+    };
     access.now = [this] { return this->now; };
     access.pause = [this](Duration pause) { this->Pause(pause); };
     return access;
@@ -180,7 +182,7 @@
   SubmitAccess access = fleet.Access();
   // The first status is from before the record was folded.
   bool first = true;
-  access.status = [&]() -> std::optional<InstanceStatus> {
+  access.status = [&](Duration) -> std::optional<InstanceStatus> {
     return InstanceStatus{
         "utne-1",
         std::exchange(first, false) ? FleetState{} : fleet.state,
@@ -198,6 +200,7 @@
   down.faults = std::deque<Fault>(100, Fault::kRefused);
   CHECK(Expect<SubmitFailed>(SubmitTicket(TeamTicket(7), {}, down.Access()))
             .fault == SubmitFault::kNotAppended);
+  CHECK(down.now == SubmitOptions{}.timeout);
   FakeFleet lossy;
   lossy.faults = std::deque<Fault>(100, Fault::kLostBefore);
   CHECK(Expect<SubmitFailed>(SubmitTicket(TeamTicket(7), {}, lossy.Access()))
