--- a/tools/demo.py
+++ b/tools/demo.py
@@ -82,7 +82,7 @@
 
 
 def owner_of(fleet, team, program):
-    status, out, errors = fleet.ctl("explain", "program", f"{team}/{program}",
+    status, out, errors = fleet.ctl("explain", "program", program, f"--team={team}",
                                     "--json")
     if status != 0:
         raise RuntimeError(errors)
@@ -145,7 +145,7 @@
     for title, arguments in (
             ("The audit trail:", ("audit",)),
             ("What happened to program trip-7:",
-             ("explain", "program", f"{team}/trip-7")),
+             ("explain", "program", "trip-7", f"--team={team}")),
             ("What is in force:", ("status",))):
         print(f"\n{title}")
         print(fleet.ctl(*arguments)[1])
@@ -168,7 +168,7 @@
   curl -s http://{gate}/v1/programs/trip-1 -H 'Authorization: Bearer {key}'
   curl -s http://{gate}/services/booking/prices
   {ctl} --feed={feed} status
-  {ctl} --feed={feed} explain program {team}/trip-1
+  {ctl} --feed={feed} explain program trip-1 --team={team}
 
 Stop it with ./run down""")
 
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -181,7 +181,7 @@
         """Injects a fault at a stand-in."""
         status, _, text = request(self.standins[standin][1], "POST",
                                   f"/control/{path}")
-        if status != 200:
+        if status not in (200, 204):
             raise RuntimeError(f"{standin} /control/{path}: {status} {text}")
 
     def witness(self, standin, path="/witness"):
