--- a/include/celerykeel/standin/engine_faults.h
+++ b/include/celerykeel/standin/engine_faults.h
@@ -30,7 +30,4 @@
 /// @brief Takes the fault of a stream that starts now, if one is left.
 std::optional<StreamEnd> TakeStreamEnd(EngineFaults& faults);
 
-/// @brief Takes one from a count; false if none is left.
-bool TakeOne(uint64_t& count);
-
 }  // namespace celerykeel
--- a/src/celerykeel/standin/engine_completions.cc
+++ b/src/celerykeel/standin/engine_completions.cc
@@ -14,6 +14,7 @@
 #include "celerykeel/standin/chat.h"          // for ParseChat
 #include "celerykeel/standin/credentials.h"   // for HasCredential
 #include "celerykeel/standin/engine_state.h"  // for EngineState
+#include "celerykeel/standin/fault_count.h"   // for TakeOne
 #include "celerykeel/standin/tokens.h"        // for CountTokens, HashBlocks
 
 namespace celerykeel {
@@ -204,14 +205,21 @@
       });
 }
 
-// Every other answer waits until another one has been sent.
-void CrossAsAsked(EngineState& state, EngineLock& lock, uint64_t number) {
-  if (number % 2 == 0) {
+// What tells a request apart from those before it.
+struct Arrival {
+  uint64_t number = 0;   // from 1
+  uint64_t answers = 0;  // sent before it came
+};
+
+// Every other answer waits until one was sent since its request came.
+void CrossAsAsked(EngineState& state,
+                  EngineLock& lock,
+                  const Arrival& arrival) {
+  if (arrival.number % 2 == 0) {
     return;
   }
-  const uint64_t before = state.counts.answers;
   state.progressed.wait_for(lock, state.faults.crossing, [&] {
-    return state.stopping || state.counts.answers != before;
+    return state.stopping || state.counts.answers != arrival.answers;
   });
 }
 
@@ -239,10 +247,10 @@
                  const Request& request,
                  Response& response,
                  const std::string& id,
-                 uint64_t number) {
+                 const Arrival& arrival) {
   AddReader(state.book, id);
   WaitForEnd(state, lock, request, id);
-  CrossAsAsked(state, lock, number);
+  CrossAsAsked(state, lock, arrival);
   RemoveReader(state.book, id, Now());
   const EngineRequest* const ended = FindRequest(state.book, id);
   if (ended == nullptr || ended->state == RequestState::kCancelled) {
@@ -261,7 +269,8 @@
 void Complete(EngineState& state, const Request& request, Response& response) {
   const auto chat = ParseChat(request.body);
   EngineLock lock(state.mutex);
-  const uint64_t number = ++state.counts.requests;
+  const Arrival arrival{.number = ++state.counts.requests,
+                        .answers = state.counts.answers};
   state.counts.credentials += HasCredential(request) ? 1 : 0;
   DelayAsAsked(state, lock);
   if (!chat) {
@@ -269,17 +278,17 @@
   }
   const std::string id = request.has_header("Request-Id")
                              ? request.get_header_value("Request-Id")
-                             : fmt::format("unnamed-{}", number);
+                             : fmt::format("unnamed-{}", arrival.number);
   if (!FindOrStart(state, request, response, *chat, id)) {
     return;
   }
   if (!chat->stream) {
-    return AnswerWhole(state, lock, request, response, id, number);
+    return AnswerWhole(state, lock, request, response, id, arrival);
   }
   StreamCursor cursor;
   cursor.id = id;
   Stream(state, response, std::move(cursor));
-  CrossAsAsked(state, lock, number);
+  CrossAsAsked(state, lock, arrival);
 }
 
 void Resume(EngineState& state, const Request& request, Response& response) {
--- a/src/celerykeel/standin/engine_faults.cc
+++ b/src/celerykeel/standin/engine_faults.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/standin/engine_faults.h"
 
+#include "celerykeel/standin/fault_count.h"  // for TakeOne
+
 namespace celerykeel {
 
 namespace {
@@ -21,12 +23,4 @@
   return std::nullopt;
 }
 
-bool TakeOne(uint64_t& count) {
-  if (count == 0) {
-    return false;
-  }
-  --count;
-  return true;
-}
-
 }  // namespace celerykeel
--- a/src/celerykeel/standin/platform_faults.cc
+++ b/src/celerykeel/standin/platform_faults.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/standin/platform_faults.h"
 
+#include "celerykeel/standin/fault_count.h"  // for TakeOne
+
 namespace celerykeel {
 
 std::optional<FaultMode> ParseFaultMode(std::string_view text) {
@@ -29,8 +31,7 @@
 bool TakeLostAnswer(PlatformFaults& faults, std::string_view client) {
   for (const std::string_view name : {client, std::string_view()}) {
     if (const auto found = faults.lost.find(name);
-        found != faults.lost.end() && found->second > 0) {
-      --found->second;
+        found != faults.lost.end() && TakeOne(found->second)) {
       return true;
     }
   }
