--- a/include/celerykeel/core/fleet_state.h
+++ b/include/celerykeel/core/fleet_state.h
@@ -26,6 +26,7 @@
   std::string operator_address;        // host:port
   std::vector<std::string> witnesses;  // names of instances, its own among them
   Incarnation replaces = 0;            // own earlier incarnation; 0: none
+  std::string feed_address;            // host:port; empty: not known
 
   friend bool operator==(const Join&, const Join&) = default;
 };
@@ -115,6 +116,7 @@
   Configuration in_force;
   std::map<std::string, Applied> applied;  // "<kind>/<id>", tombstones too
   std::set<TicketNumber> numbers;          // taken
+  TicketNumber number_floor = 0;           // numbers up to it are refused
   std::deque<AuditEntry> audit;            // the newest, oldest first
   uint64_t unreadable = 0;
   Offset roster_version = 0;  // offset of the last change of `members`
