core, wire: a member's witnesses change without a new incarnation

Cause: a new incarnation for each change of witnesses would make the instance start over: its programs wait for a lease and their journals are read again. Change: record WitnessChange, ordered by its number; HolderLease asks for the vouching of both sets until the holder has folded the record, since an evict is checked against the old set before it and the new one after it.

--- a/include/celerykeel/core/fleet_state.h
+++ b/include/celerykeel/core/fleet_state.h
@@ -27,6 +27,7 @@
   std::vector<std::string> witnesses;  // names of instances, its own among them
   Incarnation replaces = 0;            // own earlier incarnation; 0: none
   std::string feed_address;            // host:port; empty: not known
+  uint64_t witnesses_number = 0;       // of the change that set them
 
   friend bool operator==(const Join&, const Join&) = default;
 };
@@ -35,6 +36,14 @@
   Incarnation incarnation = 0;
 };
 
+/// @brief Gives a member other witnesses. The record with a higher number than
+/// the last one counts.
+struct WitnessChange {
+  Incarnation incarnation = 0;
+  uint64_t number = 0;
+  std::vector<std::string> witnesses;  // names of instances, its own among them
+};
+
 /// @brief Takes out an instance on the word of most of its witnesses.
 struct Evict {
   Incarnation incarnation = 0;
@@ -55,8 +64,8 @@
   std::shared_ptr<const FleetState> state;
 };
 
-using FleetRecord =
-    std::variant<Unreadable, Join, Leave, Evict, Ticket, Snapshot>;
+using FleetRecord = std::
+    variant<Unreadable, Join, Leave, Evict, Ticket, Snapshot, WitnessChange>;
 
 struct Member {
   Join join;
--- a/include/celerykeel/core/lease.h
+++ b/include/celerykeel/core/lease.h
@@ -13,10 +13,11 @@
 /// @brief The holder's side of a lease among peers. It holds while most of the
 /// witnesses vouched for heartbeats that were sent less than a lease ago.
 struct HolderLease {
-  std::string instance;                  // counts itself as a witness
-  std::vector<std::string> witnesses;    // names of instances, its own included
-  uint64_t sequence = 0;                 // of the newest heartbeat
-  std::map<uint64_t, Duration> sent_at;  // heartbeats a vouch may answer
+  std::string instance;                // counts itself as a witness
+  std::vector<std::string> witnesses;  // names of instances, its own included
+  std::vector<std::string> next_witnesses;  // of a change under way, or empty
+  uint64_t sequence = 0;                    // of the newest heartbeat
+  std::map<uint64_t, Duration> sent_at;     // heartbeats a vouch may answer
   std::map<std::string, Duration> vouched_at;  // by witness: when the newest
                                                // vouched heartbeat was sent
 };
@@ -30,12 +31,19 @@
 /// @return false if it answers none that still counts.
 bool TakeVouch(HolderLease& lease, std::string_view witness, uint64_t sequence);
 
-/// @brief The holder may act only before this reading of its clock.
+/// @brief The holder may act only before this reading of its clock. While its
+/// witnesses change, most of the present and most of the next must vouch.
 ///
 ///     if (now < LeaseUntil(lease, std::chrono::seconds(4))) { ... }
 Duration LeaseUntil(const HolderLease& lease, Duration duration);
 
-/// @brief Witnesses that vouched for nothing sent after `since`.
+/// @brief The same, on the word of `witnesses` alone.
+Duration LeaseUntil(const HolderLease& lease,
+                    const std::vector<std::string>& witnesses,
+                    Duration duration);
+
+/// @brief Witnesses, present and next, that vouched for nothing sent after
+/// `since`.
 std::vector<std::string> SilentWitnesses(const HolderLease& lease,
                                          Duration since);
 
--- a/include/celerykeel/core/membership.h
+++ b/include/celerykeel/core/membership.h
@@ -28,7 +28,7 @@
                                          std::string_view availability_zone,
                                          const std::set<std::string>& avoid);
 
-/// @brief True if a member should join again with other witnesses: their
+/// @brief True if a member should take other witnesses: their
 /// number no longer fits the fleet, or none of them may fail any more, and
 /// enough others can be had.
 /// @param unusable witnesses that refuse to vouch, or did not for a lease.
--- a/include/celerykeel/core/roster.h
+++ b/include/celerykeel/core/roster.h
@@ -43,12 +43,18 @@
   size_t wanted = 0;
 };
 
+/// @brief A later change of the member's witnesses is in force.
+struct OldWitnessChange {
+  uint64_t in_force = 0;
+};
+
 using RosterRefusal = std::variant<AlreadyJoined,
                                    AlreadyDeparted,
                                    NotAMember,
                                    NamelessJoin,
                                    ReplacesOther,
-                                   TooFewWords>;
+                                   TooFewWords,
+                                   OldWitnessChange>;
 
 /// @brief Words that an eviction needs: most of the witness names.
 size_t WordsNeeded(const Join& evicted);
@@ -65,6 +71,9 @@
 tl::expected<void, RosterRefusal> ApplyLeave(FleetState& state,
                                              Offset offset,
                                              const Leave& leave);
+tl::expected<void, RosterRefusal> ApplyWitnessChange(
+    FleetState& state,
+    const WitnessChange& change);
 tl::expected<void, RosterRefusal> ApplyEvict(FleetState& state,
                                              Offset offset,
                                              const Evict& evict);
--- a/src/celerykeel/core/fold.cc
+++ b/src/celerykeel/core/fold.cc
@@ -136,6 +136,14 @@
                              evict.reason + ", by " + by);
   }
 
+  const AuditEntry* operator()(const WitnessChange& change) const {
+    const std::string instance = InstanceOf(this->state, change.incarnation);
+    const auto result = ApplyWitnessChange(this->state, change);
+    return this->AuditRoster(
+        "witnesses", instance, result,
+        std::to_string(change.witnesses.size()) + " witnesses");
+  }
+
   const AuditEntry* operator()(const Ticket& ticket) const {
     AuditEntry entry = this->Entry("ticket", std::to_string(ticket.number));
     entry.operator_name = ticket.operator_name;
--- a/src/celerykeel/core/fold_unittest.cc
+++ b/src/celerykeel/core/fold_unittest.cc
@@ -57,6 +57,19 @@
   CHECK(state.roster_version == 3);
 }
 
+TEST_CASE("only a newer change of witnesses counts, and moves no program") {
+  FleetState state = FleetOfThree();
+  Fold(state, 4, WitnessChange{22, 2, {"b", "c", "d"}});
+  const AuditEntry* const entry =
+      Fold(state, 5, WitnessChange{22, 1, {"b", "x", "y"}});
+  REQUIRE(entry != nullptr);
+  CHECK_FALSE(entry->accepted);
+  CHECK(entry->reason == "change 2 of the witnesses is in force");
+  CHECK(state.members.at(22).join.witnesses ==
+        std::vector<std::string>{"b", "c", "d"});
+  CHECK(state.roster_version == 3);
+}
+
 TEST_CASE("a join may replace only an earlier incarnation of its instance") {
   FleetState state = FleetOfThree();
   Join again = JoinOf(23, "b");
--- a/src/celerykeel/core/lease.cc
+++ b/src/celerykeel/core/lease.cc
@@ -8,8 +8,10 @@
 namespace {
 
 bool IsWitness(const HolderLease& lease, std::string_view name) {
-  return std::find(lease.witnesses.begin(), lease.witnesses.end(), name) !=
-         lease.witnesses.end();
+  const auto has_name = [&](const std::vector<std::string>& names) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  };
+  return has_name(lease.witnesses) || has_name(lease.next_witnesses);
 }
 
 }  // namespace
@@ -43,16 +45,29 @@
   return true;
 }
 
+// An eviction is checked against the present witnesses before the change's
+// record and against the next ones after it. The holder does not know on which
+// side of it an eviction falls until it has folded the record.
 Duration LeaseUntil(const HolderLease& lease, Duration duration) {
+  const Duration until = LeaseUntil(lease, lease.witnesses, duration);
+  return lease.next_witnesses.empty()
+             ? until
+             : std::min(until,
+                        LeaseUntil(lease, lease.next_witnesses, duration));
+}
+
+Duration LeaseUntil(const HolderLease& lease,
+                    const std::vector<std::string>& witnesses,
+                    Duration duration) {
   std::vector<Duration> times;
-  for (const std::string& witness : lease.witnesses) {
+  for (const std::string& witness : witnesses) {
     if (const auto found = lease.vouched_at.find(witness);
         found != lease.vouched_at.end()) {
       times.push_back(found->second);
     }
   }
-  const size_t majority = MajorityOf(lease.witnesses.size());
-  if (lease.witnesses.empty() || times.size() < majority) {
+  const size_t majority = MajorityOf(witnesses.size());
+  if (witnesses.empty() || times.size() < majority) {
     return Duration{};
   }
   std::sort(times.begin(), times.end(), std::greater<>());
@@ -62,7 +77,10 @@
 std::vector<std::string> SilentWitnesses(const HolderLease& lease,
                                          Duration since) {
   std::vector<std::string> silent;
-  for (const std::string& witness : lease.witnesses) {
+  std::vector<std::string> all = lease.witnesses;
+  all.insert(all.end(), lease.next_witnesses.begin(),
+             lease.next_witnesses.end());
+  for (const std::string& witness : all) {
     const auto found = lease.vouched_at.find(witness);
     if (found == lease.vouched_at.end() || found->second <= since) {
       silent.push_back(witness);
--- a/src/celerykeel/core/roster.cc
+++ b/src/celerykeel/core/roster.cc
@@ -72,6 +72,10 @@
   std::string operator()(const ReplacesOther& refusal) const {
     return "would replace a member of instance " + refusal.instance;
   }
+  std::string operator()(const OldWitnessChange& refusal) const {
+    return "change " + std::to_string(refusal.in_force) +
+           " of the witnesses is in force";
+  }
   std::string operator()(const TooFewWords& refusal) const {
     return "words of " + std::to_string(refusal.words) + " witnesses, " +
            std::to_string(refusal.wanted) + " needed";
@@ -146,6 +150,23 @@
   return {};
 }
 
+// The owners of programs stay the same, and so does the roster's version.
+tl::expected<void, RosterRefusal> ApplyWitnessChange(
+    FleetState& state,
+    const WitnessChange& change) {
+  const auto found = state.members.find(change.incarnation);
+  if (found == state.members.end()) {
+    return Refuse(NotAMember{change.incarnation});
+  }
+  Join& join = found->second.join;
+  if (change.number <= join.witnesses_number || change.witnesses.empty()) {
+    return Refuse(OldWitnessChange{join.witnesses_number});
+  }
+  join.witnesses = change.witnesses;
+  join.witnesses_number = change.number;
+  return {};
+}
+
 tl::expected<void, RosterRefusal> ApplyEvict(FleetState& state,
                                              Offset offset,
                                              const Evict& evict) {
--- a/src/celerykeel/wire/fleet_codec.cc
+++ b/src/celerykeel/wire/fleet_codec.cc
@@ -22,6 +22,7 @@
   out.set_operator_address(join.operator_address);
   out.mutable_witnesses()->Assign(join.witnesses.begin(), join.witnesses.end());
   out.set_replaces(join.replaces);
+  out.set_witnesses_number(join.witnesses_number);
   out.set_feed_address(join.feed_address);
   return out;
 }
@@ -38,10 +39,17 @@
   join.operator_address = in.operator_address();
   join.witnesses.assign(in.witnesses().begin(), in.witnesses().end());
   join.replaces = in.replaces();
+  join.witnesses_number = in.witnesses_number();
   join.feed_address = in.feed_address();
   return join;
 }
 
+WitnessChange FromProto(const pb::WitnessChange& in) {
+  return WitnessChange{in.incarnation(),
+                       in.number(),
+                       {in.witnesses().begin(), in.witnesses().end()}};
+}
+
 Evict FromProto(const pb::Evict& in) {
   Evict evict;
   evict.incarnation = in.incarnation();
@@ -126,6 +134,13 @@
     message.set_by(evict.by);
     message.set_reason(evict.reason);
   }
+  void operator()(const WitnessChange& change) const {
+    auto& message = *this->out.mutable_witness_change();
+    message.set_incarnation(change.incarnation);
+    message.set_number(change.number);
+    message.mutable_witnesses()->Assign(change.witnesses.begin(),
+                                        change.witnesses.end());
+  }
   void operator()(const Ticket& ticket) const {
     *this->out.mutable_ticket() = celerykeel::ToProto(ticket);
   }
@@ -170,6 +185,8 @@
       return FromProto(message.ticket());
     case pb::FleetRecord::kSnapshot:
       return FromProto(message.snapshot());
+    case pb::FleetRecord::kWitnessChange:
+      return FromProto(message.witness_change());
     case pb::FleetRecord::KIND_NOT_SET:
       break;
   }
--- a/src/celerykeel/wire/fleet_codec_unittest.cc
+++ b/src/celerykeel/wire/fleet_codec_unittest.cc
@@ -42,12 +42,16 @@
 TEST_CASE("records come back as they went") {
   const Ticket ticket = Everything();
   CHECK(RoundTrip(ticket) == ticket);
-  const Join join{1, "a", "utne", "g", "s", "t", "r", "o", {"a", "b"}, 2, "f"};
+  const Join join{1,   "a", "utne",     "g", "s", "t",
+                  "r", "o", {"a", "b"}, 2,   "f", 9};
   CHECK(RoundTrip(join) == join);
   CHECK(RoundTrip(Leave{3}).incarnation == 3);
   const Evict evict = RoundTrip(Evict{4, {5, 6}, 7, "silent"});
   CHECK(evict.words == std::vector<Incarnation>{5, 6});
   CHECK(evict.by == 7);
+  const WitnessChange change = RoundTrip(WitnessChange{4, 2, {"a", "b"}});
+  CHECK(change.number == 2);
+  CHECK(change.witnesses == std::vector<std::string>{"a", "b"});
 }
 
 TEST_CASE("a snapshot carries the whole state") {
