steward: lease, witnesses, eviction, drain, peers' records, metrics

Cause: the lease was set from the log alone. Ruled out: a new incarnation for each change of witnesses (the scheduler would start over).

--- a/include/celerykeel/steward/feed.h
+++ b/include/celerykeel/steward/feed.h
@@ -18,6 +18,9 @@
 /// @brief Sends every reader what is new to it.
 void PushToSubscribers(Control& control, Outbox& out);
 
+/// @brief The same twice each heartbeat, for the lease and the freshness.
+void PushIfDue(Control& control, Duration now, Outbox& out);
+
 /// @brief Forgets readers that no longer ask.
 void DropSilentSubscribers(Control& control, Duration now);
 
--- a/src/celerykeel/steward/control.cc
+++ b/src/celerykeel/steward/control.cc
@@ -1,26 +1,32 @@
 #include "celerykeel/steward/control.h"
 
-#include <fmt/format.h>  // for fmt::format
-
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
-#include "celerykeel/core/fold.h"         // for Fold
-#include "celerykeel/net/log.h"           // for Log
-#include "celerykeel/steward/feed.h"      // for OnHello, PushToSubscribers
-#include "celerykeel/wire/fleet_codec.h"  // for DecodeFleetRecord
+#include "celerykeel/core/fold.h"           // for Fold
+#include "celerykeel/net/log.h"             // for Log
+#include "celerykeel/steward/feed.h"        // for OnHello, PushToSubscribers
+#include "celerykeel/steward/membership.h"  // for JoinIfDue
+#include "celerykeel/steward/peers.h"       // for OnPeerMessage
+#include "celerykeel/wire/fleet_codec.h"    // for DecodeFleetRecord
 
 namespace celerykeel {
 
 namespace {
 
-constexpr Duration kJoinRetry = std::chrono::milliseconds(500);
-
 void FoldEntry(Control& control, LogEntry entry) {
   if (entry.offset <= control.state.offset) {
     return;
   }
-  Fold(control.state, entry.offset, DecodeFleetRecord(entry.payload));
+  const FleetRecord record = DecodeFleetRecord(entry.payload);
+  if (std::holds_alternative<Snapshot>(record)) {
+    control.snapshot_seen = true;
+  }
+  if (std::holds_alternative<Unreadable>(record)) {
+    Log("steward", "record does not decode, skipped",
+        {{"offset", entry.offset}});
+  }
+  Fold(control.state, entry.offset, record);
   Add(control.records, std::move(entry));
 }
 
@@ -60,50 +66,21 @@
   return true;
 }
 
-void AppendOwn(Outbox& out, OwnRecord kind, const FleetRecord& record) {
-  out.log.push_back({kind, EncodeFleetRecord(record)});
-}
-
-Join MakeJoin(const Control& control, Incarnation incarnation) {
-  const StewardOptions& options = control.options;
-  Join join;
-  join.incarnation = incarnation;
-  join.instance = options.instance;
-  join.availability_zone = options.availability_zone;
-  join.gate_address = options.gate_address;
-  join.scheduler_address = options.scheduler_address;
-  join.steward_address = options.peers;
-  join.rate_address = options.rate_address;
-  join.operator_address = options.operators;
-  join.witnesses = {options.instance};
-  return join;
-}
-
-void JoinIfDue(Control& control, Duration now, Outbox& out) {
-  if (control.self != 0 || control.join_in_flight || !control.caught_up ||
-      control.draining || now < control.join_after) {
-    return;
-  }
-  while (control.joining == 0) {
-    control.joining = control.random();
-  }
-  control.join_in_flight = true;
-  AppendOwn(out, OwnRecord::kJoin, MakeJoin(control, control.joining));
-}
-
-// The fold says whether the Join took effect, also when its answer was lost.
-void TakeOwnJoin(Control& control) {
-  if (control.joining != 0 && control.state.members.contains(control.joining)) {
-    control.self = control.joining;
-    control.joining = 0;
-    Log("steward", "joined",
-        {{"incarnation", fmt::format("{:016x}", control.self)},
-         {"fence", control.state.members.at(control.self).fence}});
+// A pause of the whole process: what was sent to it meanwhile still waits, so
+// silence during the pause says nothing of others.
+void NoticePause(Control& control, Duration now) {
+  if (now - control.ticked_at > control.options.lease / 2) {
+    Listen(control.witness, now);
   }
+  control.ticked_at = now;
 }
 
 }  // namespace
 
+void AppendOwn(Outbox& out, OwnRecord kind, const FleetRecord& record) {
+  out.log.push_back({kind, EncodeFleetRecord(record)});
+}
+
 Control MakeControl(StewardOptions options, uint64_t seed) {
   Control control;
   control.options = std::move(options);
@@ -114,28 +91,54 @@
 void OnFleetPage(Control& control, FleetPage page, Duration now, Outbox& out) {
   const bool at_end = page.page.entries.empty() ||
                       page.page.entries.back().offset + 1 >= page.page.next;
-  control.log_reachable = true;
+  if (!control.log_reachable) {
+    control.log_reachable = true;
+    Log("steward", "the log is read", {{"offset", control.state.offset}});
+  }
   for (LogEntry& entry : page.page.entries) {
     control.unfolded.push_back(std::move(entry));
   }
   if (!FoldUnfolded(control)) {
+    if (!control.restore_failed) {
+      control.restore_failed = true;
+      Log("steward",
+          "the log's oldest records have expired and none of the rest restores "
+          "the state; waits for a snapshot, or for a seed peer");
+    }
     return;
   }
   if (at_end && control.state.offset + 1 >= page.page.next) {
     control.caught_up = true;
     control.fresh_at = std::max(control.fresh_at, page.asked_at);
   }
-  TakeOwnJoin(control);
-  if (control.self != 0) {
-    control.lease_until = control.fresh_at + control.options.lease;
+  AfterFold(control, now, out);
+}
+
+bool FoldUpdate(Control& control, const pb::FeedUpdate& update) {
+  if (update.has_snapshot() &&
+      update.snapshot().offset() > control.state.offset) {
+    control.state = FromProto(update.snapshot().state());
+    Clear(control.records);
+  }
+  for (const pb::FeedRecord& record : update.records()) {
+    if (record.offset() <= control.state.offset + 1) {
+      FoldEntry(control, {record.offset(), record.payload()});
+    }
   }
+  return control.state.offset >= update.offset();
+}
+
+void AfterFold(Control& control, Duration now, Outbox& out) {
+  TakeOwnRecords(control, now);
   JoinIfDue(control, now, out);
+  SendHeartbeatsIfDue(control, now, out);
   PushToSubscribers(control, out);
 }
 
 void OnLogFailure(Control& control, Outbox& out) {
   if (control.log_reachable) {
     control.log_reachable = false;
+    Log("steward", "the log can't be read");
     PushToSubscribers(control, out);
   }
 }
@@ -144,11 +147,28 @@
                  OwnRecord kind,
                  const AppendResult& result,
                  Duration now) {
-  // Unless the Join shows up in the stream, it is appended again with the same
-  // incarnation: the fold takes it once.
-  if (kind == OwnRecord::kJoin) {
-    control.join_in_flight = false;
-    control.join_after = now + std::max(result.retry_after, kJoinRetry);
+  TakeOwnResult(control, kind, result, now);
+}
+
+void OnPeerBytes(Control& control,
+                 const Peer& peer,
+                 std::string_view bytes,
+                 Duration now,
+                 Outbox& out) {
+  pb::PeerMessage message;
+  if (message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    OnPeerMessage(control, peer, message, now, out);
+  } else {
+    ++control.totals.dropped_messages;
+  }
+}
+
+void OnDrain(Control& control, Duration now, Outbox& out) {
+  if (!control.draining) {
+    control.draining = true;
+    control.drain_until = now + control.options.drain_timeout;
+    Log("steward", "draining");
+    PushToSubscribers(control, out);
   }
 }
 
@@ -176,8 +196,16 @@
 }
 
 void OnTick(Control& control, Duration now, Outbox& out) {
+  NoticePause(control, now);
   DropSilentSubscribers(control, now);
   JoinIfDue(control, now, out);
+  SendHeartbeatsIfDue(control, now, out);
+  ChangeWitnessesIfDue(control, now, out);
+  EvictSilentMembers(control, now, out);
+  AskSeedsIfDue(control, now, out);
+  WriteSnapshotIfDue(control, now, out);
+  LeaveIfDue(control, now, out);
+  PushIfDue(control, now, out);
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/steward/feed.cc
+++ b/src/celerykeel/steward/feed.cc
@@ -75,6 +75,13 @@
   }
 }
 
+void PushIfDue(Control& control, Duration now, Outbox& out) {
+  if (now - control.pushed_at >= control.options.heartbeat / 2) {
+    control.pushed_at = now;
+    PushToSubscribers(control, out);
+  }
+}
+
 void DropSilentSubscribers(Control& control, Duration now) {
   std::erase_if(control.subscribers, [&](const auto& entry) {
     return now - entry.second.hello_at > kSubscriberTimeout;
--- a/src/celerykeel/steward/log_appender.cc
+++ b/src/celerykeel/steward/log_appender.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/steward/log_appender.h"
 
-#include <algorithm>  // for std::equal, std::max
+#include <algorithm>  // for std::equal, std::min, std::max
 #include <atomic>     // for std::atomic
 #include <mutex>      // for std::mutex
 #include <optional>   // for std::optional
@@ -19,6 +19,7 @@
 constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr double kBurstSeconds = 0.25;
 constexpr uint32_t kRecordsPerRead = 2000;
 
 size_t BytesOf(const AppendJob& job) {
@@ -164,11 +165,22 @@
     }
   }
 
+  // A few appends may follow each other at once; beyond them each waits.
   void Pace() {
     const double per_second = this->rate.load();
-    if (per_second > 0 && !this->queue.Closed()) {
+    if (per_second <= 0 || this->queue.Closed()) {
+      return;
+    }
+    const Duration now = Now();
+    const double passed =
+        std::chrono::duration<double>(now - this->paced_at).count();
+    this->paced_at = now;
+    const double burst = std::max(1.0, per_second * kBurstSeconds);
+    this->allowance =
+        std::min(this->allowance + passed * per_second, burst) - 1;
+    if (this->allowance < 0) {
       std::this_thread::sleep_for(
-          std::chrono::duration<double>(1.0 / per_second));
+          std::chrono::duration<double>(-this->allowance / per_second));
     }
   }
 
@@ -178,6 +190,8 @@
   std::optional<AppendJob> held;  // of another stream, first of the next batch
   std::string next_stream;
   Offset next_offset = 1;  // after the newest append that is known
+  Duration paced_at{};
+  double allowance = 0;  // appends
   std::atomic<double> rate{0};
   std::atomic<uint64_t> appends{0};
   std::atomic<uint64_t> records{0};
--- a/src/celerykeel/steward/steward.cc
+++ b/src/celerykeel/steward/steward.cc
@@ -5,19 +5,21 @@
 #include <thread>   // for std::thread
 #include <utility>  // for std::move
 
-#include "celerykeel/net/bounded_ring.h"        // for BoundedRing
-#include "celerykeel/net/clock.h"               // for Now
-#include "celerykeel/net/log.h"                 // for Log
-#include "celerykeel/steward/control.h"         // for Control, OnTick
-#include "celerykeel/steward/journal_reader.h"  // for JournalReader
-#include "celerykeel/steward/log_appender.h"    // for LogAppender
-#include "celerykeel/steward/log_reader.h"      // for LogReader
+#include "celerykeel/net/bounded_ring.h"         // for BoundedRing
+#include "celerykeel/net/clock.h"                // for Now
+#include "celerykeel/net/log.h"                  // for Log
+#include "celerykeel/steward/control.h"          // for Control, OnTick
+#include "celerykeel/steward/journal_reader.h"   // for JournalReader
+#include "celerykeel/steward/log_appender.h"     // for LogAppender
+#include "celerykeel/steward/log_reader.h"       // for LogReader
+#include "celerykeel/steward/steward_metrics.h"  // for StewardMetrics
 
 namespace celerykeel {
 
 namespace {
 
 constexpr size_t kMaxEvents = 4096;
+constexpr double kFleetShare = 0.1;  // of an instance's appends
 constexpr Duration kTick = std::chrono::milliseconds(50);
 
 struct LogFailureEvent {};
@@ -32,14 +34,17 @@
   pb::FeedRequest request;
 };
 
-struct DrainEvent {};
+struct PeerEvent {
+  Peer peer;
+  std::string bytes;
+};
 
 using Event = std::variant<std::monostate,
                            FleetPage,
                            LogFailureEvent,
                            OwnRecordEvent,
                            FeedEvent,
-                           DrainEvent>;
+                           PeerEvent>;
 
 uint64_t Seed() {
   std::random_device device;
@@ -106,6 +111,12 @@
       }
       if (now - this->ticked_at >= kTick) {
         this->ticked_at = now;
+        if (this->drain_asked.load()) {
+          OnDrain(this->control, now, out);
+        }
+        this->metrics->Update(this->control, now);
+        this->metrics->Update(this->fleet_appender->Totals(),
+                              this->journal_appender->Totals());
         OnTick(this->control, now, out);
       }
       this->Publish();
@@ -126,19 +137,46 @@
   void Handle(FeedEvent& event, Duration now, Outbox& out) {
     OnFeedRequest(this->control, event.peer, event.request, now, out);
   }
-  void Handle(DrainEvent&, Duration, Outbox&) {}
+  void Handle(PeerEvent& event, Duration now, Outbox& out) {
+    OnPeerBytes(this->control, event.peer, event.bytes, now, out);
+  }
 
   // Copies for other threads what they need of the control state.
   void Publish() {
     this->self.store(this->control.self);
+    this->left.store(this->control.left);
+    this->PublishOffset();
+    const Duration now = Now();
     this->ready.store(this->control.self != 0 && !this->control.draining &&
-                      Now() < this->control.lease_until);
+                      now < this->control.lease_until &&
+                      now - this->control.fresh_at <
+                          this->control.options.lease);
+  }
+
+  // Records that peers passed on need not be read again, and the budget of
+  // appends is shared by all members.
+  void PublishOffset() {
+    if (const Offset offset = this->control.state.offset;
+        offset != this->published) {
+      this->published = offset;
+      this->log_reader->SkipTo(offset);
+      const auto members =
+          std::max<size_t>(this->control.state.members.size(), 1);
+      const double rate =
+          static_cast<double>(this->control.options.append_budget) /
+          static_cast<double>(members);
+      this->fleet_appender->SetRate(rate * kFleetShare);
+      this->journal_appender->SetRate(rate * (1 - kFleetShare));
+    }
   }
 
   void Flush(Outbox& out) {
     for (auto& [peer, reply] : out.feed) {
       this->feed->Send(peer, reply.SerializeAsString());
     }
+    for (auto& [peer, message] : out.peers) {
+      this->peers->Send(peer, message.SerializeAsString());
+    }
     for (auto& [kind, payload] : out.log) {
       this->fleet_appender->Append(
           {std::string(kFleetStream),
@@ -211,12 +249,16 @@
   BoundedRing<Event> events;
   Control control;  // of the control thread
   Duration ticked_at{};
+  Offset published = 0;
   std::atomic<Incarnation> self{0};
   std::atomic<bool> ready{false};
   std::atomic<bool> left{false};
+  std::atomic<bool> drain_asked{false};
   std::shared_ptr<prometheus::Registry> registry =
       std::make_shared<prometheus::Registry>();
+  std::unique_ptr<StewardMetrics> metrics = StewardMetrics::Create(*registry);
   std::unique_ptr<Messenger> feed;
+  std::unique_ptr<Messenger> peers;
   std::unique_ptr<LogAppender> fleet_appender;
   std::unique_ptr<LogAppender> journal_appender;
   std::unique_ptr<JournalReader> journal_reader;
@@ -230,6 +272,9 @@
   LogAppenderOptions appender;
   appender.log = this->LogOptions();
   appender.wait = options.append_wait;
+  appender.on_append = [this](Duration took) {
+    this->metrics->ObserveAppend(took);
+  };
   this->fleet_appender = LogAppender::Create(appender);
   this->journal_appender = LogAppender::Create(appender);
   this->journal_reader = JournalReader::Create(this->LogOptions());
@@ -247,6 +292,20 @@
     return tl::unexpected(StewardError(made_feed.error()));
   }
   this->feed = std::move(*made_feed);
+  MessengerOptions peers_options;
+  peers_options.listen = options.peers;
+  auto made_peers = Messenger::Create(
+      peers_options,
+      {.on_message =
+           [this](Messenger&, const Peer& peer, std::string_view bytes) {
+             this->events.Push(PeerEvent{peer, std::string(bytes)});
+           },
+       .on_tick = {},
+       .on_disconnect = {}});
+  if (!made_peers) {
+    return tl::unexpected(StewardError(made_peers.error()));
+  }
+  this->peers = std::move(*made_peers);
   auto made_operators =
       OperatorServer::Create({options.operators, this->registry,
                               [this] { return this->ready.load(); }});
@@ -292,10 +351,11 @@
   this->state->fleet_appender.reset();
   this->state->journal_appender.reset();
   this->state->feed.reset();
+  this->state->peers.reset();
 }
 
 void Steward::Drain() {
-  this->state->left.store(true);
+  this->state->drain_asked.store(true);
 }
 
 bool Steward::HasLeft() const {
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -115,5 +115,135 @@
   CHECK(reader->View().state->members.size() == 1);
 }
 
+// Three stewards and a reader of each feed.
+struct Fleet {
+  explicit Fleet(FakeLog& given) : log(given) {
+    for (int i = 0; i < 3; ++i) {
+      this->options.push_back(OptionsOf(i, this->log));
+      this->stewards.push_back(Start(this->options.back()));
+      this->readers.push_back(Reader(this->options.back()));
+    }
+  }
+
+  FleetView View(size_t i) const { return this->readers[i]->View(); }
+
+  bool Holds(size_t i) const { return HoldsLease(this->View(i), Now()); }
+
+  // Every member has the other two as witnesses.
+  bool HasWitnesses() const {
+    for (size_t i = 0; i < this->readers.size(); ++i) {
+      const FleetView view = this->View(i);
+      const auto own = view.state->members.find(view.self);
+      if (own == view.state->members.end() || !this->Holds(i) ||
+          own->second.join.witnesses.size() != 3) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  FakeLog& log;
+  std::vector<StewardOptions> options;
+  std::vector<std::unique_ptr<Steward>> stewards;
+  std::vector<std::unique_ptr<FeedClient>> readers;
+};
+
+TEST_CASE("three instances become each other's witnesses") {
+  FakeLog log;
+  const Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  CHECK(fleet.View(0).state->members.size() == 3);
+  CHECK(fleet.View(0).state->departed.empty());
+}
+
+TEST_CASE("an instance that died is evicted by the others") {
+  FakeLog log;
+  Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  const Incarnation dead = fleet.View(2).self;
+  fleet.stewards[2].reset();
+  REQUIRE(Eventually([&] {
+    return fleet.View(0).state->departed.contains(dead) &&
+           fleet.View(1).state->departed.contains(dead);
+  }));
+  CHECK(fleet.View(0).state->departed.at(dead).evicted);
+  CHECK(fleet.Holds(0));
+  CHECK(fleet.Holds(1));
+}
+
+TEST_CASE("a steward that starts again replaces its earlier run") {
+  FakeLog log;
+  Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  const Incarnation earlier = fleet.View(2).self;
+  fleet.stewards[2].reset();
+  fleet.stewards[2] = Start(fleet.options[2]);
+  REQUIRE(Eventually(
+      [&] { return fleet.View(2).self != earlier && fleet.HasWitnesses(); }));
+  CHECK(fleet.View(0).state->departed.contains(earlier));
+  CHECK(fleet.View(0).state->members.size() == 3);
+}
+
+TEST_CASE("while the log is down for all, leases and freshness go on") {
+  FakeLog log;
+  Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  log.down = true;
+  REQUIRE(Eventually([&] {
+    return !fleet.View(0).log_reachable && !fleet.View(1).log_reachable &&
+           !fleet.View(2).log_reachable;
+  }));
+  const Duration later = Now() + fleet.options[0].lease;
+  REQUIRE(Eventually([&] {
+    return fleet.View(0).lease_until > later + fleet.options[0].lease / 2 &&
+           fleet.View(0).fresh_at > later;
+  }));
+
+  // An instance that starts now reads, from the peers that it is told of, and
+  // does not join.
+  StewardOptions late = OptionsOf(3, log);
+  late.seed_peers = {fleet.options[0].peers};
+  const auto steward = Start(late);
+  const auto reader = Reader(late);
+  const Offset offset = fleet.View(0).state->offset;
+  REQUIRE(Eventually([&] { return reader->View().state->offset >= offset; }));
+  CHECK(reader->View().self == 0);
+  CHECK(reader->View().fresh_at > Duration{});
+
+  log.down = false;
+  REQUIRE(Eventually([&] { return reader->View().self != 0; }));
+}
+
+TEST_CASE("an instance cut off from the log learns records from its peers") {
+  FakeLog log;
+  Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  log.Cut(fleet.options[1].instance);
+  REQUIRE(Eventually([&] { return !fleet.View(1).log_reachable; }));
+  log.Put("fleet", TicketRecord(7));
+  const Duration put_at = Now();
+  REQUIRE(Eventually([&] {
+    return fleet.View(1).state->in_force.teams.contains("eidfjord-coop");
+  }));
+  REQUIRE(Eventually([&] { return fleet.View(1).fresh_at > put_at; }));
+  CHECK_FALSE(fleet.View(1).log_reachable);
+  CHECK(fleet.Holds(1));
+}
+
+TEST_CASE("a drained instance leaves, and the log shows it") {
+  FakeLog log;
+  Fleet fleet(log);
+  REQUIRE(Eventually([&] { return fleet.HasWitnesses(); }));
+  const Incarnation leaving = fleet.View(2).self;
+  fleet.stewards[2]->Drain();
+  REQUIRE(Eventually([&] { return fleet.View(2).draining; }));
+  CHECK_FALSE(fleet.stewards[2]->HasLeft());
+  fleet.readers[2]->ReportDrained();
+  REQUIRE(Eventually([&] { return fleet.stewards[2]->HasLeft(); }));
+  REQUIRE(Eventually(
+      [&] { return fleet.View(0).state->departed.contains(leaving); }));
+  CHECK_FALSE(fleet.View(0).state->departed.at(leaving).evicted);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/testing/fake_log.h
+++ b/src/celerykeel/testing/fake_log.h
@@ -68,6 +68,13 @@
     this->grown.notify_all();
   }
 
+  /// @brief Cuts one client off, by its `Client` header; empty: nobody.
+  void Cut(const std::string& client) {
+    const std::lock_guard lock(this->mutex);
+    this->cut = client;
+    this->grown.notify_all();
+  }
+
   std::atomic<bool> down{false};     // answers 503
   std::atomic<int> lose_answers{0};  // appends that take effect, then 500
   std::atomic<int> drop_appends{0};  // appends without effect, then 500
@@ -79,11 +86,17 @@
     return count.load() > 0 && count.fetch_sub(1) > 0;
   }
 
+  bool Refuses(const httplib::Request& request) {
+    const std::lock_guard lock(this->mutex);
+    return this->down || (!this->cut.empty() &&
+                          request.get_header_value("Client") == this->cut);
+  }
+
   void Append(const httplib::Request& request, httplib::Response& response) {
     ++this->append_requests;
     std::this_thread::sleep_for(
         std::chrono::milliseconds(this->append_delay_ms.load()));
-    if (this->down) {
+    if (this->Refuses(request)) {
       response.status = 503;
       return;
     }
@@ -110,7 +123,7 @@
   }
 
   void Read(const httplib::Request& request, httplib::Response& response) {
-    if (this->down) {
+    if (this->Refuses(request)) {
       response.status = 503;
       return;
     }
@@ -144,6 +157,7 @@
   std::condition_variable grown;
   std::map<std::string, std::vector<std::string>> streams;
   std::map<std::string, uint64_t> expired;
+  std::string cut;
   std::atomic<bool> stopping{false};
 };
 
