scheduler: retry budgets, drain, explain and metrics

Retries are a share of the first attempts, per team and per endpoint, with a backoff and jitter. Decisions are kept in bounded memory and answered to ExplainQuery.

--- a/include/celerykeel/scheduler/scheduler_options.h
+++ b/include/celerykeel/scheduler/scheduler_options.h
@@ -18,6 +18,8 @@
   Duration connect_timeout = std::chrono::seconds(2);
   Duration read_timeout = std::chrono::seconds(120);  // between two bytes
   Duration adoption_wait = std::chrono::seconds(10);  // for a former owner
+  Duration drain_serve = std::chrono::seconds(2);     // programs under way
+  Duration leave_wait = std::chrono::seconds(10);     // for the steward's Leave
   LedgerOptions ledger;
   AdoptionOptions adoption;
 };
@@ -42,6 +44,8 @@
   --lease-ms=N               lease of an instance, as at the steward, 4000
   --margin-ms=N              for drift of clocks, as at the steward, 500
   --adoption-wait-ms=N       wait of a call for its former owner, 10000
+  --drain-serve-ms=N         goes on with programs after SIGTERM, 2000
+  --leave-wait-ms=N          longest wait for the steward to leave, 10000
   --rewrite-every-ms=N       programs are journaled again, 21600000
   --help                     this text
   --version                  version and commit
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -26,8 +26,12 @@
 }  // namespace
 
 Owner::State::State(const SchedulerOptions& given,
-                    std::shared_ptr<prometheus::Registry> metrics)
-    : options(given), registry(std::move(metrics)), events(kEvents) {
+                    std::shared_ptr<prometheus::Registry> given_registry)
+    : options(given),
+      registry(std::move(given_registry)),
+      metrics(*registry),
+      events(kEvents),
+      random(std::random_device{}()) {
   this->ledger.options = given.ledger;
   this->adoption.options = given.adoption;
   this->view.state = std::make_shared<const FleetState>();
@@ -86,6 +90,9 @@
       this->HandleDelete({message.peer, kind.program_delete().id()},
                          kind.program_delete());
     }
+  } else if (kind.has_explain_query()) {
+    this->HandleExplain({message.peer, kind.explain_query().id()},
+                        kind.explain_query());
   } else if (kind.has_handover_request()) {
     this->HandleHandoverRequest({message.peer, kind.handover_request().id()},
                                 kind.handover_request());
@@ -104,6 +111,11 @@
   if (this->RefuseOrPark(message, ProgramOf(request))) {
     return;
   }
+  if (!this->MayTake(ProgramOf(request), Now())) {
+    this->Refuse(requester, {.type = RefusalType::kDraining,
+                             .retry_after = this->options.ledger.retry_after});
+    return;
+  }
   auto submission = ReadCall(request, *this->view.state);
   if (!submission) {
     this->Refuse(requester, submission.error());
@@ -155,6 +167,16 @@
       newest->second == ended.dispatch) {
     this->newest_attempt.erase(newest);
   }
+  this->CountAttempt(ended.result);
+  if (ended.result.kind == AttemptResult::Kind::kNotRun ||
+      ended.result.kind == AttemptResult::Kind::kUnknown) {
+    ended.result.may_retry =
+        TakeRetry(this->retry_budget, ended.key.program.team, ended.endpoint);
+    this->Decide(ended.key, "retry", ended.endpoint,
+                 ended.result.may_retry ? "the attempt failed"
+                                        : "the attempt failed, and the budget "
+                                          "of retries is spent");
+  }
   this->Perform(FinishAttempt(this->ledger, ended.key, ended.dispatch,
                               std::move(ended.result), this->Read()));
 }
@@ -171,8 +193,8 @@
   std::erase_if(this->streams, [](const auto& entry) {
     return entry.second.use_count() == 1;
   });
-  this->drained.store(this->draining.load() && this->callers.empty() &&
-                      this->attempts.empty());
+  this->TickDrain(now);
+  this->ShowGauges();
 }
 
 // Own results must not be lost: they wait for room, which callers' messages
@@ -252,7 +274,12 @@
                 shared->PushOwn(AttemptEnded{call.key, call.dispatch,
                                              call.endpoint, std::move(result)});
               },
-          .on_release = [](const CacheRelease&, bool) {}});
+          .on_release =
+              [shared](const CacheRelease&, bool confirmed) {
+                if (!confirmed) {
+                  shared->metrics.releases_failed.Increment();
+                }
+              }});
   shared->thread = std::thread([shared] { shared->Run(); });
   return std::unique_ptr<Owner>(new Owner(std::move(state)));
 }
--- a/src/celerykeel/scheduler/owner_actions.cc
+++ b/src/celerykeel/scheduler/owner_actions.cc
@@ -63,6 +63,7 @@
 }
 
 void Owner::State::Refuse(const Requester& requester, const Refusal& refusal) {
+  this->CountRefusal(refusal);
   pb::CallReply reply;
   *reply.mutable_refused() = ToProto(refusal);
   SendReply(*this->messenger, requester, std::move(reply));
@@ -107,6 +108,8 @@
 void Owner::State::Do(const RefuseCaller& action) {
   if (const auto found = this->callers.find(action.waiter);
       found != this->callers.end()) {
+    this->Decide(found->second.key, "refuse", "",
+                 ToProto(action.refusal).detail());
     this->Refuse(found->second.requester, action.refusal);
     this->Forget(action.waiter);
   }
@@ -122,6 +125,10 @@
   WaitingCaller& caller = found->second;
   const CallRecord& record = *action.record;
   const bool streamed = caller.stream && record.status == kStatusOk;
+  this->metrics.answers.Increment();
+  if (!action.durable) {
+    this->metrics.answers_not_durable.Increment();
+  }
   this->Accept(caller, record.endpoint, action.replayed, action.durable);
   if (streamed) {
     const bool has_seen =
@@ -144,11 +151,19 @@
       stream != this->streams.end() && stream->second->HasStarted()) {
     this->streams.erase(stream);
   }
+  const Duration now = Now();
+  Duration not_before = now;
+  if (!action.avoid.empty()) {
+    this->metrics.retries.Increment();
+    not_before += Backoff(this->retry_budget.options,
+                          static_cast<uint32_t>(action.avoid.size()),
+                          std::uniform_real_distribution<>()(this->random));
+  }
   Push(this->queue, {.key = action.key,
                      .work = action.work,
                      .avoid = action.avoid,
-                     .queued_at = Now(),
-                     .not_before = {}});
+                     .queued_at = now,
+                     .not_before = not_before});
 }
 
 void Owner::State::Do(const FollowCall& action) {
@@ -238,6 +253,8 @@
 }
 
 void Owner::State::Do(const AppendRecords& action) {
+  this->metrics.journal_records.Increment(
+      static_cast<double>(action.records.size()));
   std::vector<std::string> payloads;
   payloads.reserve(action.records.size());
   for (const JournalRecord& record : action.records) {
@@ -246,6 +263,9 @@
   const bool queued = this->feed->AppendJournal(
       std::move(payloads),
       [this, root = action.root](const AppendResult& result) {
+        if (result.outcome != AppendOutcome::kAppended) {
+          this->metrics.appends_failed.Increment();
+        }
         this->PushOwn(AppendEnded{root, VerdictOf(result.outcome)});
       });
   if (!queued) {
@@ -280,6 +300,7 @@
     }
     auto choice = ChooseEndpoint(*this->view.state, this->load, call);
     if (choice) {
+      this->NotePlacement(call, *choice);
       this->Perform(StartCall(this->ledger, call.key,
                               std::move(choice->endpoint), this->Read()));
     } else if (choice.error() != NoChoice::kUnknown &&
--- a/src/celerykeel/scheduler/owner_state.h
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -2,23 +2,27 @@
 
 #include <atomic>   // for std::atomic
 #include <map>      // for std::map
+#include <random>   // for std::mt19937_64
 #include <set>      // for std::set
 #include <string>   // for std::string
 #include <thread>   // for std::thread
 #include <variant>  // for std::variant
 #include <vector>   // for std::vector
 
-#include "celerykeel/call.pb.h"                    // for pb::CallMessage
-#include "celerykeel/core/adoption.h"              // for Adoption
-#include "celerykeel/core/program_ledger.h"        // for ProgramLedger
-#include "celerykeel/core/run_queue.h"             // for RunQueue
-#include "celerykeel/net/bounded_ring.h"           // for BoundedRing
-#include "celerykeel/net/feed_client.h"            // for FeedClient
-#include "celerykeel/scheduler/call_stream.h"      // for CallStream
-#include "celerykeel/scheduler/choose_endpoint.h"  // for EndpointLoad
-#include "celerykeel/scheduler/endpoint_call.h"    // for AttemptStop
-#include "celerykeel/scheduler/owner.h"            // for Owner
-#include "celerykeel/scheduler/worker_pool.h"      // for WorkerPool
+#include "celerykeel/call.pb.h"                      // for pb::CallMessage
+#include "celerykeel/core/adoption.h"                // for Adoption
+#include "celerykeel/core/program_ledger.h"          // for ProgramLedger
+#include "celerykeel/core/retry_budget.h"            // for RetryBudget
+#include "celerykeel/core/run_queue.h"               // for RunQueue
+#include "celerykeel/net/bounded_ring.h"             // for BoundedRing
+#include "celerykeel/net/feed_client.h"              // for FeedClient
+#include "celerykeel/scheduler/call_stream.h"        // for CallStream
+#include "celerykeel/scheduler/choose_endpoint.h"    // for EndpointLoad
+#include "celerykeel/scheduler/decision_log.h"       // for DecisionLog
+#include "celerykeel/scheduler/endpoint_call.h"      // for AttemptStop
+#include "celerykeel/scheduler/owner.h"              // for Owner
+#include "celerykeel/scheduler/scheduler_metrics.h"  // for SchedulerMetrics
+#include "celerykeel/scheduler/worker_pool.h"        // for WorkerPool
 
 // What the parts of the owner share. Private to the scheduler.
 namespace celerykeel {
@@ -80,7 +84,7 @@
 
 struct Owner::State {
   State(const SchedulerOptions& given,
-        std::shared_ptr<prometheus::Registry> metrics);
+        std::shared_ptr<prometheus::Registry> given_registry);
 
   // The owner's thread.
   void Run();
@@ -91,6 +95,7 @@
   void HandleQuery(const Requester& requester, const pb::ProgramQuery& query);
   void HandleDelete(const Requester& requester,
                     const pb::ProgramDelete& request);
+  void HandleExplain(const Requester& requester, const pb::ExplainQuery& query);
   void HandleAttempt(AttemptEnded ended);
   void TickIfDue();
   void StartQueued();
@@ -143,8 +148,25 @@
   void PushOwn(SchedulerEvent event);
   void PushReply(std::string_view bytes);
 
+  // Decisions and figures.
+  void Decide(const CallKey& key,
+              std::string_view what,
+              std::string_view chosen,
+              std::string_view reason);
+  void NotePlacement(const QueuedCall& call, const EndpointChoice& choice);
+  void CountRefusal(const Refusal& refusal);
+  void CountAttempt(const AttemptResult& result);
+  void ShowGauges();
+
+  // Leaving.
+  bool IsDraining() const;
+  bool MayTake(const ProgramName& program, Duration now) const;
+  bool HasNothingLeft() const;
+  void TickDrain(Duration now);
+
   SchedulerOptions options;
   std::shared_ptr<prometheus::Registry> registry;
+  SchedulerMetrics metrics;
   BoundedRing<SchedulerEvent> events;
   std::atomic<bool> stopping{false};
   std::atomic<bool> draining{false};
@@ -159,6 +181,12 @@
   uint64_t last_request = 0;  // of ours to other schedulers
   RunQueue queue;
   EndpointLoad load;
+  RetryBudget retry_budget;
+  std::mt19937_64 random;
+  DecisionLog decisions;
+  Duration draining_since{};  // zero: not draining
+  Duration reported_at{};     // to the steward, that nothing is left
+  Duration left_by{};         // longest wait for its Leave
   Waiter last_waiter = 0;
   std::map<Waiter, WaitingCaller> callers;
   std::map<std::pair<std::string, uint64_t>, Waiter> waiter_of;
--- a/src/celerykeel/scheduler/owner_unittest.cc
+++ b/src/celerykeel/scheduler/owner_unittest.cc
@@ -377,6 +377,76 @@
   CHECK(TextOf(caller.Ask(second, caller.Chat(3, "b"))) == "aab");
 }
 
+TEST_CASE(
+    "a drained instance finishes what runs, takes no new program, leaves") {
+  Fleet fleet;
+  Instance& only = fleet.Join(1, 24230);
+  Caller caller;
+  caller.Ask(only, caller.Chat(1, "a"));
+  for (FakeEngine& engine : fleet.engines) {
+    engine.hold = true;
+  }
+  const pb::CallRequest running = caller.Chat(2, "b");
+  caller.Send(only, running);
+  REQUIRE(Eventually(
+      [&] { return fleet.engines[0].chats + fleet.engines[1].chats == 2; }));
+  only.owner->Drain();
+  caller.program = "other";
+  Caller late;
+  late.program = "other";
+  CHECK(Eventually([&] {
+    const pb::CallReply reply = late.Ask(only, late.Chat(1, "a"));
+    return reply.has_refused() && reply.refused().type() == pb::DRAINING;
+  }));
+  CHECK_FALSE(only.owner->IsReady());
+  CHECK_FALSE(only.steward.drained);
+  for (FakeEngine& engine : fleet.engines) {
+    engine.hold = false;
+  }
+  CHECK(TextOf(caller.Last(running)) == "aab");
+  CHECK(Eventually([&] { return only.steward.drained.load(); }));
+  CHECK_FALSE(only.owner->IsDrained());
+  fleet.state.departed[1].member = fleet.state.members[1];
+  fleet.state.members.clear();
+  fleet.ShowAll();
+  CHECK(Eventually([&] { return only.owner->IsDrained(); }));
+}
+
+TEST_CASE("a program's placements are explained with their alternatives") {
+  Fleet fleet;
+  Instance& only = fleet.Join(1, 24240);
+  Caller caller;
+  caller.Ask(only, caller.Chat(1, "a"));
+  pb::CallMessage message;
+  message.mutable_explain_query()->set_id(++caller.last_id);
+  message.mutable_explain_query()->set_kind("program");
+  message.mutable_explain_query()->set_subject("coop/trip");
+  caller.messenger->Send(PeerAt(only.Address()), message.SerializeAsString());
+  const auto reply = caller.replies.Pop(kPatience);
+  REQUIRE(reply.has_value());
+  REQUIRE(reply->explain().decisions_size() == 1);
+  CHECK(reply->explain().decisions(0).what() == "place");
+  CHECK(reply->explain().decisions(0).alternatives_size() == 2);
+}
+
+TEST_CASE("an ended program is released at the engine that ran it") {
+  Fleet fleet;
+  Instance& only = fleet.Join(1, 24250);
+  Caller caller;
+  caller.Ask(only, caller.Chat(1, "a"));
+  pb::CallMessage message;
+  message.mutable_program_delete()->set_id(++caller.last_id);
+  message.mutable_program_delete()->mutable_program()->set_team("coop");
+  message.mutable_program_delete()->mutable_program()->set_id("trip");
+  caller.messenger->Send(PeerAt(only.Address()), message.SerializeAsString());
+  CHECK(Eventually([&] {
+    return fleet.engines[0].releases + fleet.engines[1].releases == 1;
+  }));
+  const pb::CallReply reply = caller.Ask(only, caller.Chat(2, "b"));
+  REQUIRE(reply.has_refused());
+  CHECK(reply.refused().type() == pb::PROGRAM_ENDED);
+}
+
 TEST_CASE("a request for an earlier run of the instance is not run") {
   Fleet fleet;
   Instance& only = fleet.Join(2, 24220);
--- a/src/celerykeel/scheduler/scheduler_main.cc
+++ b/src/celerykeel/scheduler/scheduler_main.cc
@@ -39,11 +39,11 @@
     return kExitFailed;
   }
   Log(kPart, "started", {{"listen", options.listen}});
-  while (!WaitForStopSignal(kPoll)) {
-  }
-  Log(kPart, "draining");
-  (*owner)->Drain();
-  while (!(*owner)->IsDrained() && !WaitForStopSignal(kPoll)) {
+  // The steward may drain the instance without a signal to this process.
+  while (!(*owner)->IsDrained()) {
+    if (WaitForStopSignal(kPoll)) {
+      (*owner)->Drain();
+    }
   }
   Log(kPart, "stopped");
   return kExitDone;
