--- a/include/celerykeel/core/program_ledger.h
+++ b/include/celerykeel/core/program_ledger.h
@@ -193,10 +193,15 @@
   WallMillis rewritten_at = 0;
 };
 
+/// @brief The first version that an owner of `epoch` gives to a record. It is
+/// above all that an earlier owner can write, however late.
+uint64_t FirstVersion(Offset epoch);
+
 struct ProgramLedger {
   LedgerOptions options;
   std::map<ProgramName, ProgramFamily> families;
   DispatchId last_dispatch = 0;
+  Offset epoch = 0;  // roster version by which the newest slots were gained
 };
 
 /// @brief Tokens that a message takes at most in common vocabularies.
--- a/src/celerykeel/core/ledger_ownership.cc
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -1,4 +1,4 @@
-#include <algorithm>  // for std::any_of
+#include <algorithm>  // for std::any_of, std::max
 #include <utility>    // for std::move
 
 #include "celerykeel/core/ledger_turn.h"  // for Turn, Place
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr unsigned kVersionBits = 24;  // versions of a family in one epoch
+
 ProgramState ExportOne(const ProgramFamily& family, const Program& program) {
   ProgramState state{.name = program.name,
                      .budget = family.budget,
@@ -81,6 +83,13 @@
 
 }  // namespace
 
+// A paused owner may wake and write records after its journal was read. Slots
+// change hands by roster versions that only grow, so its records stay below
+// those of its successor, and a later reader takes the successor's state.
+uint64_t FirstVersion(Offset epoch) {
+  return epoch << kVersionBits;
+}
+
 LedgerActions AdoptFamily(ProgramLedger& ledger,
                           ProgramFamily family,
                           const Moment& moment) {
@@ -93,6 +102,7 @@
     RefuseStale(turn, kept->second);
   }
   const ProgramName root = family.root;
+  family.version = std::max(family.version, FirstVersion(ledger.epoch));
   ProgramFamily& adopted = ledger.families[root] = std::move(family);
   for (auto& [id, program] : adopted.programs) {
     if (program.open_intent) {
--- a/src/celerykeel/core/ledger_upkeep.cc
+++ b/src/celerykeel/core/ledger_upkeep.cc
@@ -91,7 +91,10 @@
 // A family that nothing was ever recorded of, such as one that was asked for a
 // call out of order.
 bool IsEmpty(const ProgramFamily& family) {
-  return family.version == 0 && family.unappended.empty();
+  return family.unappended.empty() && family.appended_version == 0 &&
+         std::all_of(
+             family.programs.begin(), family.programs.end(),
+             [](const auto& entry) { return entry.second.calls.empty(); });
 }
 
 bool MayForget(const ProgramFamily& family,
--- a/src/celerykeel/core/program_ledger.cc
+++ b/src/celerykeel/core/program_ledger.cc
@@ -236,6 +236,7 @@
   ProgramFamily family;
   family.root = root;
   family.budget = turn.ledger.options.default_budget;
+  family.version = FirstVersion(turn.ledger.epoch);
   family.started_at = turn.moment.wall;
   family.last_used_at = turn.moment.wall;
   family.rewritten_at = turn.moment.wall;
--- a/src/celerykeel/scheduler/owner_ownership.cc
+++ b/src/celerykeel/scheduler/owner_ownership.cc
@@ -121,6 +121,7 @@
 }
 
 void Owner::State::Do(const AdoptSlots& action) {
+  this->ledger.epoch = this->adoption.roster_version;
   FamilyImages families = action.families;
   for (auto& [root, family] : families) {
     for (const auto& [id, program] : family.programs) {
