--- a/include/celerykeel/gate/gate_server.h
+++ b/include/celerykeel/gate/gate_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>     // for size_t
 #include <functional>  // for std::function
 #include <memory>      // for std::unique_ptr
 #include <string>      // for std::string
@@ -39,6 +40,8 @@
   /// @brief From now on each answer closes its connection.
   void CloseConnectionsAfterAnswers();
 
+  size_t OpenConnections() const;
+
   /// @brief Takes no more connections; returns when the last answer is out.
   void Stop();
 
--- a/src/celerykeel/gate/caller_request.cc
+++ b/src/celerykeel/gate/caller_request.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMaxProgramIdBytes = 256;
 constexpr size_t kMaxIdempotencyKeyBytes = 256;
 constexpr size_t kMaxModelBytes = 256;
+// Whoever writes the messages out again does so by recursion.
+constexpr int kMaxJsonDepth = 100;
 constexpr std::string_view kCallsPart = "calls";
 constexpr std::string_view kOneCallPrefix = "once-";
 constexpr std::string_view kBlanks = " \t";
@@ -182,9 +184,16 @@
 
 tl::expected<void, pb::CallRefused> ReadChatBody(std::string_view body,
                                                  pb::CallRequest& request) {
-  const auto json = nlohmann::json::parse(body, nullptr, false);
-  if (json.is_discarded() || !json.is_object()) {
-    return Malformed("the body is not a JSON object");
+  bool too_deep = false;
+  const auto json = nlohmann::json::parse(
+      body,
+      [&too_deep](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+        too_deep = too_deep || depth > kMaxJsonDepth;
+        return !too_deep;
+      },
+      false);
+  if (too_deep || json.is_discarded() || !json.is_object()) {
+    return Malformed("the body is not a JSON object, or nested too deeply");
   }
   const auto model = json.find("model");
   if (model == json.end() || !model->is_string() ||
--- a/src/celerykeel/gate/fakes_unittest.cc
+++ b/src/celerykeel/gate/fakes_unittest.cc
@@ -1,9 +1,5 @@
 #include "celerykeel/gate/fakes_unittest.h"
 
-#include <arpa/inet.h>   // for htonl, ntohs
-#include <sys/socket.h>  // for socket, bind, getsockname
-#include <unistd.h>      // for close
-
 #include <thread>   // for std::this_thread::sleep_for
 #include <utility>  // for std::move
 
@@ -158,19 +154,6 @@
   return reply;
 }
 
-std::string FreeAddress() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  [[maybe_unused]] const int bound =
-      bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 bool Eventually(const std::function<bool()>& condition) {
   const Duration until = Now() + kPatience;
   while (Now() < until) {
--- a/src/celerykeel/gate/fakes_unittest.h
+++ b/src/celerykeel/gate/fakes_unittest.h
@@ -6,10 +6,11 @@
 #include <string>      // for std::string
 #include <vector>      // for std::vector
 
-#include "celerykeel/call.pb.h"           // for pb::CallMessage
-#include "celerykeel/core/fleet_state.h"  // for FleetState
-#include "celerykeel/net/feed_client.h"   // for FleetView
-#include "celerykeel/net/messenger.h"     // for Messenger
+#include "celerykeel/call.pb.h"                      // for pb::CallMessage
+#include "celerykeel/core/fleet_state.h"             // for FleetState
+#include "celerykeel/net/feed_client.h"              // for FleetView
+#include "celerykeel/net/messenger.h"                // for Messenger
+#include "celerykeel/net/raw_connection_unittest.h"  // for FreeAddress
 
 namespace celerykeel::testing {
 
@@ -60,9 +61,6 @@
 pb::CallReply Finished(uint64_t id, std::string_view body);
 pb::CallReply Refused(uint64_t id, pb::RefusalType type, pb::Ran ran);
 
-/// @brief A loopback address whose port is free now.
-std::string FreeAddress();
-
 /// @brief Waits up to ten seconds for a condition.
 bool Eventually(const std::function<bool()>& condition);
 
--- a/src/celerykeel/gate/gate_server.cc
+++ b/src/celerykeel/gate/gate_server.cc
@@ -420,6 +420,10 @@
   this->state->server->CloseConnectionsAfterAnswers();
 }
 
+size_t GateServer::OpenConnections() const {
+  return this->state->server->Count().connections;
+}
+
 void GateServer::Stop() {
   this->state->server->Stop();
 }
--- a/src/celerykeel/gate/gate_server_unittest.cc
+++ b/src/celerykeel/gate/gate_server_unittest.cc
@@ -1,80 +1,17 @@
-#include "celerykeel/gate/gate_server.h"
-
 #include <doctest/doctest.h>
-#include <httplib.h>  // for httplib::Client
-
-#include <nlohmann/json.hpp>  // for nlohmann::json
 
-#include "celerykeel/gate/fakes_unittest.h"  // for FakeFeed, FakeScheduler
-#include "celerykeel/net/http_guard.h"       // for SplitAddress
+#include "celerykeel/gate/gate_fixture_unittest.h"  // for GateFixture
 
 namespace celerykeel {
 namespace {
 
-using testing::Accepted;
-using testing::Chunk;
-using testing::FakeFeed;
-using testing::FakeScheduler;
 using testing::Finished;
-using testing::FreeAddress;
-
-constexpr char kChat[] =
-    R"({"model":"plum-7b","messages":[{"role":"user","content":"hi"}]})";
-constexpr char kStreamedChat[] =
-    R"({"model":"plum-7b","stream":true,"messages":[{"role":"user"}]})";
-
-std::vector<pb::CallReply> AnswerChat(const pb::CallMessage& message) {
-  const pb::CallRequest& request = message.request();
-  if (!request.stream()) {
-    return {Accepted(request.id()), Finished(request.id(), "{\"answer\":1}")};
-  }
-  return {Accepted(request.id(), false),
-          Chunk(request.id(), "data: {\"a\":1}\n\n"),
-          Chunk(request.id(), "data: [DONE]\n\n"), Finished(request.id(), "")};
-}
-
-/// A gate between a client and one fake scheduler.
-struct Fixture {
-  explicit Fixture(FakeScheduler::Script script = AnswerChat,
-                   GateServerOptions options = {})
-      : scheduler_address(FreeAddress()),
-        scheduler(scheduler_address, std::move(script)),
-        link(OwnerLink::Create().value()),
-        gate_address(FreeAddress()),
-        client(SplitAddress(gate_address).host,
-               SplitAddress(gate_address).port) {
-    this->feed.AddMember(1, this->scheduler_address);
-    options.listen = this->gate_address;
-    this->server =
-        GateServer::Create(options, {.view = [this] { return feed.View(); },
-                                     .link = this->link.get()})
-            .value();
-    this->client.set_bearer_token_auth(testing::kKeyText);
-    this->client.set_read_timeout(20, 0);
-  }
-
-  httplib::Result PostChat(const httplib::Headers& headers = {},
-                           const char* body = kChat) {
-    return this->client.Post("/v1/chat/completions", headers, body,
-                             "application/json");
-  }
-
-  FakeFeed feed;
-  std::string scheduler_address;
-  FakeScheduler scheduler;
-  std::unique_ptr<OwnerLink> link;
-  std::string gate_address;
-  httplib::Client client;
-  std::unique_ptr<GateServer> server;
-};
-
-std::string ProblemType(const httplib::Result& result) {
-  CHECK(result->get_header_value("Content-Type") == "application/problem+json");
-  return nlohmann::json::parse(result->body).at("type");
-}
+using testing::GateFixture;
+using testing::kStreamedChat;
+using testing::ProblemType;
 
 TEST_CASE("a whole answer comes back, with the program's id") {
-  Fixture fixture;
+  GateFixture fixture;
   const auto result =
       fixture.PostChat({{"Program-Id", "hotel"},
                         {"Program-Call", "3"},
@@ -98,7 +35,7 @@
 }
 
 TEST_CASE("a streamed answer comes as server-sent events") {
-  Fixture fixture;
+  GateFixture fixture;
   const auto result = fixture.PostChat({}, kStreamedChat);
   REQUIRE(result);
   CHECK(result->status == 200);
@@ -108,7 +45,7 @@
 }
 
 TEST_CASE("a missing, a wrong and a withdrawn key are refused") {
-  Fixture fixture;
+  GateFixture fixture;
   fixture.client.set_bearer_token_auth("");
   CHECK(ProblemType(fixture.PostChat()) == "no-key");
   fixture.client.set_bearer_token_auth(
@@ -124,7 +61,7 @@
 }
 
 TEST_CASE("a program's name belongs to the team of the key") {
-  Fixture fixture([](const pb::CallMessage& message) {
+  GateFixture fixture([](const pb::CallMessage& message) {
     pb::CallReply reply;
     reply.set_id(message.program_query().id());
     pb::ProgramReport& report = *reply.mutable_report();
@@ -144,7 +81,7 @@
 }
 
 TEST_CASE("a call of a program is asked for by its number") {
-  Fixture fixture([](const pb::CallMessage& message) {
+  GateFixture fixture([](const pb::CallMessage& message) {
     pb::CallReply reply;
     reply.set_id(message.program_query().id());
     reply.mutable_report()->set_found(true);
@@ -159,7 +96,7 @@
 }
 
 TEST_CASE("a program is deleted without a body") {
-  Fixture fixture([](const pb::CallMessage& message) {
+  GateFixture fixture([](const pb::CallMessage& message) {
     pb::CallReply reply;
     reply.set_id(message.program_delete().id());
     reply.mutable_report()->set_found(true);
@@ -172,7 +109,7 @@
 }
 
 TEST_CASE("a service gets method, path and body, and no credential") {
-  Fixture fixture([](const pb::CallMessage& message) {
+  GateFixture fixture([](const pb::CallMessage& message) {
     return std::vector{Finished(message.request().id(), "booked")};
   });
   const auto result = fixture.client.Put(
@@ -192,7 +129,7 @@
 }
 
 TEST_CASE("only a route that is open to all is served without a key") {
-  Fixture fixture([](const pb::CallMessage& message) {
+  GateFixture fixture([](const pb::CallMessage& message) {
     return std::vector{Finished(message.request().id(), "open")};
   });
   fixture.client.set_bearer_token_auth("");
--- a/src/celerykeel/net/http_server.cc
+++ b/src/celerykeel/net/http_server.cc
@@ -28,7 +28,7 @@
 thread_local bool refuse_connection = false;
 // The request reached the handler, so its body was read to its end.
 thread_local bool request_was_read = false;
-thread_local const SocketStream* current_stream = nullptr;
+thread_local SocketStream* current_stream = nullptr;
 
 // A pool whose every task has a thread at once; a task beyond that runs in the
 // accepting thread, marked to be refused there.
@@ -198,7 +198,9 @@
   void Serve(int fd) {
     const HttpServerOptions& limits = this->options.limits;
     SocketStream stream(
-        fd, {.request = limits.read_timeout, .write = limits.write_timeout});
+        fd, {.request_timeout = limits.read_timeout,
+             .write_timeout = limits.write_timeout,
+             .request_bytes = limits.max_body_bytes * 2 + kMaxHeaderBytes * 2});
     current_stream = &stream;
     bool closed = false;
     while (!closed && this->WaitForRequest(stream)) {
@@ -265,6 +267,9 @@
       });
   server.set_error_handler(httplib::Server::HandlerWithResponse(
       [&server](const httplib::Request&, httplib::Response& response) {
+        if (!request_was_read && current_stream->IsOverLimit()) {
+          response.status = 413;
+        }
         if (response.body.empty()) {
           server.options.on_error(response.status, response);
         }
@@ -279,6 +284,13 @@
   const httplib::Server::Handler handler =
       [&server](const httplib::Request& request, httplib::Response& response) {
         request_was_read = true;
+        // The library bounds a body with a length only; of one in chunks the
+        // stream bounds the bytes that are taken in at all.
+        if (request.body.size() > server.options.limits.max_body_bytes) {
+          response.status = 413;
+          server.options.on_error(response.status, response);
+          return;
+        }
         server.options.handler(request, response);
       };
   constexpr char kAny[] = R"([\s\S]*)";
--- a/src/celerykeel/net/socket_stream.cc
+++ b/src/celerykeel/net/socket_stream.cc
@@ -37,15 +37,20 @@
 
 }  // namespace
 
-SocketStream::SocketStream(int given_socket, SocketTimeouts given_timeouts)
-    : fd(given_socket), timeouts(given_timeouts) {}
+SocketStream::SocketStream(int given_socket, SocketLimits given_limits)
+    : fd(given_socket), limits(given_limits) {}
 
 bool SocketStream::WaitForRequest(Duration timeout) const {
   return this->taken < this->buffer.size() || Wait(this->fd, POLLIN, timeout);
 }
 
 void SocketStream::BeginRequest() {
-  this->deadline = Now() + this->timeouts.request;
+  this->deadline = Now() + this->limits.request_timeout;
+  this->received = 0;
+}
+
+bool SocketStream::IsOverLimit() const {
+  return this->received > this->limits.request_bytes;
 }
 
 bool SocketStream::IsConnected() const {
@@ -60,7 +65,8 @@
 }
 
 bool SocketStream::is_writable() const {
-  return Wait(this->fd, POLLOUT, this->timeouts.write) && this->IsConnected();
+  return Wait(this->fd, POLLOUT, this->limits.write_timeout) &&
+         this->IsConnected();
 }
 
 bool SocketStream::Fill() {
@@ -72,7 +78,8 @@
   const ssize_t got = recv(this->fd, this->buffer.data(), kReadBytes, 0);
   this->buffer.resize(got > 0 ? static_cast<size_t>(got) : 0);
   this->taken = 0;
-  return got > 0;
+  this->received += this->buffer.size();
+  return got > 0 && !this->IsOverLimit();
 }
 
 ssize_t SocketStream::read(char* data, size_t size) {
@@ -86,7 +93,7 @@
 }
 
 ssize_t SocketStream::write(const char* data, size_t size) {
-  if (!Wait(this->fd, POLLOUT, this->timeouts.write)) {
+  if (!Wait(this->fd, POLLOUT, this->limits.write_timeout)) {
     return -1;
   }
   return send(this->fd, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
--- a/src/celerykeel/net/socket_stream.h
+++ b/src/celerykeel/net/socket_stream.h
@@ -8,9 +8,10 @@
 
 namespace celerykeel {
 
-struct SocketTimeouts {
-  Duration request{};  // for a whole request, head and body
-  Duration write{};    // for each write
+struct SocketLimits {
+  Duration request_timeout{};  // for a whole request, head and body
+  Duration write_timeout{};    // for each write
+  size_t request_bytes = 0;    // head and body
 };
 
 /// @brief A connection's socket as the library wants it. The library's own
@@ -19,13 +20,15 @@
 /// beyond 1,024 descriptors. Here a request as a whole has a deadline.
 class SocketStream : public httplib::Stream {
  public:
-  SocketStream(int given_socket, SocketTimeouts given_timeouts);
+  SocketStream(int given_socket, SocketLimits given_limits);
 
   /// @brief Waits for the first byte of the next request.
   /// @return false if none came in time or the caller closed.
   bool WaitForRequest(Duration timeout) const;
   /// @brief Starts the deadline of a request.
   void BeginRequest();
+  /// @brief True once a request went beyond the limit of its bytes.
+  bool IsOverLimit() const;
   /// @brief False once the caller has closed its side.
   bool IsConnected() const;
 
@@ -41,8 +44,9 @@
   bool Fill();
 
   int fd;
-  SocketTimeouts timeouts;
+  SocketLimits limits;
   Duration deadline{};
+  size_t received = 0;  // of this request, and what came with it
   std::string buffer;
   size_t taken = 0;  // of the buffer
 };
