ctl: no append is begun that can't be answered in time

Cause: bounded requests turned 'nothing has changed' into 'unknown' when the last append began just before the time-out. Change: with less than a second left after the steward's pause, the submission ends as not appended; all pauses end at the time-out.

--- a/src/celerykeel/ctl/submit.cc
+++ b/src/celerykeel/ctl/submit.cc
@@ -14,6 +14,9 @@
 // A lost append that has not shown up after this long is tried again; should
 // both arrive, the fold refuses the second.
 constexpr Duration kLookBeforeRetry = std::chrono::milliseconds(500);
+// An append begun with less time than this might end without an answer, and
+// turn "nothing has changed" into "unknown".
+constexpr Duration kLeastAppendTime = std::chrono::seconds(1);
 
 // What the ticket set and nobody has set since must read as the ticket says.
 bool ContentMatches(const FleetState& state,
@@ -95,7 +98,11 @@
           return this->Finish({*offset, /*already=*/false, {}, {}});
         }
       } else {
-        this->PauseInTime(std::max(result.retry_after, kPoll));
+        const Duration pause = std::max(result.retry_after, kPoll);
+        if (!may_be_there && this->Left() < pause + kLeastAppendTime) {
+          return SubmitFailed{SubmitFault::kNotAppended};
+        }
+        this->PauseInTime(pause);
       }
     }
     return SubmitFailed{may_be_there ? SubmitFault::kUnknown
@@ -113,7 +120,7 @@
           return entry->offset;
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     } while (this->access.now() < until);
     return std::nullopt;
   }
@@ -132,7 +139,7 @@
           return SubmitRefusedByFleet{*entry};
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     }
     return SubmitFailed{SubmitFault::kVerdictLate, offset};
   }
@@ -154,7 +161,7 @@
           break;
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     } while (this->InTime());
     return accepted;
   }
