--- a/src/celerykeel/ctl/explain_fetch.cc
+++ b/src/celerykeel/ctl/explain_fetch.cc
@@ -93,6 +93,7 @@
 
 std::vector<const Member*> MembersByName(const FleetState& state) {
   std::vector<const Member*> members;
+  members.reserve(state.members.size());
   for (const auto& [incarnation, member] : state.members) {
     members.push_back(&member);
   }
--- a/src/celerykeel/ctl/submit_unittest.cc
+++ b/src/celerykeel/ctl/submit_unittest.cc
@@ -72,7 +72,7 @@
       return InstanceStatus{"utne-1", this->state, true, {}};
     };
     access.progress = [this](const InstanceStatus&) { return this->members; };
-    access.append = [this](std::string record, Duration) {
+    access.append = [this](const std::string& record, Duration) {
       return this->Append(record);
     };
     access.now = [this] { return this->now; };
--- a/src/celerykeel/wire/fold_property_unittest.cc
+++ b/src/celerykeel/wire/fold_property_unittest.cc
@@ -102,6 +102,7 @@
 
 std::vector<FleetRecord> RecordsOf(const std::vector<Step>& steps) {
   std::vector<FleetRecord> records;
+  records.reserve(steps.size());
   for (const Step& step : steps) {
     records.push_back(RecordOf(step));
   }
@@ -121,6 +122,7 @@
   CHECK(HoldsAlways(101, [] {
     const auto records = RecordsOf(*Steps());
     std::vector<FleetRecord> decoded;
+    decoded.reserve(records.size());
     for (const FleetRecord& record : records) {
       decoded.push_back(DecodeFleetRecord(EncodeFleetRecord(record)));
     }
--- a/src/celerykeel/wire/ticket_examples_unittest.cc
+++ b/src/celerykeel/wire/ticket_examples_unittest.cc
@@ -43,8 +43,9 @@
 
 // What is open to all may be asked again, and what moves goods or money not.
 void CheckRoutes(const Configuration& in_force) {
-  for (const auto& [id, route] : in_force.routes) {
-    CAPTURE(id);
+  for (const auto& entry : in_force.routes) {
+    const Route& route = entry.second;
+    CAPTURE(route.id);
     CHECK(route.idempotent == (route.method == "GET"));
     CHECK((!route.open_to_all || route.idempotent));
   }
--- a/src/celerykeel/wire/ticket_json.cc
+++ b/src/celerykeel/wire/ticket_json.cc
@@ -69,6 +69,23 @@
   return error;
 }
 
+// The library writes 64-bit numbers as texts.
+void MakeNumber(nlohmann::ordered_json& object, const char* name) {
+  if (const auto found = object.find(name); found != object.end()) {
+    *found = std::stoull(found->get<std::string>());
+  }
+}
+
+void MakeNumbers(nlohmann::ordered_json& ticket,
+                 const char* list,
+                 const char* name) {
+  if (const auto found = ticket.find(list); found != ticket.end()) {
+    for (nlohmann::ordered_json& object : *found) {
+      MakeNumber(object, name);
+    }
+  }
+}
+
 }  // namespace
 
 tl::expected<Ticket, TicketJsonError> ParseTicketJson(std::string_view text) {
@@ -91,7 +108,11 @@
 std::string TicketToJson(const Ticket& ticket) {
   std::string text;
   google::protobuf::util::MessageToJsonString(ToProto(ticket), &text);
-  return nlohmann::ordered_json::parse(text).dump(kIndent);
+  auto json = nlohmann::ordered_json::parse(text);
+  MakeNumber(json, "number");
+  MakeNumbers(json, "models", "weightBytes");
+  MakeNumbers(json, "endpoints", "cacheTokens");
+  return json.dump(kIndent);
 }
 
 std::string RenderError(const TicketJsonError& error) {
--- a/src/celerykeel/wire/ticket_json_unittest.cc
+++ b/src/celerykeel/wire/ticket_json_unittest.cc
@@ -18,6 +18,20 @@
   CHECK(ticket->number == 7);
   CHECK(ticket->teams[0].weight == 1);
   CHECK(ParseTicketJson(TicketToJson(*ticket)) == *ticket);
+  CHECK(TicketToJson(Ticket{}) == "{}");
+}
+
+TEST_CASE("64-bit numbers are written as numbers and read exactly") {
+  Ticket ticket;
+  ticket.number = (uint64_t{1} << 53) - 1;
+  Model model;
+  model.id = "assistant";
+  model.weight_bytes = 16'000'000'001;
+  ticket.models = {model};
+  const std::string text = TicketToJson(ticket);
+  CHECK(text.find("\"number\": 9007199254740991") != std::string::npos);
+  CHECK(text.find("\"weightBytes\": 16000000001") != std::string::npos);
+  CHECK(ParseTicketJson(text) == ticket);
 }
 
 TEST_CASE("a fault names its field") {
