scheduler: releases what engines hold for programs that are gone

A dead owner leaves cache behind that nobody would release when the program's first call was never written. Cache names now carry the program's slot; its owner lists what engines hold and releases what no live program has, once it was seen twice in a row. Linter findings in the scheduler's files mended.

--- a/include/celerykeel/scheduler/endpoint_call.h
+++ b/include/celerykeel/scheduler/endpoint_call.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <memory>  // for std::shared_ptr
-#include <mutex>   // for std::mutex
-#include <string>  // for std::string
-#include <vector>  // for std::vector
+#include <memory>    // for std::shared_ptr
+#include <mutex>     // for std::mutex
+#include <optional>  // for std::optional
+#include <string>    // for std::string
+#include <vector>    // for std::vector
 
 #include "celerykeel/core/program_ledger.h"    // for AttemptResult
 #include "celerykeel/scheduler/call_stream.h"  // for CallStream
@@ -53,15 +54,15 @@
 /// as they come. A stream that breaks is resumed at the same engine.
 AttemptResult RunEndpointCall(const EndpointCall& call);
 
-/// @brief Tells an engine that it may drop what it holds of a program.
+/// @brief Tells an engine that it may drop what it holds under a cache name.
 /// @return true if the engine confirmed.
-bool ReleaseCache(const std::string& address, const std::string& program);
+bool ReleaseCache(const std::string& address, const std::string& name);
+
+/// @brief The cache names under which an engine holds something; nothing if
+/// it did not answer.
+std::optional<std::vector<std::string>> ListCache(const std::string& address);
 
 /// @brief Tells an engine that a request is no longer wanted.
 bool CancelRequest(const std::string& address, const std::string& request_id);
 
-/// @brief The name under which an engine caches for a program. It tells
-/// programs of different teams apart and shows neither name.
-std::string CacheName(const ProgramName& program);
-
 }  // namespace celerykeel
--- a/include/celerykeel/scheduler/scheduler_metrics.h
+++ b/include/celerykeel/scheduler/scheduler_metrics.h
@@ -19,6 +19,7 @@
   prometheus::Counter& journal_records;
   prometheus::Counter& appends_failed;
   prometheus::Counter& releases_failed;
+  prometheus::Counter& holdings_dropped;
   prometheus::Gauge& programs;
   prometheus::Gauge& calls_running;
   prometheus::Gauge& calls_queued;
--- a/include/celerykeel/scheduler/scheduler_options.h
+++ b/include/celerykeel/scheduler/scheduler_options.h
@@ -20,6 +20,7 @@
   Duration adoption_wait = std::chrono::seconds(10);  // for a former owner
   Duration drain_serve = std::chrono::seconds(2);     // programs under way
   Duration leave_wait = std::chrono::seconds(10);     // for the steward's Leave
+  Duration audit_every = std::chrono::seconds(5);     // of what engines hold
   LedgerOptions ledger;
   AdoptionOptions adoption;
 };
@@ -44,6 +45,7 @@
   --lease-ms=N               lease of an instance, as at the steward, 4000
   --margin-ms=N              for drift of clocks, as at the steward, 500
   --adoption-wait-ms=N       wait of a call for its former owner, 10000
+  --audit-every-ms=N         between two looks at what engines hold, 5000
   --drain-serve-ms=N         goes on with programs after SIGTERM, 2000
   --leave-wait-ms=N          longest wait for the steward to leave, 10000
   --rewrite-every-ms=N       programs are journaled again, 21600000
--- a/include/celerykeel/scheduler/worker_pool.h
+++ b/include/celerykeel/scheduler/worker_pool.h
@@ -11,18 +11,25 @@
 
 namespace celerykeel {
 
-/// @brief An engine may drop what it holds of a program.
+/// @brief An engine may drop what it holds under a cache name.
 struct CacheRelease {
-  ProgramName program;
+  std::string address;  // host:port of the endpoint
+  std::string name;
+};
+
+/// @brief An engine is to say what it holds.
+struct CacheListing {
   std::string endpoint;
   std::string address;  // host:port of the endpoint
 };
 
-using WorkerJob = std::variant<std::monostate, EndpointCall, CacheRelease>;
+using WorkerJob =
+    std::variant<std::monostate, EndpointCall, CacheRelease, CacheListing>;
 
 struct WorkerHandlers {
   std::function<void(const EndpointCall&, AttemptResult)> on_attempt;
   std::function<void(const CacheRelease&, bool confirmed)> on_release;
+  std::function<void(const CacheListing&, std::vector<std::string>)> on_listing;
 };
 
 /// @brief Threads that wait for endpoints, one call each.
--- a/include/celerykeel/wire/chat_json.h
+++ b/include/celerykeel/wire/chat_json.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>      // for uint64_t
 #include <map>          // for std::map
+#include <optional>     // for std::optional
 #include <span>         // for std::span
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
@@ -105,4 +106,8 @@
 std::vector<ServerSentEvent> SplitEvents(EventSplitter& splitter,
                                          std::string_view bytes);
 
+/// @brief The names in an engine's answer to GET /cache; nothing if it cannot
+/// be read.
+std::optional<std::vector<std::string>> ParseCacheNames(std::string_view body);
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/journal_replay.cc
+++ b/src/celerykeel/core/journal_replay.cc
@@ -115,10 +115,10 @@
 }
 
 void Merge(FamilyImages& images, FamilyImages other) {
-  for (auto& [root, family] : other) {
-    if (ProgramFamily& kept = images[root];
-        kept.root.id.empty() || kept.version < family.version) {
-      kept = std::move(family);
+  for (auto& entry : other) {
+    ProgramFamily& kept = images[entry.first];
+    if (kept.root.id.empty() || kept.version < entry.second.version) {
+      kept = std::move(entry.second);
     }
   }
 }
--- a/src/celerykeel/core/ledger_ownership.cc
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -5,7 +5,6 @@
 
 namespace celerykeel {
 
-using ledger::Place;
 using ledger::Turn;
 
 namespace {
--- a/src/celerykeel/scheduler/endpoint_call.cc
+++ b/src/celerykeel/scheduler/endpoint_call.cc
@@ -1,7 +1,6 @@
 #include "celerykeel/scheduler/endpoint_call.h"
 
 #include <httplib.h>  // for httplib::Client
-#include <xxhash.h>   // for XXH3_128bits
 
 #include <charconv>  // for std::from_chars
 #include <utility>   // for std::move
@@ -301,22 +300,25 @@
   return WholeResult(call, reception);
 }
 
-bool ReleaseCache(const std::string& address, const std::string& program) {
+bool ReleaseCache(const std::string& address, const std::string& name) {
   const auto client = Connect(address, kUpkeepTimeout, kUpkeepTimeout);
-  const auto result = client->Delete("/cache/" + program);
+  const auto result = client->Delete("/cache/" + name);
   return result && result->status < 300;
 }
 
+std::optional<std::vector<std::string>> ListCache(const std::string& address) {
+  const auto client = Connect(address, kUpkeepTimeout, kUpkeepTimeout);
+  const auto result = client->Get("/cache");
+  if (!result || result->status != kStatusOk) {
+    return std::nullopt;
+  }
+  return ParseCacheNames(result->body);
+}
+
 bool CancelRequest(const std::string& address, const std::string& request_id) {
   const auto client = Connect(address, kUpkeepTimeout, kUpkeepTimeout);
   const auto result = client->Delete("/v1/requests/" + request_id);
   return result && result->status < 300;
 }
 
-std::string CacheName(const ProgramName& program) {
-  const std::string name = program.team + '\n' + program.id;
-  const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
-  return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
-}
-
 }  // namespace celerykeel
--- a/src/celerykeel/scheduler/fake_engine.h
+++ b/src/celerykeel/scheduler/fake_engine.h
@@ -27,6 +27,15 @@
                      });
     this->server.Delete(R"(/cache/([^/]+))",
                         [this](const auto&, auto&) { ++this->releases; });
+    this->server.Get("/cache", [this](const auto&, auto& response) {
+      const std::lock_guard lock(this->mutex);
+      nlohmann::json holdings = nlohmann::json::object();
+      if (!this->held.empty()) {
+        holdings[this->held] = 16;
+      }
+      response.set_content(nlohmann::json{{"holdings", holdings}}.dump(),
+                           "application/json");
+    });
     this->server.Post("/act", [this](const auto& request, auto& response) {
       this->Act(request, response);
     });
@@ -46,6 +55,12 @@
 
   uint32_t Port() const { return static_cast<uint32_t>(this->port); }
 
+  /// @brief Holds something under a cache name.
+  void Hold(const std::string& name) {
+    const std::lock_guard lock(this->mutex);
+    this->held = name;
+  }
+
   std::atomic<int> chats{0};
   std::atomic<int> acts{0};
   std::atomic<int> resumes{0};
@@ -170,6 +185,7 @@
   httplib::Server server;
   std::mutex mutex;
   std::map<std::string, nlohmann::json> requests;
+  std::string held;
   int port = 0;
   std::thread thread;
 };
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -59,7 +59,7 @@
 
 void Owner::State::Handle(SchedulerEvent event) {
   if (auto* message = std::get_if<PeerMessage>(&event)) {
-    this->HandleMessage(std::move(*message));
+    this->HandleMessage(*message);
   } else if (auto* attempt = std::get_if<AttemptEnded>(&event)) {
     this->HandleAttempt(std::move(*attempt));
   } else if (const auto* append = std::get_if<AppendEnded>(&event)) {
@@ -67,12 +67,14 @@
                                this->Read()));
   } else if (auto* handover = std::get_if<HandoverCame>(&event)) {
     this->HandleHandover(handover->reply);
+  } else if (const auto* listed = std::get_if<CacheListed>(&event)) {
+    this->HandleListing(*listed);
   } else if (const auto* page = std::get_if<JournalPageCame>(&event)) {
     this->HandleJournalPage(*page);
   }
 }
 
-void Owner::State::HandleMessage(PeerMessage message) {
+void Owner::State::HandleMessage(const PeerMessage& message) {
   const pb::CallMessage& kind = message.message;
   if (kind.has_request()) {
     this->HandleCall(message);
@@ -193,6 +195,7 @@
   std::erase_if(this->streams, [](const auto& entry) {
     return entry.second.use_count() == 1;
   });
+  this->TickAudit(now);
   this->TickDrain(now);
   this->ShowGauges();
 }
@@ -279,6 +282,12 @@
                 if (!confirmed) {
                   shared->metrics.releases_failed.Increment();
                 }
+              },
+          .on_listing =
+              [shared](const CacheListing& listing,
+                       std::vector<std::string> names) {
+                shared->PushOwn(CacheListed{listing.endpoint, listing.address,
+                                            std::move(names)});
               }});
   shared->thread = std::thread([shared] { shared->Run(); });
   return std::unique_ptr<Owner>(new Owner(std::move(state)));
--- a/src/celerykeel/scheduler/owner_actions.cc
+++ b/src/celerykeel/scheduler/owner_actions.cc
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-void Owner::State::Perform(LedgerActions actions) {
+void Owner::State::Perform(const LedgerActions& actions) {
   for (const LedgerAction& action : actions) {
     std::visit([this](const auto& kind) { this->Do(kind); }, action);
   }
@@ -281,7 +281,7 @@
   for (const std::string& id : found->second) {
     if (std::string address = this->AddressOf(id); !address.empty()) {
       this->workers->Start(
-          CacheRelease{action.program, id, std::move(address)});
+          CacheRelease{std::move(address), CacheName(action.program)});
     }
   }
   this->cached_at.erase(found);
--- a/src/celerykeel/scheduler/owner_ownership.cc
+++ b/src/celerykeel/scheduler/owner_ownership.cc
@@ -66,13 +66,13 @@
 
 void Owner::State::RetryParked() {
   const Duration now = Now();
-  std::vector<ParkedMessage> waiting = std::move(this->parked);
+  const std::vector<ParkedMessage> waiting = std::move(this->parked);
   this->parked.clear();
-  for (ParkedMessage& entry : waiting) {
+  for (const ParkedMessage& entry : waiting) {
     if (entry.until > now) {
       const Duration until = entry.until;
       const size_t before = this->parked.size();
-      this->HandleMessage(std::move(entry.message));
+      this->HandleMessage(entry.message);
       if (this->parked.size() > before) {
         this->parked.back().until = until;
       }
@@ -89,7 +89,7 @@
   this->RetryParked();
 }
 
-void Owner::State::PerformAdoption(AdoptionActions actions) {
+void Owner::State::PerformAdoption(const AdoptionActions& actions) {
   for (const AdoptionAction& action : actions) {
     std::visit([this](const auto& kind) { this->Do(kind); }, action);
   }
--- a/src/celerykeel/scheduler/owner_state.h
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -11,6 +11,7 @@
 
 #include "celerykeel/call.pb.h"                      // for pb::CallMessage
 #include "celerykeel/core/adoption.h"                // for Adoption
+#include "celerykeel/core/cache_audit.h"             // for CacheAudit
 #include "celerykeel/core/program_ledger.h"          // for ProgramLedger
 #include "celerykeel/core/retry_budget.h"            // for RetryBudget
 #include "celerykeel/core/run_queue.h"               // for RunQueue
@@ -55,12 +56,20 @@
   JournalPage page;
 };
 
+/// @brief What an engine says it holds.
+struct CacheListed {
+  std::string endpoint;
+  std::string address;
+  std::vector<std::string> names;
+};
+
 using SchedulerEvent = std::variant<std::monostate,
                                     PeerMessage,
                                     AttemptEnded,
                                     AppendEnded,
                                     HandoverCame,
-                                    JournalPageCame>;
+                                    JournalPageCame,
+                                    CacheListed>;
 
 /// @brief A message for a slot that this process does not act for yet.
 struct ParkedMessage {
@@ -89,7 +98,7 @@
   // The owner's thread.
   void Run();
   void Handle(SchedulerEvent event);
-  void HandleMessage(PeerMessage message);
+  void HandleMessage(const PeerMessage& message);
   void HandleCall(const PeerMessage& message);
   void HandleCancel(const Peer& peer, uint64_t id);
   void HandleQuery(const Requester& requester, const pb::ProgramQuery& query);
@@ -109,7 +118,7 @@
   void HandleJournalPage(const JournalPageCame& came);
   void HandleHandoverRequest(const Requester& requester,
                              const pb::HandoverRequest& request);
-  void PerformAdoption(AdoptionActions actions);
+  void PerformAdoption(const AdoptionActions& actions);
   void Do(const AskMember& action);
   void Do(const ReadJournalPage& action);
   void Do(const AdoptSlots& action);
@@ -119,7 +128,7 @@
   void TickOwnership(Duration now);
 
   // Actions of the ledger.
-  void Perform(LedgerActions actions);
+  void Perform(const LedgerActions& actions);
   void Do(const RefuseCaller& action);
   void Do(const AnswerCaller& action);
   void Do(const QueueCall& action);
@@ -158,6 +167,10 @@
   void CountAttempt(const AttemptResult& result);
   void ShowGauges();
 
+  // What engines hold.
+  void TickAudit(Duration now);
+  void HandleListing(const CacheListed& listed);
+
   // Leaving.
   bool IsDraining() const;
   bool MayTake(const ProgramName& program, Duration now) const;
@@ -184,6 +197,8 @@
   RetryBudget retry_budget;
   std::mt19937_64 random;
   DecisionLog decisions;
+  CacheAudit audit;
+  Duration audited_at{};
   Duration draining_since{};  // zero: not draining
   Duration reported_at{};     // to the steward, that nothing is left
   Duration left_by{};         // longest wait for its Leave
--- a/src/celerykeel/scheduler/owner_unittest.cc
+++ b/src/celerykeel/scheduler/owner_unittest.cc
@@ -6,6 +6,7 @@
 #include <thread>      // for std::this_thread
 
 #include "celerykeel/call.pb.h"                 // for pb::CallRequest
+#include "celerykeel/core/cache_audit.h"        // for CacheName
 #include "celerykeel/core/rendezvous.h"         // for OwnerOf
 #include "celerykeel/net/bounded_ring.h"        // for BoundedRing
 #include "celerykeel/scheduler/fake_engine.h"   // for FakeEngine
@@ -41,6 +42,7 @@
     options.feed = AddressAt(this->port);
     options.listen = AddressAt(this->port + 1);
     options.workers = 8;
+    options.audit_every = std::chrono::milliseconds(20);
     options.adoption.lease = std::chrono::milliseconds(300);
     options.adoption.margin = std::chrono::milliseconds(50);
     auto created =
@@ -447,6 +449,17 @@
   CHECK(reply.refused().type() == pb::PROGRAM_ENDED);
 }
 
+TEST_CASE("what an engine holds for a program that is gone is released") {
+  Fleet fleet;
+  fleet.engines[0].Hold(CacheName({"coop", "ghost"}));
+  Instance& only = fleet.Join(1, 24260);
+  Caller caller;
+  caller.Ask(only, caller.Chat(1, "a"));
+  fleet.engines[1].Hold(CacheName({"coop", "trip"}));
+  CHECK(Eventually([&] { return fleet.engines[0].releases >= 2; }));
+  CHECK(fleet.engines[1].releases == 0);
+}
+
 TEST_CASE("a request for an earlier run of the instance is not run") {
   Fleet fleet;
   Instance& only = fleet.Join(2, 24220);
--- a/src/celerykeel/scheduler/owner_upkeep.cc
+++ b/src/celerykeel/scheduler/owner_upkeep.cc
@@ -83,6 +83,38 @@
   SendReply(*this->messenger, requester, std::move(reply));
 }
 
+void Owner::State::TickAudit(Duration now) {
+  if (now - this->audited_at < this->options.audit_every) {
+    return;
+  }
+  this->audited_at = now;
+  for (const auto& [id, endpoint] : this->view.state->in_force.endpoints) {
+    if (endpoint.kind == EndpointKind::kModelEngine) {
+      this->workers->Start(CacheListing{id, this->AddressOf(id)});
+    }
+  }
+}
+
+void Owner::State::HandleListing(const CacheListed& listed) {
+  std::set<std::string> wanted;
+  for (const auto& [root, family] : this->ledger.families) {
+    for (const auto& [id, program] : family.programs) {
+      if (!program.ended || program.active) {
+        wanted.insert(CacheName(program.name));
+      }
+    }
+  }
+  const auto is_unwanted = [&](const std::string& name) {
+    const auto slot = SlotOfCacheName(name);
+    return slot && this->adoption.ready[*slot] && !wanted.contains(name);
+  };
+  for (std::string& name :
+       TakeHoldings(this->audit, listed.endpoint, listed.names, is_unwanted)) {
+    this->metrics.holdings_dropped.Increment();
+    this->workers->Start(CacheRelease{listed.address, std::move(name)});
+  }
+}
+
 bool Owner::State::IsDraining() const {
   return this->draining.load() || this->view.draining;
 }
--- a/src/celerykeel/scheduler/scheduler_metrics.cc
+++ b/src/celerykeel/scheduler/scheduler_metrics.cc
@@ -55,6 +55,10 @@
       releases_failed(Counter(registry,
                               "releases_failed_total",
                               "cache releases that an engine did not confirm")),
+      holdings_dropped(
+          Counter(registry,
+                  "holdings_dropped_total",
+                  "cache that engines held for programs that are gone")),
       programs(Gauge(registry, "programs", "families of programs kept")),
       calls_running(Gauge(registry, "calls_running", "calls at endpoints")),
       calls_queued(
--- a/src/celerykeel/scheduler/scheduler_options.cc
+++ b/src/celerykeel/scheduler/scheduler_options.cc
@@ -32,6 +32,7 @@
   options.adoption.margin = reader.Millis("margin-ms", 500, 0, kDayMillis);
   options.drain_serve = reader.Millis("drain-serve-ms", 2'000, 0, kDayMillis);
   options.leave_wait = reader.Millis("leave-wait-ms", 10'000, 0, kDayMillis);
+  options.audit_every = reader.Millis("audit-every-ms", 5'000, 10, kDayMillis);
   return options;
 }
 
--- a/src/celerykeel/scheduler/worker_pool.cc
+++ b/src/celerykeel/scheduler/worker_pool.cc
@@ -41,9 +41,12 @@
     } else if (const auto* call = std::get_if<EndpointCall>(&*job)) {
       this->handlers.on_attempt(*call, RunEndpointCall(*call));
     } else if (const auto* release = std::get_if<CacheRelease>(&*job)) {
-      this->handlers.on_release(
-          *release,
-          ReleaseCache(release->address, CacheName(release->program)));
+      this->handlers.on_release(*release,
+                                ReleaseCache(release->address, release->name));
+    } else if (const auto* listing = std::get_if<CacheListing>(&*job)) {
+      if (auto names = ListCache(listing->address)) {
+        this->handlers.on_listing(*listing, std::move(*names));
+      }
     }
   }
 }
--- a/src/celerykeel/wire/chat_json.cc
+++ b/src/celerykeel/wire/chat_json.cc
@@ -348,4 +348,18 @@
   return events;
 }
 
+std::optional<std::vector<std::string>> ParseCacheNames(std::string_view body) {
+  const json answer = Parse(body);
+  const auto holdings =
+      answer.is_object() ? answer.find("holdings") : answer.end();
+  if (holdings == answer.end() || !holdings->is_object()) {
+    return std::nullopt;
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, held] : holdings->items()) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 }  // namespace celerykeel
