--- a/include/celerykeel/net/feed_client.h
+++ b/include/celerykeel/net/feed_client.h
@@ -20,7 +20,8 @@
   std::shared_ptr<const FleetState> state;  // never null
   Incarnation self = 0;                     // 0: not joined yet
   Duration lease_until{};                   // act for programs only before it
-  Duration fresh_at{};  // when the state was last known complete
+  Duration fresh_at{};        // when the state was last known complete
+  Duration successor_wait{};  // after an eviction: a lease and a margin
   bool log_reachable = false;
   bool draining = false;
 };
@@ -67,6 +68,8 @@
       FeedClientOptions options,
       ViewHandler on_change);
 
+  /// After ReportDrained waits a moment until the steward has noted it. Answers
+  /// that are still awaited do not come.
   ~FeedClient();
 
   /// @brief The newest view, from any thread.
--- a/src/celerykeel/net/feed_client.cc
+++ b/src/celerykeel/net/feed_client.cc
@@ -1,8 +1,10 @@
 #include "celerykeel/net/feed_client.h"
 
+#include <atomic>    // for std::atomic
 #include <map>       // for std::map
 #include <mutex>     // for std::mutex
 #include <optional>  // for std::optional
+#include <thread>    // for std::this_thread::sleep_for
 #include <utility>   // for std::move
 #include <variant>   // for std::variant
 
@@ -16,6 +18,7 @@
 namespace {
 
 constexpr Duration kHelloInterval = std::chrono::seconds(1);
+constexpr Duration kDrainedWait = std::chrono::milliseconds(500);
 constexpr Duration kTick = std::chrono::milliseconds(50);
 
 using AnswerHandler =
@@ -87,6 +90,8 @@
       this->OnAppendReply(reply.append());
     } else if (reply.has_journal_read()) {
       this->OnJournalReply(*reply.mutable_journal_read());
+    } else if (reply.has_drained()) {
+      this->drained_noted.store(true);
     }
   }
 
@@ -96,6 +101,7 @@
     next.self = update.incarnation();
     next.lease_until = Duration(update.lease_until_ns());
     next.fresh_at = complete ? Duration(update.fresh_at_ns()) : next.fresh_at;
+    next.successor_wait = std::chrono::milliseconds(update.successor_wait_ms());
     next.log_reachable = update.log_reachable();
     next.draining = update.draining();
     {
@@ -151,9 +157,18 @@
     if (now - this->hello_at >= kHelloInterval) {
       this->SendHello(through, now);
     }
+    if (this->drained.load() && !this->drained_noted.load()) {
+      this->SendDrained(through);
+    }
     this->Expire(now);
   }
 
+  void SendDrained(Messenger& through) {
+    pb::FeedRequest request;
+    request.mutable_drained()->set_process(this->options.process);
+    through.Send(this->steward, request.SerializeAsString());
+  }
+
   void Expire(Duration now) {
     std::vector<AnswerHandler> expired;
     {
@@ -233,6 +248,8 @@
   std::map<uint64_t, PendingAnswer> pending;
   uint64_t last_id = 0;
   Duration hello_at{};
+  std::atomic<bool> drained{false};        // reported
+  std::atomic<bool> drained_noted{false};  // by the steward
   std::unique_ptr<Messenger> messenger;
 };
 
@@ -263,6 +280,11 @@
     : state(std::move(initial)) {}
 
 FeedClient::~FeedClient() {
+  const Duration deadline = Now() + kDrainedWait;
+  while (this->state->drained.load() && !this->state->drained_noted.load() &&
+         Now() < deadline) {
+    std::this_thread::sleep_for(kTick / 10);
+  }
   // Its thread uses the rest of the state.
   this->state->messenger.reset();
 }
@@ -296,10 +318,9 @@
 }
 
 void FeedClient::ReportDrained() {
-  pb::FeedRequest request;
-  request.mutable_drained()->set_process(this->state->options.process);
-  this->state->messenger->Send(this->state->steward,
-                               request.SerializeAsString());
+  if (!this->state->drained.exchange(true)) {
+    this->state->SendDrained(*this->state->messenger);
+  }
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/steward/control.cc
+++ b/src/celerykeel/steward/control.cc
@@ -192,6 +192,9 @@
     out.feed.push_back({peer, std::move(reply)});
   } else if (request.has_drained()) {
     control.drained.insert(request.drained().process());
+    pb::FeedReply reply;
+    reply.mutable_drained()->set_process(request.drained().process());
+    out.feed.push_back({peer, std::move(reply)});
   }
 }
 
--- a/src/celerykeel/steward/feed.cc
+++ b/src/celerykeel/steward/feed.cc
@@ -47,6 +47,10 @@
   update.set_log_reachable(control.log_reachable);
   update.set_draining(control.draining);
   update.set_offset(control.state.offset);
+  update.set_successor_wait_ms(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          control.options.lease + control.options.margin)
+          .count()));
   if (Covers(control.records, offset, control.state.offset)) {
     AddRecords(control.records, offset, update);
   } else {
@@ -61,6 +65,10 @@
              const pb::FeedHello& hello,
              Duration now,
              Outbox& out) {
+  // A process that starts again has work once more.
+  if (!control.draining && !control.subscribers.contains(peer.routing_id)) {
+    control.drained.erase(hello.process());
+  }
   Subscriber& subscriber = control.subscribers[peer.routing_id];
   subscriber.peer = peer;
   subscriber.process = hello.process();
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -238,7 +238,9 @@
   fleet.stewards[2]->Drain();
   REQUIRE(Eventually([&] { return fleet.View(2).draining; }));
   CHECK_FALSE(fleet.stewards[2]->HasLeft());
+  // The process ends right after its report, as a gate does.
   fleet.readers[2]->ReportDrained();
+  fleet.readers[2].reset();
   REQUIRE(Eventually([&] { return fleet.stewards[2]->HasLeft(); }));
   REQUIRE(Eventually(
       [&] { return fleet.View(0).state->departed.contains(leaving); }));
