--- a/src/celerykeel/core/roster.cc
+++ b/src/celerykeel/core/roster.cc
@@ -77,8 +77,8 @@
            " of the witnesses is in force";
   }
   std::string operator()(const TooFewWords& refusal) const {
-    return "words of " + std::to_string(refusal.words) + " witnesses, " +
-           std::to_string(refusal.wanted) + " needed";
+    return std::to_string(refusal.words) + " of the " +
+           std::to_string(refusal.wanted) + " words needed";
   }
 };
 
--- a/src/celerykeel/ctl/submit.cc
+++ b/src/celerykeel/ctl/submit.cc
@@ -14,6 +14,9 @@
 // A lost append that has not shown up after this long is tried again; should
 // both arrive, the fold refuses the second.
 constexpr Duration kLookBeforeRetry = std::chrono::milliseconds(500);
+// An append begun with less time than this might end without an answer, and
+// turn "nothing has changed" into "unknown".
+constexpr Duration kLeastAppendTime = std::chrono::seconds(1);
 
 // What the ticket set and nobody has set since must read as the ticket says.
 bool ContentMatches(const FleetState& state,
@@ -54,8 +57,18 @@
 
   bool InTime() const { return this->access.now() < this->deadline; }
 
+  Duration Left() const { return this->deadline - this->access.now(); }
+
+  void PauseInTime(Duration pause) const {
+    this->access.pause(std::min(pause, this->Left()));
+  }
+
+  std::optional<InstanceStatus> Status() const {
+    return this->access.status(std::max(this->Left(), kPoll));
+  }
+
   SubmitResult Run() const {
-    auto before = this->access.status();
+    auto before = this->Status();
     if (!before) {
       return SubmitFailed{SubmitFault::kNoSteward};
     }
@@ -75,7 +88,7 @@
     const std::string record = EncodeFleetRecord(this->ticket);
     bool may_be_there = false;
     while (this->InTime()) {
-      const AppendResult result = this->access.append(record);
+      const AppendResult result = this->access.append(record, this->Left());
       if (result.outcome == AppendOutcome::kAppended) {
         return this->WaitForVerdict(result.first_offset);
       }
@@ -85,7 +98,11 @@
           return this->Finish({*offset, /*already=*/false, {}, {}});
         }
       } else {
-        this->access.pause(std::max(result.retry_after, kPoll));
+        const Duration pause = std::max(result.retry_after, kPoll);
+        if (!may_be_there && this->Left() < pause + kLeastAppendTime) {
+          return SubmitFailed{SubmitFault::kNotAppended};
+        }
+        this->PauseInTime(pause);
       }
     }
     return SubmitFailed{may_be_there ? SubmitFault::kUnknown
@@ -97,13 +114,13 @@
     const Duration until =
         std::min(this->deadline, this->access.now() + kLookBeforeRetry);
     do {
-      if (const auto status = this->access.status()) {
+      if (const auto status = this->Status()) {
         if (const AuditEntry* const entry =
                 FindAccepted(status->state, this->ticket)) {
           return entry->offset;
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     } while (this->access.now() < until);
     return std::nullopt;
   }
@@ -112,7 +129,7 @@
   // repetition is then refused as a number taken, and the ticket is in force.
   SubmitResult WaitForVerdict(Offset offset) const {
     while (this->InTime()) {
-      if (const auto status = this->access.status();
+      if (const auto status = this->Status();
           status && status->state.offset >= offset) {
         if (const AuditEntry* const entry =
                 FindAccepted(status->state, this->ticket)) {
@@ -122,7 +139,7 @@
           return SubmitRefusedByFleet{*entry};
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     }
     return SubmitFailed{SubmitFault::kVerdictLate, offset};
   }
@@ -132,7 +149,7 @@
       return accepted;
     }
     do {
-      if (const auto status = this->access.status()) {
+      if (const auto status = this->Status()) {
         accepted.members = this->access.progress(*status);
         accepted.missing.clear();
         for (const MemberProgress& member : accepted.members) {
@@ -144,7 +161,7 @@
           break;
         }
       }
-      this->access.pause(kPoll);
+      this->PauseInTime(kPoll);
     } while (this->InTime());
     return accepted;
   }
