--- a/include/celerykeel/steward/control.h
+++ b/include/celerykeel/steward/control.h
@@ -89,15 +89,11 @@
   FleetState state;
   RecordBuffer records;
   std::deque<LogEntry> unfolded;  // read before the state could be restored
-  bool restore_failed = false;
-  bool caught_up = false;  // the log was read to its end once
-  bool log_reachable = false;
-  Duration fresh_at{};  // when `state` was last known complete
+  Duration fresh_at{};            // when `state` was last known complete
 
   Incarnation self = 0;     // joined
   Incarnation joining = 0;  // not yet seen in the stream
-  bool join_in_flight = false;
-  Duration join_after{};  // not before
+  Duration join_after{};    // not before
   Duration joined_at{};
 
   HolderLease lease;
@@ -113,19 +109,24 @@
   uint64_t records_sequence = 0;  // of the newest request for records
   Duration records_asked_at{};    // when it was sent
   Duration ticked_at{};
-  Duration snapshot_at{};      // when one was last seen or written
-  bool snapshot_seen = false;  // since the last tick
   Duration pushed_at{};
+  Duration snapshot_at{};  // when one was last seen or written
 
   std::map<std::string, Subscriber> subscribers;  // by routing id
   std::set<std::string> drained;                  // processes that reported it
-  bool draining = false;
   Duration drain_until{};
-  bool leaving = false;    // its Leave may be in the log
   Duration leave_after{};  // next attempt
-  bool left = false;
 
   ControlTotals totals;
+
+  bool caught_up = false;  // the log was read to its end once
+  bool log_reachable = false;
+  bool restore_failed = false;
+  bool join_in_flight = false;
+  bool snapshot_seen = false;  // since the last tick
+  bool draining = false;
+  bool leaving = false;  // its Leave may be in the log
+  bool left = false;
 };
 
 Control MakeControl(StewardOptions options, uint64_t seed);
--- a/src/celerykeel/core/membership_unittest.cc
+++ b/src/celerykeel/core/membership_unittest.cc
@@ -9,12 +9,12 @@
 namespace {
 
 // `instances` members in `zones` availability zones, one after the other.
-FleetState Fleet(int instances, int zones) {
+FleetState Fleet(uint64_t instances, uint64_t zones) {
   FleetState state;
-  for (int i = 0; i < instances; ++i) {
+  for (uint64_t i = 0; i < instances; ++i) {
     Member member;
-    member.fence = static_cast<Fence>(i + 1);
-    member.join.incarnation = static_cast<Incarnation>(i + 1);
+    member.fence = i + 1;
+    member.join.incarnation = i + 1;
     member.join.instance = "instance-" + std::to_string(i);
     member.join.availability_zone = "zone-" + std::to_string(i % zones);
     member.join.steward_address = "127.0.0.1:" + std::to_string(9000 + i);
--- a/src/celerykeel/steward/peers.cc
+++ b/src/celerykeel/steward/peers.cc
@@ -80,8 +80,8 @@
                    Offset offset,
                    uint64_t freshness_ms,
                    Duration asked_at) {
-  constexpr uint64_t kOldest = 24 * 3'600'000;
-  if (offset <= control.state.offset && freshness_ms < kOldest) {
+  constexpr uint64_t kOldestMillis = 86'400'000;
+  if (offset <= control.state.offset && freshness_ms < kOldestMillis) {
     const Duration fresh_at =
         asked_at - std::chrono::milliseconds(freshness_ms);
     control.fresh_at = std::max(control.fresh_at, fresh_at);
