--- a/src/celerykeel/core/ledger_property_unittest.cc
+++ b/src/celerykeel/core/ledger_property_unittest.cc
@@ -1,5 +1,5 @@
 #include <doctest/doctest.h>
-#include <rapidcheck.h>  // for rc::check
+#include <rapidcheck.h>  // for RC_ASSERT
 
 #include <functional>  // for std::function
 #include <random>      // for std::mt19937_64
@@ -7,11 +7,15 @@
 
 #include "celerykeel/core/journal_replay.h"  // for Replay, FamilyImages
 #include "celerykeel/core/ledger_world.h"    // for LedgerWorld
+#include "celerykeel/testing/property.h"     // for HoldsAlways
 
 namespace celerykeel {
 namespace {
 
-constexpr char kConfiguration[] = "seed=20261204 max_success=3000 max_size=80";
+constexpr uint64_t kSeed = 20261204;
+constexpr int kRuns = 3000;
+constexpr int kLongRuns = 2000;
+constexpr int kStepsOfLongRun = 120;
 
 // Runs a drawn sequence of events; false if a property broke.
 bool Holds(const std::vector<uint32_t>& choices, const Mutation& mutation) {
@@ -29,10 +33,10 @@
 // What `world` finds broken within a fixed number of drawn sequences.
 std::set<std::string> FindBroken(const Mutation& mutation) {
   std::set<std::string> broken;
-  std::mt19937_64 random(20261204);
-  for (int run = 0; run < 2000; ++run) {
+  std::mt19937_64 random(kSeed);
+  for (int run = 0; run < kLongRuns; ++run) {
     LedgerWorld world(mutation);
-    for (int step = 0; step < 120; ++step) {
+    for (int step = 0; step < kStepsOfLongRun; ++step) {
       world.Step(static_cast<uint32_t>(random()));
     }
     world.Settle();
@@ -42,10 +46,12 @@
 }
 
 TEST_CASE("order, at most once, history and budget hold over any events") {
-  setenv("RC_PARAMS", kConfiguration, 1);
-  CHECK(rc::check([](const std::vector<uint32_t>& choices) {
-    RC_ASSERT(Holds(choices, {}));
-  }));
+  CHECK(HoldsAlways(
+      kSeed,
+      [](const std::vector<uint32_t>& choices) {
+        RC_ASSERT(Holds(choices, {}));
+      },
+      kRuns));
 }
 
 TEST_CASE("long runs hold too") {
