core: an answer waits for a lease that is renewed late

The outcome is written by then, so the answer is held for up to two seconds, and told only under the lease. The test that wanted the refusal at once now wants it after that wait, or as soon as the slot moves; nothing is told without the lease, as before.

--- a/include/celerykeel/core/program_ledger.h
+++ b/include/celerykeel/core/program_ledger.h
@@ -26,6 +26,7 @@
                         .seconds = 7 * 24 * 3600};
   uint64_t default_max_tokens = 4096;  // a call that names none, in a budget
   uint32_t attempts = 3;
+  Duration lease_wait = std::chrono::seconds(2);  // of an answer, for a renewal
 };
 
 /// @brief The time and what the process knows at an event.
@@ -132,6 +133,7 @@
   kIntent,      // its intent is being appended
   kDispatched,  // an endpoint has it
   kOutcome,     // its outcome is being appended
+  kHeld,        // its outcome waits for the lease
 };
 
 /// @brief The call of a program that is under way; there is at most one.
@@ -151,6 +153,8 @@
   uint64_t intent_version = 0;  // 0: none written
   uint64_t record_version = 0;  // of its outcome
   std::shared_ptr<const CallRecord> record;
+  bool is_durable = false;  // the record is in the log
+  Duration held_until{};    // kHeld
   WallMillis started_at = 0;
   bool stopping = false;
 };
--- a/src/celerykeel/core/ledger_outcome.cc
+++ b/src/celerykeel/core/ledger_outcome.cc
@@ -137,8 +137,8 @@
                call.record->usage.prompt + call.record->usage.completion);
 }
 
-// Tells the callers of a call whose outcome is written, or cannot be for now.
-void ReleaseOutcome(Turn& turn, Place place, bool durable) {
+// Tells the callers of a call whose outcome is settled.
+void TellOutcome(Turn& turn, Place place) {
   ActiveCall& call = *place.program->active;
   const std::shared_ptr<const CallRecord> record = call.record;
   const bool is_lost = record->state == CallState::kLost;
@@ -154,7 +154,7 @@
       turn.actions.emplace_back(AnswerCaller{.waiter = waiter,
                                              .record = record,
                                              .replayed = false,
-                                             .durable = durable});
+                                             .durable = call.is_durable});
     }
   }
   const bool single = call.submission.single;
@@ -165,11 +165,24 @@
   }
 }
 
+// The outcome is written, or cannot be for now. A renewal of the lease that is
+// late by a moment must not cost the callers their answer: it is waited for.
+void SettleOutcome(Turn& turn, Place place, bool durable) {
+  ActiveCall& call = *place.program->active;
+  call.is_durable = durable;
+  if (turn.moment.may_act) {
+    TellOutcome(turn, place);
+  } else {
+    call.phase = CallPhase::kHeld;
+    call.held_until = turn.moment.now + turn.ledger.options.lease_wait;
+  }
+}
+
 void AwaitOutcome(Turn& turn, Place place) {
   if (turn.moment.log_reachable) {
     FlushJournal(turn, *place.family);
   } else {
-    ReleaseOutcome(turn, place, /*durable=*/false);
+    SettleOutcome(turn, place, /*durable=*/false);
   }
 }
 
@@ -215,7 +228,7 @@
       IntentAppended(turn, {&family, &program});
     } else if (call.phase == CallPhase::kOutcome &&
                call.record_version <= up_to) {
-      ReleaseOutcome(turn, {&family, &program}, /*durable=*/true);
+      SettleOutcome(turn, {&family, &program}, /*durable=*/true);
     }
   }
 }
@@ -238,7 +251,7 @@
       FailCall(turn, {&family, &program},
                RefusalOf(turn, RefusalType::kLogUnavailable, Ran::kNo), {});
     } else if (call.phase == CallPhase::kOutcome) {
-      ReleaseOutcome(turn, {&family, &program}, /*durable=*/false);
+      SettleOutcome(turn, {&family, &program}, /*durable=*/false);
     }
   }
 }
@@ -309,6 +322,15 @@
 
 }  // namespace
 
+void TellHeld(Turn& turn, Place place, bool is_last_chance) {
+  const ActiveCall& call = *place.program->active;
+  if (call.phase == CallPhase::kHeld &&
+      (turn.moment.may_act || is_last_chance ||
+       turn.moment.now >= call.held_until)) {
+    TellOutcome(turn, place);
+  }
+}
+
 }  // namespace ledger
 
 AttemptResult EndedAs(AttemptResult::Kind kind) {
--- a/src/celerykeel/core/ledger_ownership.cc
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -130,6 +130,10 @@
       ledger::RefusalOf(turn, RefusalType::kNotOwner, Ran::kNo);
   for (auto& [id, program] : family->second.programs) {
     ledger::RefuseWaiting(turn, program, refusal);
+    if (program.active) {
+      ledger::TellHeld(turn, {&family->second, &program},
+                       /*is_last_chance=*/true);
+    }
     if (program.active && (program.active->phase == CallPhase::kQueued ||
                            program.active->phase == CallPhase::kIntent)) {
       ledger::StopActive(turn, {&family->second, &program}, refusal);
--- a/src/celerykeel/core/ledger_turn.h
+++ b/src/celerykeel/core/ledger_turn.h
@@ -60,6 +60,10 @@
 /// @brief Tries again the calls that were short of tokens.
 void WakeShort(Turn& turn, ProgramFamily& family);
 
+/// @brief Tells an outcome that was held back for the lease, when the lease is
+/// there again; without it only at the end of its wait or on the last chance.
+void TellHeld(Turn& turn, Place place, bool is_last_chance);
+
 bool SecondsAreOver(const ProgramFamily& family, const Moment& moment);
 
 /// @brief Queues a record for the journal, with the family's next version.
--- a/src/celerykeel/core/ledger_upkeep.cc
+++ b/src/celerykeel/core/ledger_upkeep.cc
@@ -14,7 +14,8 @@
   ActiveCall& call = *place.program->active;
   const bool idempotent = call.submission.work->idempotent;
   const bool has_left = call.phase == CallPhase::kDispatched;
-  if (call.phase == CallPhase::kOutcome || (has_left && !idempotent)) {
+  if (call.phase == CallPhase::kOutcome || call.phase == CallPhase::kHeld ||
+      (has_left && !idempotent)) {
     return;
   }
   Refusal told = refusal;
@@ -111,6 +112,9 @@
 void TickFamily(Turn& turn, ProgramFamily& family) {
   const LedgerOptions& options = turn.ledger.options;
   for (auto& [id, program] : family.programs) {
+    if (program.active) {
+      ledger::TellHeld(turn, {&family, &program}, /*is_last_chance=*/false);
+    }
     ExpireWaiting(turn, program);
   }
   const Duration unused =
--- a/src/celerykeel/core/program_ledger_unittest.cc
+++ b/src/celerykeel/core/program_ledger_unittest.cc
@@ -216,8 +216,24 @@
     fixture.moment.may_act = false;
     fixture.Append(AppendVerdict::kAppended);
     CHECK(fixture.Answered(1) == nullptr);
-    REQUIRE(fixture.Refused(1) != nullptr);
-    CHECK(fixture.Refused(1)->ran == Ran::kYes);
+    CHECK(fixture.Refused(1) == nullptr);
+    SUBCASE("and it does not come back") {
+      fixture.Advance(fixture.ledger.options.lease_wait);
+      CHECK(fixture.Answered(1) == nullptr);
+      REQUIRE(fixture.Refused(1) != nullptr);
+      CHECK(fixture.Refused(1)->ran == Ran::kYes);
+    }
+    SUBCASE("and the slot moves") {
+      fixture.Take(
+          StopActing(fixture.ledger, {"coop", "trip"}, fixture.moment));
+      REQUIRE(fixture.Refused(1) != nullptr);
+      CHECK(fixture.Refused(1)->ran == Ran::kYes);
+    }
+    SUBCASE("and it comes back in time") {
+      fixture.moment.may_act = true;
+      fixture.Advance(std::chrono::milliseconds(50));
+      CHECK(fixture.Answered(1) != nullptr);
+    }
   }
 }
 
