core, steward: the next witnesses rule only once their change was sent

Ruled out: load alone (the lapse came at the same record on each start). Change: HolderLease.change_sent; until the record may stand in the log only the present witnesses can consent to an eviction, so only they count.

--- a/include/celerykeel/core/lease.h
+++ b/include/celerykeel/core/lease.h
@@ -16,6 +16,7 @@
   std::string instance;                // counts itself as a witness
   std::vector<std::string> witnesses;  // names of instances, its own included
   std::vector<std::string> next_witnesses;  // of a change under way, or empty
+  bool change_sent = false;  // the change's record may stand in the log
   uint64_t sequence = 0;                    // of the newest heartbeat
   std::map<uint64_t, Duration> sent_at;     // heartbeats a vouch may answer
   std::map<std::string, Duration> vouched_at;  // by witness: when the newest
@@ -31,8 +32,9 @@
 /// @return false if it answers none that still counts.
 bool TakeVouch(HolderLease& lease, std::string_view witness, uint64_t sequence);
 
-/// @brief The holder may act only before this reading of its clock. While its
-/// witnesses change, most of the present and most of the next must vouch.
+/// @brief The holder may act only before this reading of its clock. Once a
+/// change of its witnesses was sent, most of the present and most of the next
+/// must vouch.
 ///
 ///     if (now < LeaseUntil(lease, std::chrono::seconds(4))) { ... }
 Duration LeaseUntil(const HolderLease& lease, Duration duration);
--- a/src/celerykeel/core/lease.cc
+++ b/src/celerykeel/core/lease.cc
@@ -47,10 +47,11 @@
 
 // An eviction is checked against the present witnesses before the change's
 // record and against the next ones after it. The holder does not know on which
-// side of it an eviction falls until it has folded the record.
+// side of it an eviction falls until it has folded the record. Before the
+// record was sent no eviction can fall behind it.
 Duration LeaseUntil(const HolderLease& lease, Duration duration) {
   const Duration until = LeaseUntil(lease, lease.witnesses, duration);
-  return lease.next_witnesses.empty()
+  return lease.next_witnesses.empty() || !lease.change_sent
              ? until
              : std::min(until,
                         LeaseUntil(lease, lease.next_witnesses, duration));
--- a/src/celerykeel/core/lease_unittest.cc
+++ b/src/celerykeel/core/lease_unittest.cc
@@ -145,6 +145,19 @@
   CHECK(LeaseUntil(lease, kLease) == milliseconds(4600));
 }
 
+TEST_CASE("the next witnesses rule only once their change was sent") {
+  HolderLease lease;
+  lease.instance = "a";
+  lease.witnesses = {"a"};
+  lease.next_witnesses = {"a", "b", "c"};
+  const uint64_t first = NoteHeartbeat(lease, kLease, milliseconds(100));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4100));
+  lease.change_sent = true;
+  CHECK(LeaseUntil(lease, kLease) == Duration{});
+  CHECK(TakeVouch(lease, "c", first));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4100));
+}
+
 TEST_CASE("a heartbeat older than a lease is vouched for in vain") {
   HolderLease lease;
   lease.instance = "a";
--- a/src/celerykeel/steward/membership.cc
+++ b/src/celerykeel/steward/membership.cc
@@ -93,6 +93,7 @@
   }
   control.lease.witnesses = join.witnesses;
   control.lease.next_witnesses.clear();
+  control.lease.change_sent = false;
   control.outage.witnesses = join.witnesses;
   control.refused.clear();
   control.change.reset();
@@ -121,6 +122,7 @@
   change.started_at = now;
   if (change.record.witnesses != own.witnesses) {
     control.lease.next_witnesses = change.record.witnesses;
+    control.lease.change_sent = false;
     control.change = std::move(change);
   }
 }
@@ -185,10 +187,12 @@
       control.log_reachable) {
     change.in_flight = true;
     change.sent = true;
+    control.lease.change_sent = true;
     AppendOwn(out, OwnRecord::kWitnessChange, change.record);
   } else if (!vouched && !change.sent &&
              now - change.started_at > control.options.lease) {
     control.lease.next_witnesses.clear();
+    control.lease.change_sent = false;
     control.change.reset();
   }
 }
