steward: the first read of the log does not wait; ready once witnesses stand

Cause: a long poll of an empty stream held the first Join back for a second; instances that joined together had no witnesses yet when callers came, and a frozen one could not be evicted. Unit tests of two lanes at once clashed on fixed ports. Change: the first read, and the first after a failure, asks without waiting. /readyz needs witnesses where the fleet has them. Tests take free ports.

--- a/include/celerykeel/steward/membership.h
+++ b/include/celerykeel/steward/membership.h
@@ -20,6 +20,10 @@
 /// @brief Appends a snapshot when this instance is the chosen one.
 void WriteSnapshotIfDue(Control& control, Duration now, Outbox& out);
 
+/// @brief True if callers may be sent to this instance. Joined alone in a fleet
+/// that has witnesses for it, it waits for them: nobody could evict it yet.
+bool IsReady(const Control& control, Duration now);
+
 /// @brief What an append of the steward's own came to.
 void TakeOwnResult(Control& control,
                    OwnRecord kind,
--- a/src/celerykeel/steward/log_reader.cc
+++ b/src/celerykeel/steward/log_reader.cc
@@ -34,8 +34,11 @@
   bool ReadOnce() {
     const Offset from = this->next.load();
     const Duration asked_at = Now();
-    auto page =
-        this->log.Read(kFleetStream, from, kRecordsPerRead, this->options.wait);
+    // The first read, and the first after a failure, say at once whether the
+    // log can be read.
+    const Duration wait = this->reachable ? this->options.wait : Duration{};
+    auto page = this->log.Read(kFleetStream, from, kRecordsPerRead, wait);
+    this->reachable = page.has_value();
     if (this->stopping.load()) {
       return true;
     }
@@ -63,6 +66,7 @@
   LogReaderOptions options;
   LogReaderHandlers handlers;
   LogClient log;
+  bool reachable = false;  // at the last read
   std::atomic<Offset> next{1};
   std::atomic<bool> stopping{false};
   std::mutex mutex;
--- a/src/celerykeel/steward/membership.cc
+++ b/src/celerykeel/steward/membership.cc
@@ -239,6 +239,16 @@
                      std::make_shared<const FleetState>(control.state)});
 }
 
+bool IsReady(const Control& control, Duration now) {
+  const bool has_witnesses =
+      control.lease.witnesses.size() > 1 ||
+      WantedWitnesses(MemberNames(control.state).size()) == 1;
+  return control.self != 0 && !control.draining && has_witnesses &&
+         now - control.joined_at >= control.options.heartbeat &&
+         now < control.lease_until &&
+         now - control.fresh_at < control.options.lease;
+}
+
 void TakeOwnResult(Control& control,
                    OwnRecord kind,
                    const AppendResult& result,
--- a/src/celerykeel/steward/steward.cc
+++ b/src/celerykeel/steward/steward.cc
@@ -12,6 +12,7 @@
 #include "celerykeel/steward/journal_reader.h"   // for JournalReader
 #include "celerykeel/steward/log_appender.h"     // for LogAppender
 #include "celerykeel/steward/log_reader.h"       // for LogReader
+#include "celerykeel/steward/membership.h"       // for IsReady
 #include "celerykeel/steward/steward_metrics.h"  // for StewardMetrics
 
 namespace celerykeel {
@@ -146,11 +147,7 @@
     this->self.store(this->control.self);
     this->left.store(this->control.left);
     this->PublishOffset();
-    const Duration now = Now();
-    this->ready.store(this->control.self != 0 && !this->control.draining &&
-                      now < this->control.lease_until &&
-                      now - this->control.fresh_at <
-                          this->control.options.lease);
+    this->ready.store(IsReady(this->control, Now()));
   }
 
   // Records that peers passed on need not be read again, and the budget of
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -5,11 +5,12 @@
 #include <functional>  // for std::function
 #include <thread>      // for std::this_thread
 
-#include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/net/clock.h"         // for Now
-#include "celerykeel/net/feed_client.h"   // for FeedClient
-#include "celerykeel/testing/fake_log.h"  // for FakeLog
-#include "celerykeel/wire/fleet_codec.h"  // for EncodeFleetRecord
+#include "celerykeel/net/bounded_ring.h"      // for BoundedRing
+#include "celerykeel/net/clock.h"             // for Now
+#include "celerykeel/net/feed_client.h"       // for FeedClient
+#include "celerykeel/testing/fake_log.h"      // for FakeLog
+#include "celerykeel/testing/free_address.h"  // for FreeAddress
+#include "celerykeel/wire/fleet_codec.h"      // for EncodeFleetRecord
 
 namespace celerykeel {
 namespace {
@@ -28,23 +29,17 @@
   return true;
 }
 
-std::string AddressAt(int port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
-// Each instance takes ten ports.
 StewardOptions OptionsOf(int number, const FakeLog& log) {
-  const int port = 22900 + number * 10;
   StewardOptions options;
   options.instance = "instance-" + std::to_string(number);
   options.availability_zone = "zone-" + std::to_string(number);
   options.log = log.Address();
-  options.feed = AddressAt(port);
-  options.peers = AddressAt(port + 1);
-  options.operators = AddressAt(port + 2);
-  options.gate_address = AddressAt(port + 3);
-  options.scheduler_address = AddressAt(port + 4);
-  options.rate_address = AddressAt(port + 5);
+  options.feed = FreeAddress();
+  options.peers = FreeAddress();
+  options.operators = FreeAddress();
+  options.gate_address = FreeAddress();
+  options.scheduler_address = FreeAddress();
+  options.rate_address = FreeAddress();
   options.lease = std::chrono::seconds(2);
   options.heartbeat = std::chrono::milliseconds(50);
   options.margin = std::chrono::milliseconds(200);
