standin: answers name their request, /cache counts programs, controls give 200

Cause: the scenario runner takes only 200 from /control and reads the number of programs from /cache; the scheduler checks the Request-Id of an answer. A service call with both headers counted twice under calls. Change: as said; calls go by Idempotency-Key, else Request-Id, else path, and runs by Request-Id are listed apart under requests.

--- a/src/celerykeel/standin/engine_cache_routes.cc
+++ b/src/celerykeel/standin/engine_cache_routes.cc
@@ -98,9 +98,11 @@
 void ShowCache(EngineState& state, Response& response) {
   const EngineLock lock(state.mutex);
   const PrefixCache& cache = state.batcher.cache;
-  const json shown = {{"capacity_tokens", cache.capacity * kBlockTokens},
+  const auto holdings = HeldTokens(cache);
+  const json shown = {{"programs", holdings.size()},
+                      {"capacity_tokens", cache.capacity * kBlockTokens},
                       {"used_tokens", cache.blocks.size() * kBlockTokens},
-                      {"holdings", HeldTokens(cache)}};
+                      {"holdings", holdings}};
   response.set_content(shown.dump(), kJsonType);
 }
 
--- a/src/celerykeel/standin/engine_completions.cc
+++ b/src/celerykeel/standin/engine_completions.cc
@@ -279,6 +279,7 @@
   const std::string id = request.has_header("Request-Id")
                              ? request.get_header_value("Request-Id")
                              : fmt::format("unnamed-{}", arrival.number);
+  response.set_header("Request-Id", id);
   if (!FindOrStart(state, request, response, *chat, id)) {
     return;
   }
@@ -295,6 +296,7 @@
   StreamCursor cursor;
   cursor.id = request.matches[1].str();
   cursor.next_event = std::max<uint64_t>(QueryNumber(request, "from", 1), 1);
+  response.set_header("Request-Id", cursor.id);
   const EngineLock lock(state.mutex);
   const EngineRequest* const known = FindRequest(state.book, cursor.id);
   if (known == nullptr) {
--- a/src/celerykeel/standin/engine_reports.cc
+++ b/src/celerykeel/standin/engine_reports.cc
@@ -168,7 +168,7 @@
                                                 Response& response) {
     const EngineLock lock(state.mutex);
     const std::string action = request.matches[1].str();
-    response.status = SetFault(state.faults, request, action) ? 204 : 400;
+    response.status = SetFault(state.faults, request, action) ? 200 : 400;
   });
 }
 
--- a/src/celerykeel/standin/engine_server_unittest.cc
+++ b/src/celerykeel/standin/engine_server_unittest.cc
@@ -50,7 +50,7 @@
   }
 
   void Control(const std::string& action) {
-    CHECK(this->client.Post("/control/" + action)->status == 204);
+    CHECK(this->client.Post("/control/" + action)->status == 200);
   }
 
   json Show(const std::string& path) {
@@ -94,6 +94,7 @@
   const auto whole = fixture.Chat(Body("when?", false), named);
   REQUIRE(whole);
   REQUIRE(whole->status == 200);
+  CHECK(whole->get_header_value("Request-Id") == "r1");
   CHECK(fixture.Chat(Body("when?", false), named)->body == whole->body);
   const auto streamed = fixture.Chat(Body("when?", true), named);
   const json answer = json::parse(whole->body);
--- a/src/celerykeel/standin/link_server.cc
+++ b/src/celerykeel/standin/link_server.cc
@@ -112,7 +112,7 @@
   while (this->reached != mode && !this->stopping) {
     std::this_thread::yield();
   }
-  response.status = 204;
+  response.status = 200;
 }
 
 tl::expected<std::unique_ptr<LinkServer>, ListenError> LinkServer::Create(
--- a/src/celerykeel/standin/link_server_unittest.cc
+++ b/src/celerykeel/standin/link_server_unittest.cc
@@ -43,7 +43,7 @@
 
   void Cut(const std::string& query) const {
     httplib::Client client("127.0.0.1", this->link->ControlPort());
-    CHECK(client.Post("/control/cut?" + query)->status == 204);
+    CHECK(client.Post("/control/cut?" + query)->status == 200);
   }
 
   bool Reaches() const {
--- a/src/celerykeel/standin/platform_server.cc
+++ b/src/celerykeel/standin/platform_server.cc
@@ -292,7 +292,7 @@
                                     Response& response) {
   const Lock lock(this->mutex);
   response.status =
-      this->ApplyControl(request, request.matches[1].str()) ? 204 : 400;
+      this->ApplyControl(request, request.matches[1].str()) ? 200 : 400;
   this->changed.notify_all();
 }
 
--- a/src/celerykeel/standin/platform_server_unittest.cc
+++ b/src/celerykeel/standin/platform_server_unittest.cc
@@ -67,7 +67,7 @@
     httplib::Client control("127.0.0.1", this->server->Port());
     const auto result = control.Post("/control/" + action);
     REQUIRE(result);
-    CHECK(result->status == 204);
+    CHECK(result->status == 200);
   }
 };
 
--- a/src/celerykeel/standin/service_server.cc
+++ b/src/celerykeel/standin/service_server.cc
@@ -2,14 +2,12 @@
 
 #include <httplib.h>  // for httplib::Server
 
-#include <algorithm>           // for std::max
 #include <charconv>            // for std::from_chars
 #include <chrono>              // for std::chrono::milliseconds
 #include <condition_variable>  // for std::condition_variable
 #include <cstdint>             // for uint64_t
 #include <mutex>               // for std::mutex, std::unique_lock
 #include <utility>             // for std::move
-#include <vector>              // for std::vector
 
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
@@ -31,17 +29,13 @@
 constexpr char kJson[] = "application/json";
 
 // A call goes by what its caller named it; one without a name by its path.
-std::vector<std::string> CallIds(const Request& request) {
-  std::vector<std::string> ids;
+std::string CallId(const Request& request) {
   for (const char* const header : {"Idempotency-Key", "Request-Id"}) {
     if (request.has_header(header)) {
-      ids.push_back(request.get_header_value(header));
+      return request.get_header_value(header);
     }
   }
-  if (ids.empty()) {
-    ids.push_back(request.path);
-  }
-  return ids;
+  return request.path;
 }
 
 }  // namespace
@@ -53,6 +47,7 @@
   bool stopping = false;
   ServiceFaults faults;
   CallCounter counter;
+  CallCounter requests;  // by Request-Id, where there is one
   CallCounter paths;
   FenceTable fences;
   uint64_t credentials = 0;
@@ -103,35 +98,34 @@
 }
 
 void ServiceServer::State::Run(const Request& request, Response& response) {
-  const std::vector<std::string> ids = CallIds(request);
+  const std::string id = CallId(request);
   Lock lock(this->mutex);
   this->credentials += HasCredential(request) ? 1 : 0;
   this->Wait(lock, this->faults.delay_before);
   if (!this->MayRun(request, response)) {
     return;
   }
-  uint64_t runs = 0;
-  for (const std::string& id : ids) {
-    runs = std::max(runs, CountCall(this->counter, id));
-  }
+  const uint64_t runs = CountCall(this->counter, id);
   CountCall(this->paths, request.path);
+  if (request.has_header("Request-Id")) {
+    CountCall(this->requests, request.get_header_value("Request-Id"));
+  }
   const bool dies = TakeOne(this->faults.die_after);
   this->Wait(lock, this->faults.delay_after);
   if (dies) {
     return CloseConnection(request);
   }
   const nlohmann::json answer = {
-      {"call", ids.front()}, {"path", request.path}, {"runs", runs}};
+      {"call", id}, {"path", request.path}, {"runs", runs}};
   response.set_content(answer.dump(), kJson);
 }
 
 void ServiceServer::State::Witness(Response& response) {
   const Lock lock(this->mutex);
-  const nlohmann::json witness = {{"calls", this->counter.calls},
-                                  {"paths", this->paths.calls},
-                                  {"credentials", this->credentials},
-                                  {"fences", this->fences},
-                                  {"stale_fences", this->stale_fences}};
+  const nlohmann::json witness = {
+      {"calls", this->counter.calls}, {"requests", this->requests.calls},
+      {"paths", this->paths.calls},   {"credentials", this->credentials},
+      {"fences", this->fences},       {"stale_fences", this->stale_fences}};
   response.set_content(witness.dump(), kJson);
 }
 
@@ -157,7 +151,7 @@
 void ServiceServer::State::Control(const Request& request, Response& response) {
   const Lock lock(this->mutex);
   response.status =
-      this->SetFault(request, request.matches[1].str()) ? 204 : 400;
+      this->SetFault(request, request.matches[1].str()) ? 200 : 400;
 }
 
 void ServiceServer::State::AddRoutes(httplib::Server& server) {
--- a/src/celerykeel/standin/service_server_unittest.cc
+++ b/src/celerykeel/standin/service_server_unittest.cc
@@ -30,7 +30,7 @@
   }
 
   void Control(const std::string& action) {
-    CHECK(this->client.Post("/control/" + action)->status == 204);
+    CHECK(this->client.Post("/control/" + action)->status == 200);
   }
 
   json Witness() { return json::parse(this->client.Get("/witness")->body); }
