--- a/src/celerykeel/steward/membership.cc
+++ b/src/celerykeel/steward/membership.cc
@@ -93,6 +93,7 @@
   }
   control.lease.witnesses = join.witnesses;
   control.lease.next_witnesses.clear();
+  control.lease.change_sent = false;
   control.outage.witnesses = join.witnesses;
   control.refused.clear();
   control.change.reset();
@@ -121,6 +122,7 @@
   change.started_at = now;
   if (change.record.witnesses != own.witnesses) {
     control.lease.next_witnesses = change.record.witnesses;
+    control.lease.change_sent = false;
     control.change = std::move(change);
   }
 }
@@ -185,10 +187,12 @@
       control.log_reachable) {
     change.in_flight = true;
     change.sent = true;
+    control.lease.change_sent = true;
     AppendOwn(out, OwnRecord::kWitnessChange, change.record);
   } else if (!vouched && !change.sent &&
              now - change.started_at > control.options.lease) {
     control.lease.next_witnesses.clear();
+    control.lease.change_sent = false;
     control.change.reset();
   }
 }
@@ -239,6 +243,16 @@
                      std::make_shared<const FleetState>(control.state)});
 }
 
+bool IsReady(const Control& control, Duration now) {
+  const bool has_witnesses =
+      control.lease.witnesses.size() > 1 ||
+      WantedWitnesses(MemberNames(control.state).size()) == 1;
+  return control.self != 0 && !control.draining && has_witnesses &&
+         now - control.joined_at >= control.options.heartbeat &&
+         now < control.lease_until &&
+         now - control.fresh_at < control.options.lease;
+}
+
 void TakeOwnResult(Control& control,
                    OwnRecord kind,
                    const AppendResult& result,
