--- a/src/celerykeel/scheduler/owner_unittest.cc
+++ b/src/celerykeel/scheduler/owner_unittest.cc
@@ -237,6 +237,7 @@
   Caller caller;
   CHECK(TextOf(caller.Ask(only, caller.Chat(1, "a"))) == "a");
   CHECK(TextOf(caller.Ask(only, caller.Chat(2, "b"))) == "aab");
+  const std::lock_guard lock(fleet.journals.mutex);
   CHECK(fleet.journals.records[1].size() == 2);
 }
 
