core, steward: the log stands in as witness for a member that has none

Cause: a member whose only witness was itself (just joined, or left over in a fleet of two) could never be evicted once it died; its slots stayed unowned. Ruled out: two witnesses in a fleet of two, since then either death stops both. Change: a lone member acts only while it reads the log (lease from the last reading to the end); any other member that heard nothing of it for a lease and a margin, counted from when it first saw it, may give its word. Cost: such a member stops in an outage of the log. Losing two of three at the same moment still stops the third until one is back: not covered.

--- a/include/celerykeel/core/lease.h
+++ b/include/celerykeel/core/lease.h
@@ -16,9 +16,10 @@
   std::string instance;                // counts itself as a witness
   std::vector<std::string> witnesses;  // names of instances, its own included
   std::vector<std::string> next_witnesses;  // of a change under way, or empty
+  Duration log_read_at{};    // newest reading of the log to its end
   bool change_sent = false;  // the change's record may stand in the log
-  uint64_t sequence = 0;                    // of the newest heartbeat
-  std::map<uint64_t, Duration> sent_at;     // heartbeats a vouch may answer
+  uint64_t sequence = 0;     // of the newest heartbeat
+  std::map<uint64_t, Duration> sent_at;        // heartbeats a vouch may answer
   std::map<std::string, Duration> vouched_at;  // by witness: when the newest
                                                // vouched heartbeat was sent
 };
@@ -39,7 +40,8 @@
 ///     if (now < LeaseUntil(lease, std::chrono::seconds(4))) { ... }
 Duration LeaseUntil(const HolderLease& lease, Duration duration);
 
-/// @brief The same, on the word of `witnesses` alone.
+/// @brief The same, on the word of `witnesses` alone. For a lone holder the
+/// log is the other witness: an eviction stands in it.
 Duration LeaseUntil(const HolderLease& lease,
                     const std::vector<std::string>& witnesses,
                     Duration duration);
--- a/include/celerykeel/core/roster.h
+++ b/include/celerykeel/core/roster.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <string>   // for std::string
-#include <variant>  // for std::variant
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+#include <variant>      // for std::variant
 
 #include <tl/expected.hpp>  // for tl::expected
 
@@ -56,6 +57,14 @@
                                    TooFewWords,
                                    OldWitnessChange>;
 
+/// @brief True if the member has no witness but itself. The log stands in for
+/// one: such a member acts only while it reads the log, and any other member
+/// may give its word for an eviction.
+bool IsLone(const Join& member);
+
+/// @brief True if `instance` may give its word that `member` be evicted.
+bool MayGiveWord(const Join& member, std::string_view instance);
+
 /// @brief Words that an eviction needs: most of the witness names.
 size_t WordsNeeded(const Join& evicted);
 
--- a/include/celerykeel/core/witness.h
+++ b/include/celerykeel/core/witness.h
@@ -48,6 +48,10 @@
                                   Duration silence,
                                   Duration now);
 
+/// @brief Counts the silence of new members from `now`: a lone member may not
+/// know of this witness yet.
+void NoteMembers(Witness& witness, const FleetState& state, Duration now);
+
 /// @brief Forgets incarnations that are no longer members.
 void ForgetDeparted(Witness& witness, const FleetState& state);
 
--- a/include/celerykeel/steward/control.h
+++ b/include/celerykeel/steward/control.h
@@ -91,6 +91,8 @@
   std::deque<LogEntry> unfolded;  // read before the state could be restored
   Duration fresh_at{};            // when `state` was last known complete
 
+  Duration log_read_at{};  // when the log was last read to its end
+
   Incarnation self = 0;     // joined
   Incarnation joining = 0;  // not yet seen in the stream
   Duration join_after{};    // not before
--- a/src/celerykeel/core/fold_unittest.cc
+++ b/src/celerykeel/core/fold_unittest.cc
@@ -126,6 +126,16 @@
   }
 }
 
+TEST_CASE("a lone member is evicted on the word of any other, never its own") {
+  FleetState state;
+  Join lone = JoinOf(11, "a");
+  lone.witnesses = {"a"};
+  Fold(state, 1, lone);
+  CHECK_FALSE(Fold(state, 2, Evict{11, {11}, 11, "silent"})->accepted);
+  Fold(state, 3, JoinOf(22, "b"));
+  CHECK(Fold(state, 4, Evict{11, {22}, 22, "silent"})->accepted);
+}
+
 TEST_CASE("departed members are bounded, the oldest go first") {
   FleetState state;
   Offset offset = 0;
--- a/src/celerykeel/core/lease.cc
+++ b/src/celerykeel/core/lease.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/lease.h"
 
-#include <algorithm>   // for std::find, std::sort
+#include <algorithm>   // for std::find, std::min, std::sort
 #include <functional>  // for std::greater
 
 namespace celerykeel {
@@ -72,7 +72,9 @@
     return Duration{};
   }
   std::sort(times.begin(), times.end(), std::greater<>());
-  return times[majority - 1] + duration;
+  const Duration vouched = times[majority - 1];
+  const bool is_lone = witnesses.size() == 1;
+  return (is_lone ? std::min(vouched, lease.log_read_at) : vouched) + duration;
 }
 
 std::vector<std::string> SilentWitnesses(const HolderLease& lease,
--- a/src/celerykeel/core/lease_unittest.cc
+++ b/src/celerykeel/core/lease_unittest.cc
@@ -145,11 +145,40 @@
   CHECK(LeaseUntil(lease, kLease) == milliseconds(4600));
 }
 
+TEST_CASE("a lone holder acts only while it reads the log") {
+  HolderLease lease;
+  lease.instance = "a";
+  lease.witnesses = {"a"};
+  NoteHeartbeat(lease, kLease, milliseconds(100));
+  CHECK(LeaseUntil(lease, kLease) == kLease);
+  lease.log_read_at = milliseconds(50);
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4050));
+  NoteHeartbeat(lease, kLease, milliseconds(9000));
+  CHECK(LeaseUntil(lease, kLease) == milliseconds(4050));
+}
+
+TEST_CASE("the silence of a lone member counts from when it was first seen") {
+  FleetState state;
+  for (const Incarnation incarnation : {1, 2}) {
+    Join& join = state.members[incarnation].join;
+    join.incarnation = incarnation;
+    join.instance = "instance-" + std::to_string(incarnation);
+    join.witnesses = {join.instance};
+  }
+  Witness witness;
+  Listen(witness, milliseconds(0));
+  NoteMembers(witness, state, milliseconds(9000));
+  CHECK(Suspects(witness, state, 2, kLease, milliseconds(9100)).empty());
+  CHECK(Suspects(witness, state, 2, kLease, milliseconds(13'000)) ==
+        std::vector<Incarnation>{1});
+}
+
 TEST_CASE("the next witnesses rule only once their change was sent") {
   HolderLease lease;
   lease.instance = "a";
   lease.witnesses = {"a"};
   lease.next_witnesses = {"a", "b", "c"};
+  lease.log_read_at = milliseconds(100);
   const uint64_t first = NoteHeartbeat(lease, kLease, milliseconds(100));
   CHECK(LeaseUntil(lease, kLease) == milliseconds(4100));
   lease.change_sent = true;
--- a/src/celerykeel/core/roster.cc
+++ b/src/celerykeel/core/roster.cc
@@ -84,6 +84,17 @@
 
 }  // namespace
 
+bool IsLone(const Join& member) {
+  return member.witnesses.size() <= 1;
+}
+
+bool MayGiveWord(const Join& member, std::string_view instance) {
+  return instance != member.instance &&
+         (IsLone(member) ||
+          std::find(member.witnesses.begin(), member.witnesses.end(),
+                    instance) != member.witnesses.end());
+}
+
 size_t WordsNeeded(const Join& evicted) {
   return evicted.witnesses.size() / 2 + 1;
 }
@@ -95,20 +106,19 @@
 size_t CountWords(const FleetState& state,
                   const Member& member,
                   const std::vector<Incarnation>& words) {
-  const std::set<std::string_view> names(member.join.witnesses.begin(),
-                                         member.join.witnesses.end());
-  size_t count = 0;
-  for (const std::string_view name : names) {
-    if (name == member.join.instance) {
+  std::set<std::string_view> names;
+  for (const Incarnation word : words) {
+    const auto witness = state.members.find(word);
+    if (witness == state.members.end()) {
       continue;
     }
-    if (const auto current = CurrentIncarnation(state, std::string(name));
-        current &&
-        std::find(words.begin(), words.end(), *current) != words.end()) {
-      ++count;
+    const std::string& name = witness->second.join.instance;
+    if (MayGiveWord(member.join, name) &&
+        CurrentIncarnation(state, name) == word) {
+      names.insert(name);
     }
   }
-  return count;
+  return names.size();
 }
 
 tl::expected<void, RosterRefusal> ApplyJoin(FleetState& state,
--- a/src/celerykeel/core/witness.cc
+++ b/src/celerykeel/core/witness.cc
@@ -1,13 +1,13 @@
 #include "celerykeel/core/witness.h"
 
-#include <algorithm>  // for std::find, std::max
+#include <algorithm>  // for std::max
+
+#include "celerykeel/core/roster.h"  // for MayGiveWord
 
 namespace celerykeel {
 
 namespace {
 
-// True if `self` is among the witnesses of `subject`, by name. An instance is
-// no witness against its own name.
 bool IsWitnessOf(const FleetState& state,
                  Incarnation self,
                  Incarnation subject) {
@@ -16,10 +16,7 @@
   if (own == state.members.end() || other == state.members.end()) {
     return false;
   }
-  const std::string& name = own->second.join.instance;
-  const auto& witnesses = other->second.join.witnesses;
-  return name != other->second.join.instance &&
-         std::find(witnesses.begin(), witnesses.end(), name) != witnesses.end();
+  return MayGiveWord(other->second.join, own->second.join.instance);
 }
 
 bool IsSilent(const Witness& witness,
@@ -84,6 +81,12 @@
   return suspects;
 }
 
+void NoteMembers(Witness& witness, const FleetState& state, Duration now) {
+  for (const auto& [incarnation, member] : state.members) {
+    witness.heard.try_emplace(incarnation, now);
+  }
+}
+
 void ForgetDeparted(Witness& witness, const FleetState& state) {
   std::erase_if(witness.heard, [&](const auto& entry) {
     return !state.members.contains(entry.first);
--- a/src/celerykeel/steward/control.cc
+++ b/src/celerykeel/steward/control.cc
@@ -110,6 +110,7 @@
   if (at_end && control.state.offset + 1 >= page.page.next) {
     control.caught_up = true;
     control.fresh_at = std::max(control.fresh_at, page.asked_at);
+    control.log_read_at = page.asked_at;
   }
   AfterFold(control, now, out);
 }
--- a/src/celerykeel/steward/membership.cc
+++ b/src/celerykeel/steward/membership.cc
@@ -145,6 +145,7 @@
   TakeJoin(control, now);
   TakeWitnessChange(control);
   ForgetDeparted(control.witness, control.state);
+  NoteMembers(control.witness, control.state, now);
   std::erase_if(control.rounds, [&](const auto& entry) {
     return !control.state.members.contains(entry.first);
   });
--- a/src/celerykeel/steward/peers.cc
+++ b/src/celerykeel/steward/peers.cc
@@ -347,6 +347,7 @@
 // While most of the witnesses can't reach the log either and know no newer
 // record, the log is taken to be down for all, and the state for complete.
 void UpdateLease(Control& control) {
+  control.lease.log_read_at = control.log_read_at;
   control.lease_until = LeaseUntil(control.lease, control.options.lease);
   if (!control.log_reachable) {
     control.fresh_at = std::max(
