--- a/src/celerykeel/core/lease_unittest.cc
+++ b/src/celerykeel/core/lease_unittest.cc
@@ -31,7 +31,12 @@
       process.frozen_until = model.now + span;
       break;
     case 1:
-      process.cut_until = model.now + span * 2;
+      // Alone, or with its two neighbours.
+      for (int step = 0; step < (disturbance.tenths % 2 == 0 ? 1 : 3); ++step) {
+        const int other = (disturbance.process + step) % kProcesses;
+        model.processes[static_cast<size_t>(other)].cut_until =
+            model.now + span * 2;
+      }
       break;
     case 2:
       process.alone_until = model.now + span;
@@ -51,6 +56,7 @@
       }
       break;
     default:
+      model.StartWitnessChange(disturbance.process);
       break;
   }
   model.Advance(milliseconds(100) * (disturbance.tenths % 20));
@@ -72,6 +78,7 @@
   bool holds = false;
   uint64_t held = 0;
   uint64_t evictions = 0;
+  uint64_t witness_changes = 0;
 };
 
 Verdict Check(Without without, int runs) {
@@ -91,6 +98,9 @@
         model.Advance(std::chrono::seconds(10));
         verdict.held += model.held;
         for (const Process& process : model.processes) {
+          for (const auto& [incarnation, member] : process.state.members) {
+            verdict.witness_changes += member.join.witnesses_number;
+          }
           for (const auto& [gone, member] : process.state.departed) {
             verdict.evictions += member.evicted ? 1 : 0;
           }
@@ -110,11 +120,13 @@
   CHECK(verdict.holds);
   CHECK(verdict.held > 0);
   CHECK(verdict.evictions > 0);
+  CHECK(verdict.witness_changes > 0);
 }
 
 TEST_CASE("each mechanism of the lease is needed") {
   CHECK_FALSE(Check(Without::kMemoryOfWords, kRunsUntilFailure).holds);
   CHECK_FALSE(Check(Without::kLeaseFromSending, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(Without::kBothSets, kRunsUntilFailure).holds);
   CHECK_FALSE(Check(Without::kMajority, kRunsUntilFailure).holds);
   CHECK_FALSE(Check(Without::kOwnJoinFirst, kRunsUntilFailure).holds);
 }
--- a/src/celerykeel/steward/steward.cc
+++ b/src/celerykeel/steward/steward.cc
@@ -336,14 +336,14 @@
 
 Steward::Steward(std::unique_ptr<State> initial) : state(std::move(initial)) {}
 
-// Threads that feed others end first.
+// The control thread uses all others, so it ends before them.
 Steward::~Steward() {
   this->state->operators.reset();
-  this->state->log_reader.reset();
   this->state->events.Close();
   if (this->state->thread.joinable()) {
     this->state->thread.join();
   }
+  this->state->log_reader.reset();
   this->state->journal_reader.reset();
   this->state->fleet_appender.reset();
   this->state->journal_appender.reset();
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -74,13 +74,14 @@
   log.Put("fleet", TicketRecord(1));
   const StewardOptions options = OptionsOf(1, log);
   const auto steward = Start(options);
+  BoundedRing<AppendResult> results(1);
+  BoundedRing<JournalPage> pages(1);
   const auto reader = Reader(options);
   REQUIRE(Eventually([&] { return HoldsLease(reader->View(), Now()); }));
   const FleetView view = reader->View();
   CHECK(view.state->members.at(view.self).join.instance == "instance-1");
   CHECK(view.state->in_force.teams.contains("eidfjord-coop"));
 
-  BoundedRing<AppendResult> results(1);
   REQUIRE(reader->AppendJournal(
       {"one", "two"},
       [&](const AppendResult& result) { results.Push(result); }));
@@ -89,7 +90,6 @@
   CHECK(result->outcome == AppendOutcome::kAppended);
   CHECK(result->first_offset == 1);
 
-  BoundedRing<JournalPage> pages(1);
   REQUIRE(reader->ReadJournal(
       view.self, 1, 1, [&](const JournalPage& page) { pages.Push(page); }));
   const auto page = pages.Pop(kPatience);
--- a/src/celerykeel/testing/lease_model.h
+++ b/src/celerykeel/testing/lease_model.h
@@ -1,13 +1,16 @@
 #pragma once
 
-#include <cmath>    // for std::llround
-#include <map>      // for std::map
-#include <string>   // for std::string, std::to_string
-#include <utility>  // for std::pair
-#include <vector>   // for std::vector
+#include <algorithm>  // for std::find
+#include <cmath>      // for std::llround
+#include <map>        // for std::map
+#include <optional>   // for std::optional
+#include <string>     // for std::string, std::to_string
+#include <utility>    // for std::pair
+#include <vector>     // for std::vector
 
 #include "celerykeel/core/fold.h"     // for Fold
 #include "celerykeel/core/lease.h"    // for HolderLease
+#include "celerykeel/core/roster.h"   // for WordsNeeded
 #include "celerykeel/core/witness.h"  // for Witness, GivesWord
 
 namespace celerykeel::lease_model {
@@ -28,6 +31,7 @@
   kMemoryOfWords,     // a witness vouches again after its word
   kLeaseFromSending,  // the lease runs from the answer
   kWaitOfSuccessor,   // it acts as soon as it sees the eviction
+  kBothSets,          // a change of witnesses asks only the present ones
   kSilence,           // a word is given after three heartbeats
   kSilenceAndWait,    // both
   kMajority,          // one word evicts
@@ -55,6 +59,8 @@
   HolderLease lease;
   Witness witness;
   Duration heartbeat_at{};
+  std::optional<WitnessChange> change;  // of its own witnesses, under way
+  bool change_sent = false;
   std::map<Incarnation, Duration> may_act_at;  // own clock, for an evicted one
 };
 
@@ -84,6 +90,7 @@
     process.lease = HolderLease{};
     process.witness = Witness{};
     process.may_act_at.clear();
+    process.change.reset();
     process.frozen_until = Duration{};
     Listen(process.witness, this->Clock(i));
     this->incarnation[i] = ++this->last_incarnation;
@@ -96,9 +103,7 @@
       Join join;
       join.incarnation = this->incarnation[i];
       join.instance = process.name;
-      for (const Process& other : this->processes) {
-        join.witnesses.push_back(other.name);
-      }
+      join.witnesses = this->WitnessSet(i, 0);
       for (const auto& [other, member] : process.state.members) {
         if (member.join.instance == process.name) {
           join.replaces = other;
@@ -129,15 +134,72 @@
       process.lease.witnesses =
           process.state.members.at(process.self).join.witnesses;
     }
+    this->TakeWitnesses(process);
     // An evicted process joins again.
     if (process.self != 0 && process.state.departed.contains(process.self)) {
       process.self = 0;
       process.lease = HolderLease{};
+      process.change.reset();
       this->incarnation[i] = ++this->last_incarnation;
       this->joined[i] = false;
     }
   }
 
+  static void TakeWitnesses(Process& process) {
+    const auto own = process.state.members.find(process.self);
+    if (own != process.state.members.end() &&
+        own->second.join.witnesses != process.lease.witnesses) {
+      process.lease.witnesses = own->second.join.witnesses;
+      process.lease.next_witnesses.clear();
+      process.change.reset();
+    }
+  }
+
+  // One of three sets in turn: itself and two neighbours, itself and the two
+  // others, all.
+  std::vector<std::string> WitnessSet(int i, uint64_t number) const {
+    std::vector<std::string> names{
+        this->processes[static_cast<size_t>(i)].name};
+    for (int step = 1; step < kProcesses; ++step) {
+      const bool is_neighbour = step <= 2;
+      if (number % 3 == 2 || is_neighbour == (number % 3 == 0)) {
+        names.push_back("instance-" + std::to_string((i + step) % kProcesses));
+      }
+    }
+    return names;
+  }
+
+  void StartWitnessChange(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    const auto own = process.state.members.find(process.self);
+    if (process.change || own == process.state.members.end()) {
+      return;
+    }
+    const uint64_t number = own->second.join.witnesses_number + 1;
+    process.change =
+        WitnessChange{process.self, number, this->WitnessSet(i, number)};
+    process.change_sent = false;
+    if (this->without != Without::kBothSets) {
+      process.lease.next_witnesses = process.change->witnesses;
+    }
+  }
+
+  // The record goes out once the next witnesses vouch.
+  void SendWitnessChange(int i) {
+    Process& process = this->processes[static_cast<size_t>(i)];
+    if (!process.change || process.change_sent ||
+        this->now < process.cut_until) {
+      return;
+    }
+    if (this->without == Without::kBothSets ||
+        this->Clock(i) <
+            LeaseUntil(process.lease, process.change->witnesses, kLease)) {
+      process.change_sent = true;
+      this->pending.emplace_back(this->now + this->append_delay,
+                                 *process.change);
+    }
+  }
+
   Duration SuccessorWait() const {
     return this->without == Without::kWaitOfSuccessor ||
                    this->without == Without::kSilenceAndWait
@@ -154,13 +216,20 @@
     process.heartbeat_at = clock;
     const uint64_t sequence = NoteHeartbeat(process.lease, kLease, clock);
     for (int j = 0; j < kProcesses; ++j) {
-      if (j != i) {
+      if (j != i && IsAsked(process, this->processes[static_cast<size_t>(j)])) {
         this->Send({i, j, sequence, process.self, false, false,
                     this->now + this->delay});
       }
     }
   }
 
+  static bool IsAsked(const Process& process, const Process& other) {
+    const auto has = [&](const std::vector<std::string>& names) {
+      return std::find(names.begin(), names.end(), other.name) != names.end();
+    };
+    return has(process.lease.witnesses) || has(process.lease.next_witnesses);
+  }
+
   bool Linked(int i, int j) const {
     return this->now >= this->processes[static_cast<size_t>(i)].alone_until &&
            this->now >= this->processes[static_cast<size_t>(j)].alone_until;
@@ -240,7 +309,9 @@
         }
       }
       const size_t needed =
-          this->without == Without::kMajority ? 1 : MajorityOf(kProcesses);
+          this->without == Without::kMajority
+              ? 1
+              : WordsNeeded(process.state.members.at(suspect).join);
       if (evict.words.size() >= needed) {
         this->pending.emplace_back(this->now + this->append_delay, evict);
       }
@@ -252,11 +323,12 @@
       if (entry.first > this->now) {
         return false;
       }
-      if (this->without == Without::kMajority) {
+      if (auto* evict = std::get_if<Evict>(&entry.second);
+          evict != nullptr && this->without == Without::kMajority) {
         // The fold itself asks for most of the words.
         for (const Process& process : this->processes) {
           if (process.self != 0) {
-            entry.second.words.push_back(process.self);
+            evict->words.push_back(process.self);
           }
         }
       }
@@ -274,6 +346,7 @@
         if (!this->Frozen(i)) {
           this->ReadLog(i);
           this->SendHeartbeats(i);
+          this->SendWitnessChange(i);
           this->Suspect(i);
         }
       }
@@ -313,7 +386,7 @@
   Incarnation last_incarnation = 0;
   std::vector<FleetRecord> log;
   std::vector<Heartbeat> messages;
-  std::vector<std::pair<Duration, Evict>> pending;
+  std::vector<std::pair<Duration, FleetRecord>> pending;
   uint64_t held = 0;  // times that a lease was seen held
   bool violated = false;
 };
