testing: free addresses lie below the ports of outgoing connections

Cause: a port that was free when asked for was taken by an outgoing connection before the steward listened on it; one run of the steward's tests failed so. Change: ports from 12000 to 18999, beginning by process id.

--- a/src/celerykeel/testing/free_address.h
+++ b/src/celerykeel/testing/free_address.h
@@ -1,25 +1,37 @@
 #pragma once
 
-#include <arpa/inet.h>   // for htonl, ntohs
+#include <arpa/inet.h>   // for htonl, htons
 #include <netinet/in.h>  // for sockaddr_in
-#include <sys/socket.h>  // for socket, bind, getsockname
-#include <unistd.h>      // for close
+#include <sys/socket.h>  // for socket, bind
+#include <unistd.h>      // for close, getpid
 
-#include <string>  // for std::string
+#include <cstdint>  // for uint32_t
+#include <string>   // for std::string
 
 namespace celerykeel {
 
-/// @brief A loopback address that nobody listens on at the moment.
+/// @brief A loopback address that nobody listens on at the moment. Its port
+/// lies below those of outgoing connections, and test programs that run at the
+/// same time begin at different ones.
 inline std::string FreeAddress() {
-  const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  bind(socket_fd, reinterpret_cast<const sockaddr*>(&address), length);
-  getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &length);
-  close(socket_fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  constexpr uint32_t kLowest = 12'000;
+  constexpr uint32_t kPorts = 7'000;
+  static uint32_t next = static_cast<uint32_t>(getpid()) * 61;
+  while (true) {
+    const uint32_t port = kLowest + next++ % kPorts;
+    const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    const int bound =
+        bind(socket_fd, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address));
+    close(socket_fd);
+    if (bound == 0) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 }  // namespace celerykeel
