ctl, core: a ticket refused before it is appended is in the audit trail

Ruled out: appending the ticket for the fold to refuse; it might be accepted by then, after the operator was told that it was not. Change: record RefusedTicket (FleetRecord field 7), which only adds an audit entry; submit appends one, and says so if the log did not confirm it.

--- a/include/celerykeel/core/fleet_state.h
+++ b/include/celerykeel/core/fleet_state.h
@@ -64,8 +64,26 @@
   std::shared_ptr<const FleetState> state;
 };
 
-using FleetRecord = std::
-    variant<Unreadable, Join, Leave, Evict, Ticket, Snapshot, WitnessChange>;
+/// @brief A ticket that was refused before it was appended; it changes nothing
+/// but the audit trail.
+struct RefusedTicket {
+  std::string subject;  // its number, or the name of a file that did not parse
+  std::string operator_name;
+  std::string comment;
+  std::string field;
+  std::string reason;
+
+  friend bool operator==(const RefusedTicket&, const RefusedTicket&) = default;
+};
+
+using FleetRecord = std::variant<Unreadable,
+                                 Join,
+                                 Leave,
+                                 Evict,
+                                 Ticket,
+                                 Snapshot,
+                                 WitnessChange,
+                                 RefusedTicket>;
 
 struct Member {
   Join join;
--- a/include/celerykeel/ctl/submit.h
+++ b/include/celerykeel/ctl/submit.h
@@ -38,9 +38,10 @@
   std::vector<std::string> missing;     // instances that have not folded it
 };
 
-/// @brief Refused before anything was appended.
+/// @brief Refused before the ticket was appended.
 struct SubmitRefused {
   TicketRefusal refusal;
+  std::optional<Offset> noted_at;  // in the audit trail
 };
 
 /// @brief Appended, and refused by the fold.
@@ -69,6 +70,12 @@
                           const SubmitOptions& options,
                           const SubmitAccess& access);
 
+/// @brief Puts a refused ticket into the audit trail, by one attempt.
+/// @return its offset, or nothing if the log did not confirm it.
+std::optional<Offset> NoteRefusal(RefusedTicket refused,
+                                  const SubmitAccess& access,
+                                  Duration limit);
+
 /// @brief The accepted entry of exactly this ticket, if there is one: its
 /// number, and the content of all that it still has in force.
 const AuditEntry* FindAccepted(const FleetState& state, const Ticket& ticket);
--- a/include/celerykeel/ctl/views.h
+++ b/include/celerykeel/ctl/views.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <string>  // for std::string
-#include <vector>  // for std::vector
+#include <optional>  // for std::optional
+#include <string>    // for std::string
+#include <vector>    // for std::vector
 
 #include "celerykeel/core/fleet_state.h"   // for FleetState
 #include "celerykeel/core/ticket_check.h"  // for TicketRefusal
@@ -29,6 +30,9 @@
 Report ShowRefused(const TicketJsonError& error);
 Report ShowRefused(const TicketRefusal& refusal);
 
+/// @brief Adds where the audit trail has a refusal, or that it has not.
+Report WithNote(Report report, std::optional<Offset> noted_at);
+
 /// @brief What became of a submission.
 Report ShowSubmitted(const Ticket& ticket, const SubmitResult& result);
 
--- a/src/celerykeel/core/fold.cc
+++ b/src/celerykeel/core/fold.cc
@@ -160,6 +160,15 @@
     return AddAudit(this->state, std::move(entry));
   }
 
+  const AuditEntry* operator()(const RefusedTicket& refused) const {
+    AuditEntry entry = this->Entry("ticket", refused.subject);
+    entry.operator_name = refused.operator_name;
+    entry.comment = refused.comment;
+    entry.field = refused.field;
+    entry.reason = refused.reason;
+    return AddAudit(this->state, std::move(entry));
+  }
+
   // A reader that starts from nothing takes the whole state, and stands where
   // that state stood; for all others the snapshot says nothing new.
   const AuditEntry* operator()(const Snapshot& snapshot) const {
--- a/src/celerykeel/core/fold_unittest.cc
+++ b/src/celerykeel/core/fold_unittest.cc
@@ -207,6 +207,17 @@
   CHECK(state.audit.size() == kAuditEntriesKept);
 }
 
+TEST_CASE("a ticket refused before it was appended is only audited") {
+  FleetState state;
+  const AuditEntry* const entry =
+      Fold(state, 1, RefusedTicket{"7", "kari", "", "teams[0]", "stale"});
+  REQUIRE(entry != nullptr);
+  CHECK_FALSE(entry->accepted);
+  CHECK(entry->kind == "ticket");
+  CHECK(entry->field == "teams[0]");
+  CHECK(state.numbers.empty());
+}
+
 TEST_CASE("a record at or below the offset is skipped") {
   FleetState state = FleetOfThree();
   const FleetState before = state;
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -1,11 +1,12 @@
 #include "celerykeel/ctl/commands.h"
 
-#include <algorithm>  // for std::min
-#include <fstream>    // for std::ifstream, std::ofstream
-#include <iterator>   // for std::istreambuf_iterator
-#include <optional>   // for std::optional
-#include <thread>     // for std::this_thread
-#include <utility>    // for std::move
+#include <algorithm>   // for std::min
+#include <filesystem>  // for std::filesystem::path
+#include <fstream>     // for std::ifstream, std::ofstream
+#include <iterator>    // for std::istreambuf_iterator
+#include <optional>    // for std::optional
+#include <thread>      // for std::this_thread
+#include <utility>     // for std::move
 
 #include "celerykeel/core/ticket_check.h"  // for CheckTicket
 #include "celerykeel/ctl/exchange.h"       // for Exchange
@@ -84,7 +85,7 @@
     return ShowChecked(ticket, /*against_fleet=*/true);
   }
 
-  Report Submit(const Ticket& ticket) const {
+  SubmitAccess Access() const {
     SubmitAccess access;
     access.status = [this](Duration limit) { return this->Status(limit); };
     access.progress = [this](const InstanceStatus& status) {
@@ -96,11 +97,27 @@
     };
     access.now = [] { return Now(); };
     access.pause = [](Duration pause) { std::this_thread::sleep_for(pause); };
+    return access;
+  }
+
+  Report Submit(const Ticket& ticket) const {
     SubmitOptions submit;
     submit.check_first = !this->options.unchecked;
     submit.wait_for_all = this->options.wait;
     submit.timeout = this->options.timeout;
-    return ShowSubmitted(ticket, SubmitTicket(ticket, submit, access));
+    return ShowSubmitted(ticket, SubmitTicket(ticket, submit, this->Access()));
+  }
+
+  // A file that does not parse has no number; its name stands for it.
+  Report NoteUnparsed(const TicketJsonError& error) const {
+    RefusedTicket note;
+    note.subject =
+        std::filesystem::path(this->options.ticket_file).filename().string();
+    note.field = error.field;
+    note.reason = RenderError(error);
+    return WithNote(
+        ShowRefused(error),
+        NoteRefusal(std::move(note), this->Access(), this->options.timeout));
   }
 
   Report Show() const {
@@ -121,37 +138,48 @@
   }
 };
 
-Report RunWithFleet(const CtlOptions& options,
-                    const std::optional<Ticket>& ticket) {
+// Runs `command` with a session, if sockets can be made.
+template <typename Command>
+Report RunWithFleet(const CtlOptions& options, Command&& command) {
   auto exchange = Exchange::Create();
   if (!exchange) {
     return ShowFailure(kExitFailed, "no_sockets",
                        "no socket could be made; check the open-file limit");
   }
-  const Session session{options, **exchange};
-  if (options.command == CtlCommand::kTicketSubmit) {
-    return session.Submit(*ticket);
-  }
-  return ticket ? session.Check(*ticket) : session.Show();
+  return command(Session{options, **exchange});
 }
 
-Report RunTicketFile(const CtlOptions& options) {
-  const auto text = ReadFile(options.ticket_file);
-  if (!text) {
-    return NoFile(options.ticket_file);
-  }
-  auto ticket = ParseTicketJson(*text);
+Report RunSubmit(const CtlOptions& options, const std::string& text) {
+  const auto ticket = ParseTicketJson(text);
+  return RunWithFleet(options, [&](const Session& session) {
+    return ticket ? session.Submit(*ticket)
+                  : session.NoteUnparsed(ticket.error());
+  });
+}
+
+Report RunCheck(const CtlOptions& options, const std::string& text) {
+  const auto ticket = ParseTicketJson(text);
   if (!ticket) {
     return ShowRefused(ticket.error());
   }
-  if (auto checked = CheckTicketFields(*ticket);
-      !checked && !options.unchecked) {
+  if (auto checked = CheckTicketFields(*ticket); !checked) {
     return ShowRefused(checked.error());
   }
   if (options.feed.empty()) {
     return ShowChecked(*ticket, /*against_fleet=*/false);
   }
-  return RunWithFleet(options, std::move(*ticket));
+  return RunWithFleet(
+      options, [&](const Session& session) { return session.Check(*ticket); });
+}
+
+Report RunTicketFile(const CtlOptions& options) {
+  const auto text = ReadFile(options.ticket_file);
+  if (!text) {
+    return NoFile(options.ticket_file);
+  }
+  return options.command == CtlCommand::kTicketSubmit
+             ? RunSubmit(options, *text)
+             : RunCheck(options, *text);
 }
 
 Report RunKeyMake(const CtlOptions& options) {
@@ -181,7 +209,8 @@
     case CtlCommand::kKeyMake:
       return RunKeyMake(options);
     default:
-      return RunWithFleet(options, std::nullopt);
+      return RunWithFleet(
+          options, [](const Session& session) { return session.Show(); });
   }
 }
 
--- a/src/celerykeel/ctl/golden_unittest.cc
+++ b/src/celerykeel/ctl/golden_unittest.cc
@@ -195,6 +195,8 @@
   for (const SubmitResult& result :
        {SubmitResult(SubmitAccepted{14, false, {}, {}}), SubmitResult(accepted),
         SubmitResult(late), SubmitResult(SubmitAccepted{5, true, {}, {}}),
+        SubmitResult(SubmitRefused{EmptyTicket{}, 14}),
+        SubmitResult(SubmitRefused{EmptyTicket{}, std::nullopt}),
         SubmitResult(SubmitRefusedByFleet{state.audit[6]}),
         SubmitResult(SubmitFailed{SubmitFault::kNoSteward, 0}),
         SubmitResult(SubmitFailed{SubmitFault::kNotAppended, 0}),
--- a/src/celerykeel/ctl/submit.cc
+++ b/src/celerykeel/ctl/submit.cc
@@ -17,6 +17,7 @@
 // An append begun with less time than this might end without an answer, and
 // turn "nothing has changed" into "unknown".
 constexpr Duration kLeastAppendTime = std::chrono::seconds(1);
+constexpr Duration kNoteTime = std::chrono::seconds(2);
 
 // What the ticket set and nobody has set since must read as the ticket says.
 bool ContentMatches(const FleetState& state,
@@ -68,6 +69,11 @@
   }
 
   SubmitResult Run() const {
+    if (this->options.check_first) {
+      if (auto checked = CheckTicketFields(this->ticket); !checked) {
+        return this->Refuse(std::move(checked.error()));
+      }
+    }
     auto before = this->Status();
     if (!before) {
       return SubmitFailed{SubmitFault::kNoSteward};
@@ -78,12 +84,24 @@
     }
     if (this->options.check_first) {
       if (auto checked = CheckTicket(before->state, this->ticket); !checked) {
-        return SubmitRefused{std::move(checked.error())};
+        return this->Refuse(std::move(checked.error()));
       }
     }
     return this->AppendUntilKnown();
   }
 
+  SubmitResult Refuse(TicketRefusal refusal) const {
+    RefusedTicket note;
+    note.subject = std::to_string(this->ticket.number);
+    note.operator_name = this->ticket.operator_name;
+    note.comment = this->ticket.comment;
+    note.field = FieldOf(refusal);
+    note.reason = RenderRefusal(refusal);
+    const auto noted_at = NoteRefusal(std::move(note), this->access,
+                                      std::min(this->Left(), kNoteTime));
+    return SubmitRefused{std::move(refusal), noted_at};
+  }
+
   SubmitResult AppendUntilKnown() const {
     const std::string record = EncodeFleetRecord(this->ticket);
     bool may_be_there = false;
@@ -185,6 +203,16 @@
   return &*found;
 }
 
+std::optional<Offset> NoteRefusal(RefusedTicket refused,
+                                  const SubmitAccess& access,
+                                  Duration limit) {
+  const AppendResult result =
+      access.append(EncodeFleetRecord(std::move(refused)), limit);
+  return result.outcome == AppendOutcome::kAppended
+             ? std::optional(result.first_offset)
+             : std::nullopt;
+}
+
 SubmitResult SubmitTicket(const Ticket& ticket,
                           const SubmitOptions& options,
                           const SubmitAccess& access) {
--- a/src/celerykeel/ctl/views.cc
+++ b/src/celerykeel/ctl/views.cc
@@ -187,16 +187,13 @@
   }
 
   Report operator()(const SubmitRefused& refused) const {
-    return ShowRefused(refused.refusal);
+    return WithNote(ShowRefused(refused.refusal), refused.noted_at);
   }
 
   Report operator()(const SubmitRefusedByFleet& refused) const {
     const AuditEntry& entry = refused.entry;
-    Report report = Refusal("refused_by_fleet", entry.field, entry.reason);
-    report.data["offset"] = entry.offset;
-    report.text += "the audit trail has it at offset " +
-                   std::to_string(entry.offset) + "\n";
-    return report;
+    return WithNote(Refusal("refused_by_fleet", entry.field, entry.reason),
+                    entry.offset);
   }
 
   Report operator()(const SubmitFailed& failed) const {
@@ -323,6 +320,17 @@
   return Refusal(KindOf(refusal), FieldOf(refusal), RenderRefusal(refusal));
 }
 
+Report WithNote(Report report, std::optional<Offset> noted_at) {
+  if (noted_at) {
+    report.data["offset"] = *noted_at;
+    report.text +=
+        "the audit trail has it at offset " + std::to_string(*noted_at) + "\n";
+  } else {
+    report.text += "the log did not confirm a note in the audit trail\n";
+  }
+  return report;
+}
+
 Report ShowSubmitted(const Ticket& ticket, const SubmitResult& result) {
   return std::visit(ShowSubmit{ticket}, result);
 }
--- a/src/celerykeel/wire/fleet_codec.cc
+++ b/src/celerykeel/wire/fleet_codec.cc
@@ -46,6 +46,11 @@
   return join;
 }
 
+RefusedTicket FromProto(const pb::RefusedTicket& in) {
+  return RefusedTicket{in.subject(), in.operator_(), in.comment(), in.field(),
+                       in.reason()};
+}
+
 WitnessChange FromProto(const pb::WitnessChange& in) {
   return WitnessChange{in.incarnation(),
                        in.number(),
@@ -136,6 +141,14 @@
     message.set_by(evict.by);
     message.set_reason(evict.reason);
   }
+  void operator()(const RefusedTicket& refused) const {
+    auto& message = *this->out.mutable_refused_ticket();
+    message.set_subject(refused.subject);
+    message.set_operator_(refused.operator_name);
+    message.set_comment(refused.comment);
+    message.set_field(refused.field);
+    message.set_reason(refused.reason);
+  }
   void operator()(const WitnessChange& change) const {
     auto& message = *this->out.mutable_witness_change();
     message.set_incarnation(change.incarnation);
@@ -189,6 +202,8 @@
       return FromProto(message.ticket());
     case pb::FleetRecord::kSnapshot:
       return FromProto(message.snapshot());
+    case pb::FleetRecord::kRefusedTicket:
+      return FromProto(message.refused_ticket());
     case pb::FleetRecord::kWitnessChange:
       return FromProto(message.witness_change());
     case pb::FleetRecord::KIND_NOT_SET:
--- a/src/celerykeel/wire/fleet_codec_unittest.cc
+++ b/src/celerykeel/wire/fleet_codec_unittest.cc
@@ -49,6 +49,8 @@
   const Evict evict = RoundTrip(Evict{4, {5, 6}, 7, "silent"});
   CHECK(evict.words == std::vector<Incarnation>{5, 6});
   CHECK(evict.by == 7);
+  const RefusedTicket refused{"7", "kari", "first", "teams[0]", "stale"};
+  CHECK(RoundTrip(refused) == refused);
   const WitnessChange change = RoundTrip(WitnessChange{4, 2, {"a", "b"}});
   CHECK(change.number == 2);
   CHECK(change.witnesses == std::vector<std::string>{"a", "b"});
