--- a/src/celerykeel/core/ticket_check_unittest.cc
+++ b/src/celerykeel/core/ticket_check_unittest.cc
@@ -183,80 +183,53 @@
   }
 }
 
+struct FieldFault {
+  std::string_view field;
+  void (*damage)(Ticket&);
+};
+
 TEST_CASE("a field that does not hold is refused by its name") {
-  Ticket ticket = Whole();
-  ticket.number = 2;
-  SUBCASE("number") {
-    ticket.number = 0;
-    CheckRefused(ticket, "invalid_field", "number");
-  }
-  SUBCASE("rate") {
-    ticket.teams[0].rate = 0;
-    CheckRefused(ticket, "invalid_field", "teams[0].rate");
-  }
-  SUBCASE("rate that is no number") {
-    ticket.teams[0].rate = std::numeric_limits<double>::quiet_NaN();
-    CheckRefused(ticket, "invalid_field", "teams[0].rate");
-  }
-  SUBCASE("burst") {
-    ticket.teams[0].burst = 0.5;
-    CheckRefused(ticket, "invalid_field", "teams[0].burst");
-  }
-  SUBCASE("weight") {
-    ticket.teams[0].weight = -1;
-    CheckRefused(ticket, "invalid_field", "teams[0].weight");
-  }
-  SUBCASE("id") {
-    ticket.teams[0].id = "two words";
-    CheckRefused(ticket, "invalid_field", "teams[0].id");
-  }
-  SUBCASE("digest") {
-    ticket.keys[0].digest = "secret";
-    CheckRefused(ticket, "invalid_field", "keys[0].digest");
-  }
-  SUBCASE("salt") {
-    ticket.keys[0].salt = "";
-    CheckRefused(ticket, "invalid_field", "keys[0].salt");
-  }
-  SUBCASE("version") {
-    ticket.models[0].version = "";
-    CheckRefused(ticket, "invalid_field", "models[0].version");
-  }
-  SUBCASE("kind") {
-    ticket.endpoints[1].kind = EndpointKind::kUnspecified;
-    CheckRefused(ticket, "invalid_field", "endpoints[1].kind");
-  }
-  SUBCASE("host") {
-    ticket.endpoints[0].host = "engine.example";
-    CheckRefused(ticket, "invalid_field", "endpoints[0].host");
-  }
-  SUBCASE("port") {
-    ticket.endpoints[0].port = 65'536;
-    CheckRefused(ticket, "invalid_field", "endpoints[0].port");
-  }
-  SUBCASE("slots") {
-    ticket.endpoints[0].slots = 0;
-    CheckRefused(ticket, "invalid_field", "endpoints[0].slots");
-  }
-  SUBCASE("an engine with a service") {
-    ticket.endpoints[0].service = "booking";
-    CheckRefused(ticket, "invalid_field", "endpoints[0].service");
-  }
-  SUBCASE("a service with a model") {
-    ticket.endpoints[1].model = "assistant";
-    CheckRefused(ticket, "invalid_field", "endpoints[1].model");
-  }
-  SUBCASE("path") {
-    ticket.routes[0].path_prefix = "slots";
-    CheckRefused(ticket, "invalid_field", "routes[0].pathPrefix");
-  }
-  SUBCASE("method") {
-    ticket.routes[0].method = "post";
-    CheckRefused(ticket, "invalid_field", "routes[0].method");
-  }
-  SUBCASE("weight of a profile") {
-    ticket.profiles[0].program_latency_weight = -2;
-    CheckRefused(ticket, "invalid_field", "profiles[0].programLatencyWeight");
+  const FieldFault faults[] = {
+      {"number", [](Ticket& ticket) { ticket.number = 0; }},
+      {"teams[0].rate", [](Ticket& ticket) { ticket.teams[0].rate = 0; }},
+      {"teams[0].rate",
+       [](Ticket& ticket) {
+         ticket.teams[0].rate = std::numeric_limits<double>::quiet_NaN();
+       }},
+      {"teams[0].burst", [](Ticket& ticket) { ticket.teams[0].burst = 0.5; }},
+      {"teams[0].weight", [](Ticket& ticket) { ticket.teams[0].weight = -1; }},
+      {"teams[0].id", [](Ticket& ticket) { ticket.teams[0].id = "two words"; }},
+      {"keys[0].digest",
+       [](Ticket& ticket) { ticket.keys[0].digest = "secret"; }},
+      {"keys[0].salt", [](Ticket& ticket) { ticket.keys[0].salt = ""; }},
+      {"models[0].version",
+       [](Ticket& ticket) { ticket.models[0].version = ""; }},
+      {"endpoints[1].kind",
+       [](Ticket& ticket) {
+         ticket.endpoints[1].kind = EndpointKind::kUnspecified;
+       }},
+      {"endpoints[0].host",
+       [](Ticket& ticket) { ticket.endpoints[0].host = "engine.example"; }},
+      {"endpoints[0].port",
+       [](Ticket& ticket) { ticket.endpoints[0].port = 65'536; }},
+      {"endpoints[0].slots",
+       [](Ticket& ticket) { ticket.endpoints[0].slots = 0; }},
+      {"endpoints[0].service",
+       [](Ticket& ticket) { ticket.endpoints[0].service = "booking"; }},
+      {"endpoints[1].model",
+       [](Ticket& ticket) { ticket.endpoints[1].model = "assistant"; }},
+      {"routes[0].pathPrefix",
+       [](Ticket& ticket) { ticket.routes[0].path_prefix = "slots"; }},
+      {"routes[0].method",
+       [](Ticket& ticket) { ticket.routes[0].method = "post"; }},
+      {"profiles[0].programLatencyWeight",
+       [](Ticket& ticket) { ticket.profiles[0].program_latency_weight = -2; }},
+  };
+  for (const auto& [field, damage] : faults) {
+    Ticket ticket = Whole();
+    ticket.number = 2;
+    damage(ticket);
+    CheckRefused(ticket, "invalid_field", field);
   }
 }
 
