--- a/src/celerykeel/ctl/explain_fetch.cc
+++ b/src/celerykeel/ctl/explain_fetch.cc
@@ -112,6 +112,7 @@
                             Duration timeout) {
   std::vector<Question> questions;
   const std::vector<const Member*> members = MembersByName(state);
+  questions.reserve(members.size());
   for (const Member* const member : members) {
     questions.push_back(
         ExplainQuestion(exchange, member->join.scheduler_address, subject));
