core: a team's rate over the whole fleet, by loans

Cause: gates admitted without regard to the rate. A share's tokens at home and on loan together never exceed its burst; a new home waits until no earlier one can lend, or starts from a handover. Found by the property: the level rose as if a loan had ended when its news came (8 let through where 7.95 were allowed); now a case of its own. Without expiry, wait, freshness or the counting of loans the property fails, each alone.

--- /dev/null
+++ b/src/celerykeel/core/rate_borrower.cc
@@ -0,0 +1,190 @@
+#include "celerykeel/core/rate_borrower.h"
+
+#include <algorithm>  // for std::min, std::max
+#include <cmath>      // for std::exp
+
+namespace celerykeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kDemandMemory = std::chrono::seconds(1);
+constexpr Duration kAhead = milliseconds(200);       // of demand, held ready
+constexpr Duration kAnswerTime = milliseconds(100);  // then a wish is lost
+constexpr Duration kReportEvery = milliseconds(50);
+constexpr double kRounding = 1e-9;
+constexpr double kNoDemand = 0.01;  // requests per second
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// The clock starts when the wish was sent: the home's own count starts later,
+// so a loan that is late, or whose borrower slept, is never used after the
+// home has written it off.
+bool IsLive(const LoanHeld& loan, Duration now) {
+  return loan.granted && now < loan.asked_at + kLoanValidity;
+}
+
+bool IsAwaited(const LoanHeld& loan, Duration now) {
+  return !loan.granted && now < loan.asked_at + kAnswerTime;
+}
+
+double DemandNow(const ShareHeld& held, Duration now) {
+  const double age = Seconds(std::max(now - held.demand_at, Duration::zero()));
+  return held.demand * std::exp(-age / Seconds(kDemandMemory));
+}
+
+double HeldOf(const ShareHeld& held, Duration now) {
+  double tokens = 0;
+  for (const auto& [request, loan] : held.loans) {
+    tokens += IsLive(loan, now) ? loan.tokens : 0;
+  }
+  return tokens;
+}
+
+double Ahead(const ShareHeld& held, Duration now) {
+  return DemandNow(held, now) * Seconds(kAhead);
+}
+
+// Says what changed since the last report; a loan that is used up is closed.
+void ReportUse(const RateShare& share,
+               ShareHeld& held,
+               std::vector<LoanNews>& news) {
+  for (auto& [request, loan] : held.loans) {
+    if (loan.granted && loan.tokens != loan.reported) {
+      loan.reported = loan.tokens;
+      const bool used_up = loan.tokens < kRounding;
+      news.push_back({share, request, used_up ? 0 : loan.tokens, used_up});
+    }
+  }
+  std::erase_if(held.loans, [](const auto& entry) {
+    return entry.second.granted && entry.second.tokens < kRounding;
+  });
+}
+
+}  // namespace
+
+void NoteDemand(RateBorrower& borrower, const RateShare& share, Duration now) {
+  ShareHeld& held = borrower.shares[share];
+  held.demand = DemandNow(held, now) + 1 / Seconds(kDemandMemory);
+  held.demand_at = now;
+}
+
+bool UseToken(RateBorrower& borrower, const RateShare& share, Duration now) {
+  const auto found = borrower.shares.find(share);
+  if (found == borrower.shares.end() ||
+      HeldOf(found->second, now) + kRounding < 1) {
+    return false;
+  }
+  double left = 1;
+  for (auto& [request, loan] : found->second.loans) {
+    if (IsLive(loan, now)) {
+      const double used = std::min(loan.tokens, left);
+      loan.tokens -= used;
+      left -= used;
+    }
+  }
+  return true;
+}
+
+double Held(const RateBorrower& borrower,
+            const RateShare& share,
+            Duration now) {
+  const auto found = borrower.shares.find(share);
+  return found == borrower.shares.end() ? 0 : HeldOf(found->second, now);
+}
+
+LoanWish AskFor(RateBorrower& borrower,
+                const RateShare& share,
+                double needed,
+                Incarnation self,
+                Duration now) {
+  ShareHeld& held = borrower.shares[share];
+  const uint64_t request = borrower.next_request++;
+  held.loans[request] = {.asked_at = now};
+  return {.share = share,
+          .id = {.borrower = self, .request = request},
+          .needed = needed,
+          .wanted = needed + Ahead(held, now)};
+}
+
+bool ShouldAskAhead(const RateBorrower& borrower,
+                    const RateShare& share,
+                    Duration now) {
+  const auto found = borrower.shares.find(share);
+  if (found == borrower.shares.end()) {
+    return false;
+  }
+  const ShareHeld& held = found->second;
+  const bool awaited = std::any_of(
+      held.loans.begin(), held.loans.end(),
+      [now](const auto& entry) { return IsAwaited(entry.second, now); });
+  return !awaited && HeldOf(held, now) < Ahead(held, now) / 2;
+}
+
+void TakeGrant(RateBorrower& borrower,
+               const RateShare& share,
+               uint64_t request,
+               double tokens,
+               Duration now) {
+  const auto found = borrower.shares.find(share);
+  if (found == borrower.shares.end()) {
+    return;
+  }
+  auto& loans = found->second.loans;
+  const auto loan = loans.find(request);
+  if (loan == loans.end() || loan->second.granted) {
+    return;
+  }
+  if (tokens <= 0 || now >= loan->second.asked_at + kLoanValidity) {
+    loans.erase(loan);
+    return;
+  }
+  loan->second.granted = true;
+  loan->second.tokens = tokens;
+  loan->second.reported = tokens;
+}
+
+std::vector<LoanNews> GiveBack(RateBorrower& borrower,
+                               const RateShare& share,
+                               Duration now) {
+  std::vector<LoanNews> news;
+  const auto found = borrower.shares.find(share);
+  if (found == borrower.shares.end()) {
+    return news;
+  }
+  std::erase_if(found->second.loans, [&](const auto& entry) {
+    const auto& [request, loan] = entry;
+    if (IsLive(loan, now)) {
+      news.push_back({share, request, loan.tokens, true});
+    }
+    return loan.granted;
+  });
+  return news;
+}
+
+std::vector<LoanNews> Review(RateBorrower& borrower, Duration now) {
+  std::vector<LoanNews> news;
+  for (auto& [share, held] : borrower.shares) {
+    std::erase_if(held.loans, [now](const auto& entry) {
+      return now >= entry.second.asked_at + kLoanValidity;
+    });
+    if (HeldOf(held, now) > 2 * Ahead(held, now) + 1) {
+      for (LoanNews& closed : GiveBack(borrower, share, now)) {
+        news.push_back(std::move(closed));
+      }
+    } else if (now - held.reported_at >= kReportEvery) {
+      held.reported_at = now;
+      ReportUse(share, held, news);
+    }
+  }
+  std::erase_if(borrower.shares, [now](const auto& entry) {
+    return entry.second.loans.empty() &&
+           DemandNow(entry.second, now) < kNoDemand;
+  });
+  return news;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/rate_fleet_unittest.cc
@@ -0,0 +1,228 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>                    // for rc::gen
+#include <rapidcheck/detail/TestParams.h>  // for rc::detail::TestParams
+
+#include <iostream>  // for std::cerr
+
+#include "celerykeel/core/rate_world_unittest.h"  // for RateWorld
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::RateWorld;
+using testing::WithoutRule;
+using testing::WorldOptions;
+
+constexpr uint64_t kSeed = 20261204;
+constexpr int kRuns = 150;
+constexpr int kRunsUntilFailure = 600;
+
+enum class What {
+  kJoin,
+  kLeave,
+  kKill,
+  kEvict,
+  kFreeze,
+  kWake,
+  kCut,
+  kHeal,
+  kLoad
+};
+
+struct Event {
+  What what = What::kLoad;
+  int which = 0;     // of the members that live
+  int millis = 0;    // that pass after it
+  int requests = 0;  // spread over the time that passes, on one gate
+};
+
+Event MakeEvent() {
+  Event event;
+  event.what = *rc::gen::element(
+      What::kJoin, What::kLeave, What::kKill, What::kEvict, What::kFreeze,
+      What::kWake, What::kCut, What::kHeal, What::kLoad, What::kLoad,
+      What::kLoad, What::kLoad, What::kLoad, What::kLoad);
+  event.which = *rc::gen::inRange(0, 100);
+  event.millis = *rc::gen::inRange(10, 2500);
+  event.requests = *rc::gen::inRange(0, 60);
+  return event;
+}
+
+void Apply(RateWorld& world, const Event& event) {
+  const auto alive = world.Alive();
+  const Incarnation node = alive[event.which % alive.size()];
+  const bool last = alive.size() <= 2;
+  switch (event.what) {
+    case What::kJoin:
+      if (alive.size() < 6) {
+        world.Join();
+      }
+      break;
+    case What::kLeave:
+      if (!last) {
+        world.Leave(node);
+      }
+      break;
+    case What::kKill:
+      if (!last) {
+        world.Kill(node);
+        world.Advance(milliseconds(event.which * 20));
+        world.Evict(node);
+      }
+      break;
+    case What::kEvict:
+      if (!last) {
+        world.SetCut(node, true);
+        world.Advance(milliseconds(event.which * 20));
+        world.Evict(node);
+      }
+      break;
+    case What::kFreeze:
+    case What::kWake:
+      world.SetFrozen(node, event.what == What::kFreeze);
+      break;
+    case What::kCut:
+    case What::kHeal:
+      world.SetCut(node, event.what == What::kCut);
+      break;
+    case What::kLoad:
+      break;
+  }
+  const auto members = world.Alive();
+  for (int i = 0; i < event.requests; ++i) {
+    world.Request(members[(event.which + i / 7) % members.size()]);
+    world.Advance(milliseconds(event.millis / (event.requests + 1)));
+  }
+  world.Advance(milliseconds(event.millis / (event.requests + 1)));
+}
+
+struct Verdict {
+  bool holds = false;
+  size_t admitted = 0;
+  size_t refused = 0;
+};
+
+Verdict Check(WithoutRule without, int runs) {
+  Verdict verdict;
+  rc::detail::TestMetadata metadata;
+  metadata.id = "rate";
+  rc::detail::TestParams params;
+  params.seed = kSeed;
+  params.maxSuccess = runs;
+  params.disableShrinking = true;
+  const auto result = rc::detail::checkTestable(
+      [&] {
+        WorldOptions options;
+        options.without = without;
+        options.team.rate = *rc::gen::inRange(1, 40);
+        options.team.burst = *rc::gen::inRange(1, 40);
+        options.seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+        options.lost = *rc::gen::element(0.0, 0.05, 0.3);
+        options.doubled = *rc::gen::element(0.0, 0.3);
+        options.late = *rc::gen::element(0.0, 0.05, 0.5);
+        RateWorld world(options);
+        for (int i = 0; i < 3; ++i) {
+          world.Join();
+        }
+        world.Advance(seconds(6));
+        const int events = *rc::gen::inRange(5, 20);
+        for (int i = 0; i < events; ++i) {
+          Apply(world, MakeEvent());
+        }
+        verdict.admitted += world.admitted.size();
+        verdict.refused += world.refused.size();
+        RC_ASSERT(world.WithinRate());
+      },
+      metadata, params);
+  verdict.holds = result.template is<rc::detail::SuccessResult>();
+  if (!verdict.holds && without == WithoutRule::kNothing) {
+    rc::detail::printResultMessage(result, std::cerr);
+  }
+  return verdict;
+}
+
+TEST_CASE("the fleet lets through at most burst + rate x window") {
+  const Verdict verdict = Check(WithoutRule::kNothing, kRuns);
+  CHECK(verdict.holds);
+  CHECK(verdict.admitted > 0);
+  CHECK(verdict.refused > 0);
+  MESSAGE("let through " << verdict.admitted << ", refused "
+                         << verdict.refused);
+}
+
+TEST_CASE("each rule of the loans is needed") {
+  CHECK_FALSE(Check(WithoutRule::kLoanExpiry, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(WithoutRule::kHomeWait, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(WithoutRule::kFreshness, kRunsUntilFailure).holds);
+  CHECK_FALSE(Check(WithoutRule::kCountingOfLoans, kRunsUntilFailure).holds);
+}
+
+// Thirteen gates, a third of the callers on one of them, the team at a part of
+// its rate. A request is inside the rate if a bucket of the whole fleet, in
+// one place, would have let it through.
+struct Unfairness {
+  size_t requests = 0;
+  size_t refused = 0;
+  size_t inside = 0;  // refused although one bucket would have let it through
+  uint64_t messages = 0;
+};
+
+Unfairness Measure(RateLimits team, double load, Duration delay) {
+  WorldOptions options;
+  options.team = team;
+  options.delay = delay;
+  RateWorld world(options);
+  for (int i = 0; i < 13; ++i) {
+    world.Join();
+  }
+  world.Advance(seconds(30));
+  std::mt19937_64 random(kSeed);
+  std::exponential_distribution<> gap(team.rate * load);
+  std::discrete_distribution<size_t> gate(
+      {30, 20, 10, 8, 6, 5, 5, 4, 4, 3, 2, 2, 1});
+  const auto members = world.Alive();
+  TokenBucket whole{.level = team.burst, .updated_at = world.now};
+  Unfairness result;
+  size_t would_refuse = 0;
+  Duration next = world.now;
+  const Duration end = world.now + seconds(120);
+  while (next < end) {
+    next += Duration(static_cast<int64_t>(gap(random) * 1e9));
+    if (next > world.now) {
+      world.Advance(next - world.now);
+    }
+    ++result.requests;
+    Refill(whole, team.rate, team.burst, world.now);
+    would_refuse += Take(whole, 1, team.rate) ? 0 : 1;
+    world.Request(members[gate(random)]);
+  }
+  world.Advance(seconds(2));
+  result.refused = world.refused.size();
+  result.inside =
+      result.refused > would_refuse ? result.refused - would_refuse : 0;
+  result.messages = world.messages;
+  CHECK(world.WithinRate());
+  return result;
+}
+
+TEST_CASE("refusals inside the rate are few, with callers spread unevenly") {
+  for (const auto& [team, load] : {std::pair{RateLimits{10, 20}, 0.5},
+                                   {RateLimits{10, 20}, 0.9},
+                                   {RateLimits{50, 50}, 0.5},
+                                   {RateLimits{50, 50}, 0.9},
+                                   {RateLimits{50, 100}, 5.0},
+                                   {RateLimits{2, 4}, 0.5}}) {
+    const Unfairness got = Measure(team, load, milliseconds(2));
+    MESSAGE("rate " << team.rate << "/s burst " << team.burst << " load "
+                    << load << ": " << got.requests << " requests, "
+                    << got.refused << " refused, " << got.inside
+                    << " more than one bucket would, " << got.messages
+                    << " messages");
+    CHECK(got.inside * 100 <= got.requests);
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/rate_gate.cc
@@ -0,0 +1,531 @@
+#include "celerykeel/core/rate_gate.h"
+
+#include <algorithm>  // for std::max, std::min
+#include <utility>    // for std::move
+
+namespace celerykeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kAskAgain = milliseconds(50);
+constexpr Duration kSilentRetry = std::chrono::seconds(1);
+constexpr Duration kEarlyKept = std::chrono::seconds(10);
+constexpr size_t kMaxEarly = 4096;
+constexpr Duration kSweepEvery = std::chrono::seconds(1);
+constexpr uint32_t kMaxRecalls = 3;
+constexpr Duration kWorthWaiting = milliseconds(30);
+constexpr Duration kDryFor = milliseconds(20);
+
+RateLimits LimitsOf(const RateGate& gate, const std::string& team) {
+  if (gate.roster.seen.empty()) {
+    return {};
+  }
+  const auto& teams = gate.roster.seen.back().state->in_force.teams;
+  const auto found = teams.find(team);
+  return found == teams.end()
+             ? RateLimits{}
+             : RateLimits{found->second.rate, found->second.burst};
+}
+
+std::optional<Incarnation> HomeNow(const RateGate& gate,
+                                   const RateShare& share) {
+  return gate.roster.seen.empty()
+             ? std::nullopt
+             : HomeOf(*gate.roster.seen.back().state, share);
+}
+
+void Deliver(RateGate& gate,
+             Incarnation to,
+             RateNote note,
+             Duration now,
+             RateActions& actions) {
+  if (to == gate.self) {
+    Receive(gate, gate.self, note, now, actions);
+  } else {
+    actions.sends.push_back({to, std::move(note)});
+  }
+}
+
+// Gates begin at different shares, so that both homes are asked alike.
+uint32_t FirstShare(const RateGate& gate, uint32_t count) {
+  return static_cast<uint32_t>(gate.self % count);
+}
+
+bool UseAnyToken(RateGate& gate, const std::string& team, Duration now) {
+  const uint32_t count = ShareCount(LimitsOf(gate, team));
+  for (uint32_t i = 0; i < count; ++i) {
+    const uint32_t share = (FirstShare(gate, count) + i) % count;
+    if (UseToken(gate.borrower, {team, share}, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Serves the requests that wait, oldest first.
+void ServeWaiting(RateGate& gate,
+                  const std::string& team,
+                  Duration now,
+                  RateActions& actions) {
+  std::erase_if(gate.waiting, [&](const RateWaiting& waiting) {
+    if (waiting.team != team || !UseAnyToken(gate, team, now)) {
+      return false;
+    }
+    actions.verdicts.push_back(
+        {.ticket = waiting.ticket, .admitted = true, .retry_after = {}});
+    return true;
+  });
+}
+
+bool IsDry(const RateGate& gate, const RateShare& share, Duration now) {
+  const auto dry = gate.dry.find(share);
+  return dry != gate.dry.end() && now < dry->second.until;
+}
+
+void TryNextShare(RateGate& gate,
+                  RateWaiting& waiting,
+                  Duration retry_after,
+                  Duration now) {
+  waiting.retry_after = waiting.asked == 0
+                            ? retry_after
+                            : std::min(waiting.retry_after, retry_after);
+  ++waiting.asked;
+  waiting.recalls = 0;
+  waiting.share =
+      (waiting.share + 1) % ShareCount(LimitsOf(gate, waiting.team));
+  waiting.ask_at = now;
+}
+
+void Ask(RateGate& gate,
+         RateWaiting& waiting,
+         Duration now,
+         RateActions& actions) {
+  const RateShare share{waiting.team, waiting.share};
+  if (IsDry(gate, share, now)) {
+    TryNextShare(gate, waiting, gate.dry[share].retry_after, now);
+    return;
+  }
+  const auto home = HomeNow(gate, share);
+  if (!home) {
+    waiting.request = 0;
+    waiting.ask_at = now + kAskAgain;
+    return;
+  }
+  const LoanWish wish = AskFor(gate.borrower, share, 1, gate.self, now);
+  waiting.request = wish.id.request;
+  actions.sends.push_back({*home, wish});
+}
+
+// The answer to a waiting request's wish was "not now".
+void GoOnWaiting(RateGate& gate,
+                 RateWaiting& waiting,
+                 const LoanGrant& grant,
+                 Duration now) {
+  waiting.request = 0;
+  if (grant.not_home) {
+    waiting.ask_at = now + kAskAgain;
+    return;
+  }
+  if (grant.retry_after <= kWorthWaiting && waiting.recalls < kMaxRecalls) {
+    ++waiting.recalls;
+    waiting.ask_at =
+        now + std::max(grant.retry_after, Duration(milliseconds(1)));
+    return;
+  }
+  gate.dry[grant.share] = {now + kDryFor, grant.retry_after};
+  TryNextShare(gate, waiting, grant.retry_after, now);
+}
+
+void AskAhead(RateGate& gate,
+              const std::string& team,
+              Duration now,
+              RateActions& actions) {
+  const uint32_t count = ShareCount(LimitsOf(gate, team));
+  for (uint32_t share = 0; share < count; ++share) {
+    const RateShare key{team, share};
+    if (IsDry(gate, key, now) || !ShouldAskAhead(gate.borrower, key, now)) {
+      continue;
+    }
+    if (const auto home = HomeNow(gate, key)) {
+      Deliver(gate, *home, AskFor(gate.borrower, key, 0, gate.self, now), now,
+              actions);
+    }
+  }
+}
+
+// A wish to oneself is answered in the same call, so it may not be sent while
+// the list of those that wait is walked.
+void AskDue(RateGate& gate, Duration now, RateActions& actions) {
+  RateActions asked;
+  for (RateWaiting& waiting : gate.waiting) {
+    const uint32_t count = ShareCount(LimitsOf(gate, waiting.team));
+    if (waiting.request == 0 && waiting.ask_at <= now &&
+        waiting.asked < count) {
+      Ask(gate, waiting, now, asked);
+    }
+  }
+  for (RateSend& send : asked.sends) {
+    Deliver(gate, send.to, std::move(send.note), now, actions);
+  }
+}
+
+void RefuseDue(RateGate& gate, Duration now, RateActions& actions) {
+  std::erase_if(gate.waiting, [&](const RateWaiting& waiting) {
+    const uint32_t count = ShareCount(LimitsOf(gate, waiting.team));
+    const bool refused = waiting.asked >= count;
+    if (!refused && now < waiting.until) {
+      return false;
+    }
+    actions.verdicts.push_back(
+        {.ticket = waiting.ticket,
+         .admitted = false,
+         .retry_after = waiting.asked > 0 ? waiting.retry_after : kSilentRetry,
+         .home_silent = !refused});
+    return true;
+  });
+}
+
+bool HasReleased(const Releases& releases, const HomeEra& era) {
+  const bool none_lost =
+      releases.newest.handovers == 0 ||
+      (releases.passed_on_version == releases.newest.roster_version &&
+       releases.passed_on.size() == releases.newest.handovers);
+  return releases.newest.roster_version >= era.roster_version && none_lost;
+}
+
+// True in a fleet from which nobody has departed, once each other member has
+// said that it lends only what is its own: a new fleet need not wait.
+bool NobodyElseLends(const RateGate& gate, const HomeEra& era) {
+  const FleetState& state = *gate.roster.seen.back().state;
+  if (!state.departed.empty()) {
+    return false;
+  }
+  for (const auto& [incarnation, member] : state.members) {
+    const auto found = gate.releases.find(incarnation);
+    if (incarnation != gate.self &&
+        (found == gate.releases.end() || !HasReleased(found->second, era))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A share that is no longer this gate's is passed on with the view, so one
+// with a bucket needs no look at the rosters.
+std::optional<Duration> ActingFrom(const RateGate& gate,
+                                   const RateShare& share) {
+  if (gate.home.buckets.contains(share)) {
+    return Duration::zero();
+  }
+  const auto era = EraOf(gate.roster, share, gate.self);
+  if (!era) {
+    return std::nullopt;
+  }
+  return NobodyElseLends(gate, *era) ? Duration::zero() : era->acting_from;
+}
+
+void AnswerWish(RateGate& gate,
+                const LoanWish& wish,
+                Duration now,
+                RateActions& actions) {
+  LoanGrant grant{.share = wish.share,
+                  .request = wish.id.request,
+                  .tokens = 0,
+                  .retry_after = {},
+                  .not_home = true};
+  const auto acting_from = ActingFrom(gate, wish.share);
+  const RateLimits team = LimitsOf(gate, wish.share.team);
+  if (acting_from && !gate.resigned && now - gate.fresh_at < kLendFreshness &&
+      wish.share.share < ShareCount(team)) {
+    const LoanAnswer answer =
+        Lend(gate.home, wish, ShareLimits(team), *acting_from, now);
+    grant.not_home = false;
+    grant.tokens = answer.tokens;
+    grant.retry_after = answer.retry_after;
+    for (const Incarnation borrower : answer.call_loans) {
+      Deliver(gate, borrower, LoanRecall{wish.share}, now, actions);
+    }
+  }
+  Deliver(gate, wish.id.borrower, grant, now, actions);
+}
+
+void TakeAnswer(RateGate& gate,
+                const LoanGrant& grant,
+                Duration now,
+                RateActions& actions) {
+  TakeGrant(gate.borrower, grant.share, grant.request, grant.tokens, now);
+  if (grant.tokens > 0) {
+    gate.dry.erase(grant.share);
+    ServeWaiting(gate, grant.share.team, now, actions);
+  }
+  for (RateWaiting& waiting : gate.waiting) {
+    if (waiting.request == grant.request) {
+      GoOnWaiting(gate, waiting, grant, now);
+    }
+  }
+}
+
+void SendNews(RateGate& gate,
+              const std::vector<LoanNews>& news,
+              Duration now,
+              RateActions& actions) {
+  for (const LoanNews& item : news) {
+    if (const auto home = HomeNow(gate, item.share)) {
+      Deliver(gate, *home, item, now, actions);
+    }
+  }
+}
+
+// An earlier note of the same sender, late or doubled, must not pass for one
+// of now: the sender must know the roster that made this gate the home, or
+// never lend again and be the home before it.
+bool IsOfThisEra(const RateGate& gate,
+                 Incarnation from,
+                 const HandoverNote& note,
+                 const HomeEra& era) {
+  if (note.roster_version >= era.roster_version) {
+    return true;
+  }
+  if (!note.resigned || gate.roster.seen.back().state->members.contains(from)) {
+    return false;
+  }
+  const RosterHistory::Seen* before = nullptr;
+  for (const RosterHistory::Seen& seen : gate.roster.seen) {
+    if (seen.state->roster_version < era.roster_version) {
+      before = &seen;
+    }
+  }
+  return before != nullptr &&
+         HomeOf(*before->state, note.handover.share) == from;
+}
+
+bool TryTakeOver(RateGate& gate,
+                 Incarnation from,
+                 const HandoverNote& note,
+                 Duration now) {
+  const auto era = EraOf(gate.roster, note.handover.share, gate.self);
+  if (!era || !IsOfThisEra(gate, from, note, *era)) {
+    return false;
+  }
+  TakeOver(gate.home, note.handover, now);
+  return true;
+}
+
+void TakeHandover(RateGate& gate,
+                  Incarnation from,
+                  const HandoverNote& note,
+                  Duration now) {
+  Releases& releases = gate.releases[from];
+  if (note.roster_version > releases.passed_on_version) {
+    releases.passed_on_version = note.roster_version;
+    releases.passed_on.clear();
+  }
+  if (note.roster_version == releases.passed_on_version) {
+    releases.passed_on.insert(note.handover.share);
+  }
+  if (!TryTakeOver(gate, from, note, now) && gate.early.size() < kMaxEarly) {
+    gate.early.push_back({from, note, now + kEarlyKept});
+  }
+}
+
+void TryEarly(RateGate& gate, Duration now) {
+  std::erase_if(gate.early, [&](const EarlyHandover& early) {
+    return now >= early.until || TryTakeOver(gate, early.from, early.note, now);
+  });
+}
+
+void PassOn(RateGate& gate,
+            const RateShare& share,
+            Incarnation to,
+            Duration now,
+            RateActions& actions) {
+  const auto handover =
+      HandOver(gate.home, share, ShareLimits(LimitsOf(gate, share.team)), now);
+  if (handover) {
+    actions.sends.push_back(
+        {to, HandoverNote{.handover = *handover,
+                          .roster_version =
+                              gate.roster.seen.back().state->roster_version,
+                          .resigned = gate.resigned}});
+  }
+}
+
+// Of a new incarnation, or of one that slept: others may have been the home
+// since, so what it knows of its shares holds no longer.
+void Forget(RateGate& gate) {
+  gate.home = {};
+  gate.roster = {};
+  gate.early.clear();
+}
+
+std::vector<RateShare> SharesAtHome(const RateGate& gate) {
+  std::vector<RateShare> shares;
+  for (const auto& [share, bucket] : gate.home.buckets) {
+    shares.push_back(share);
+  }
+  return shares;
+}
+
+// Passes on what is no longer this gate's.
+std::map<Incarnation, uint32_t> PassOnAll(RateGate& gate,
+                                          Duration now,
+                                          RateActions& actions) {
+  std::map<Incarnation, uint32_t> handovers;
+  for (const RateShare& share : SharesAtHome(gate)) {
+    const auto home = HomeNow(gate, share);
+    if (home && *home != gate.self) {
+      PassOn(gate, share, *home, now, actions);
+      ++handovers[*home];
+    }
+  }
+  return handovers;
+}
+
+void TellNewMembers(const RateGate& gate,
+                    const FleetState* before,
+                    const std::map<Incarnation, uint32_t>& handovers,
+                    RateActions& actions) {
+  const FleetState& state = *gate.roster.seen.back().state;
+  for (const auto& [incarnation, member] : state.members) {
+    if (incarnation == gate.self ||
+        (before != nullptr && before->members.contains(incarnation))) {
+      continue;
+    }
+    const auto passed = handovers.find(incarnation);
+    actions.sends.push_back(
+        {incarnation,
+         ReleaseNote{
+             .roster_version = state.roster_version,
+             .handovers = passed == handovers.end() ? 0 : passed->second}});
+  }
+}
+
+}  // namespace
+
+void Admit(RateGate& gate,
+           uint64_t ticket,
+           const std::string& team,
+           Duration now,
+           RateActions& actions) {
+  const uint32_t count = ShareCount(LimitsOf(gate, team));
+  for (uint32_t share = 0; share < count; ++share) {
+    NoteDemand(gate.borrower, {team, share}, now);
+  }
+  if (UseAnyToken(gate, team, now)) {
+    actions.verdicts.push_back(
+        {.ticket = ticket, .admitted = true, .retry_after = {}});
+    AskAhead(gate, team, now, actions);
+    return;
+  }
+  gate.waiting.push_back({.ticket = ticket,
+                          .team = team,
+                          .share = FirstShare(gate, count),
+                          .ask_at = now,
+                          .until = now + kRatePatience});
+  AskDue(gate, now, actions);
+  AskDue(gate, now, actions);
+  RefuseDue(gate, now, actions);
+}
+
+void Receive(RateGate& gate,
+             Incarnation from,
+             const RateNote& note,
+             Duration now,
+             RateActions& actions) {
+  if (const auto* wish = std::get_if<LoanWish>(&note)) {
+    if (wish->id.borrower == from) {
+      AnswerWish(gate, *wish, now, actions);
+    }
+  } else if (const auto* grant = std::get_if<LoanGrant>(&note)) {
+    TakeAnswer(gate, *grant, now, actions);
+  } else if (const auto* news = std::get_if<LoanNews>(&note)) {
+    TakeLoanNews(gate.home, *news, from,
+                 ShareLimits(LimitsOf(gate, news->share.team)), now);
+  } else if (const auto* recall = std::get_if<LoanRecall>(&note)) {
+    SendNews(gate, GiveBack(gate.borrower, recall->share, now), now, actions);
+  } else if (const auto* handover = std::get_if<HandoverNote>(&note)) {
+    TakeHandover(gate, from, *handover, now);
+  } else {
+    const auto& release = std::get<ReleaseNote>(note);
+    Releases& releases = gate.releases[from];
+    if (release.roster_version > releases.newest.roster_version) {
+      releases.newest = release;
+    }
+  }
+}
+
+void NoteView(RateGate& gate,
+              Incarnation self,
+              std::shared_ptr<const FleetState> state,
+              Duration fresh_at,
+              Duration now,
+              RateActions& actions) {
+  const bool skipped_homes =
+      !gate.roster.seen.empty() &&
+      state->roster_version != gate.roster.seen.back().state->roster_version &&
+      fresh_at - gate.fresh_at >= kLendFreshness;
+  if (self != gate.self || skipped_homes) {
+    Forget(gate);
+  }
+  if (self != gate.self) {
+    gate.borrower.shares.clear();
+    gate.self = self;
+  }
+  const std::shared_ptr<const FleetState> before =
+      gate.roster.seen.empty() ? nullptr : gate.roster.seen.back().state;
+  NoteRoster(gate.roster, std::move(state), now);
+  gate.fresh_at = fresh_at;
+  const FleetState& newest = *gate.roster.seen.back().state;
+  if (before != nullptr && newest.roster_version == before->roster_version) {
+    return;
+  }
+  const auto handovers = PassOnAll(gate, now, actions);
+  if (!skipped_homes) {
+    TellNewMembers(gate, before.get(), handovers, actions);
+  }
+  std::erase_if(gate.releases, [&newest](const auto& entry) {
+    return newest.departed.contains(entry.first);
+  });
+  TryEarly(gate, now);
+}
+
+void Tick(RateGate& gate, Duration now, RateActions& actions) {
+  SendNews(gate, Review(gate.borrower, now), now, actions);
+  AskDue(gate, now, actions);
+  RefuseDue(gate, now, actions);
+  if (now - gate.swept_at < kSweepEvery) {
+    return;
+  }
+  gate.swept_at = now;
+  std::erase_if(gate.dry,
+                [now](const auto& entry) { return entry.second.until <= now; });
+  TryEarly(gate, now);
+  for (const RateShare& share : SharesAtHome(gate)) {
+    ForgetIdle(gate.home, share, ShareLimits(LimitsOf(gate, share.team)), now);
+  }
+}
+
+void Resign(RateGate& gate, Duration now, RateActions& actions) {
+  gate.resigned = true;
+  std::vector<RateShare> borrowed;
+  for (const auto& [share, held] : gate.borrower.shares) {
+    borrowed.push_back(share);
+  }
+  for (const RateShare& share : borrowed) {
+    SendNews(gate, GiveBack(gate.borrower, share, now), now, actions);
+  }
+  if (gate.roster.seen.empty()) {
+    return;
+  }
+  FleetState without = *gate.roster.seen.back().state;
+  without.members.erase(gate.self);
+  for (const RateShare& share : SharesAtHome(gate)) {
+    if (const auto next = HomeOf(without, share)) {
+      PassOn(gate, share, *next, now, actions);
+    }
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/rate_home.cc
@@ -0,0 +1,182 @@
+#include "celerykeel/core/rate_home.h"
+
+#include <algorithm>  // for std::min, std::max, std::clamp
+
+namespace celerykeel {
+
+namespace {
+
+// Of what is left, this part may be lent ahead of demand; the rest waits for
+// requests that are there.
+constexpr double kAheadPart = 0.25;
+constexpr Duration kRecallTime = std::chrono::milliseconds(20);
+constexpr double kFullMargin = 1e-6;
+
+double Lent(const HomeBucket& bucket) {
+  double lent = bucket.foreign;
+  for (const auto& [id, loan] : bucket.loans) {
+    lent += loan.tokens;
+  }
+  return lent;
+}
+
+Duration NextExpiry(const HomeBucket& bucket) {
+  Duration next = bucket.foreign > 0 ? bucket.foreign_until : Duration::max();
+  for (const auto& [id, loan] : bucket.loans) {
+    next = std::min(next, loan.expires_at);
+  }
+  return next;
+}
+
+// A loan that expired is gone: its tokens were used, or are lost.
+void DropExpired(HomeBucket& bucket, Duration now) {
+  std::erase_if(bucket.loans, [now](const auto& entry) {
+    return entry.second.expires_at <= now;
+  });
+  if (bucket.foreign_until <= now) {
+    bucket.foreign = 0;
+  }
+}
+
+// What was lent counts against the burst for as long as it was lent, so the
+// level is brought up to each moment at which that sum falls.
+void Advance(HomeBucket& bucket, const RateLimits& limits, Duration now) {
+  for (Duration next = NextExpiry(bucket); next <= now;
+       next = NextExpiry(bucket)) {
+    Refill(bucket.bucket, limits.rate, limits.burst - Lent(bucket), next);
+    DropExpired(bucket, next);
+  }
+  Refill(bucket.bucket, limits.rate, limits.burst - Lent(bucket), now);
+}
+
+// Whatever an earlier home lent in its last moment is still in use for one
+// validity, and may be a whole burst; until then nothing more is lent.
+HomeBucket StartEmpty(const RateLimits& limits, Duration acting_from) {
+  HomeBucket bucket;
+  bucket.foreign = limits.burst;
+  bucket.foreign_until = acting_from + kLoanValidity + kLoanMargin;
+  bucket.bucket = {.level = 0, .updated_at = bucket.foreign_until};
+  return bucket;
+}
+
+// Calling back helps only if what others hold makes up what is missing.
+std::vector<Incarnation> BorrowersToCall(const HomeBucket& bucket,
+                                         const LoanWish& wish) {
+  std::set<Incarnation> borrowers;
+  double available = bucket.bucket.level;
+  for (const auto& [id, loan] : bucket.loans) {
+    if (id.borrower != wish.id.borrower && loan.tokens > 0) {
+      borrowers.insert(id.borrower);
+      available += loan.tokens;
+    }
+  }
+  if (available + kFullMargin < wish.needed) {
+    return {};
+  }
+  return {borrowers.begin(), borrowers.end()};
+}
+
+}  // namespace
+
+LoanAnswer Lend(RateHome& home,
+                const LoanWish& wish,
+                const RateLimits& limits,
+                Duration acting_from,
+                Duration now) {
+  if (now < acting_from && !home.buckets.contains(wish.share)) {
+    return {.tokens = 0,
+            .retry_after = acting_from + kLoanValidity + kLoanMargin - now,
+            .call_loans = {}};
+  }
+  const auto [found, fresh] = home.buckets.try_emplace(wish.share);
+  HomeBucket& bucket = found->second;
+  if (fresh) {
+    bucket = StartEmpty(limits, acting_from);
+  }
+  Advance(bucket, limits, now);
+  const double level = bucket.bucket.level;
+  LoanAnswer answer;
+  answer.tokens =
+      std::min({level, wish.wanted, std::max(wish.needed, level * kAheadPart)});
+  if (answer.tokens + kFullMargin < wish.needed) {
+    // Less than a request needs is of no use to the one that asks.
+    answer.tokens = 0;
+    answer.retry_after = TimeFor(wish.needed - level, limits.rate);
+    answer.call_loans = BorrowersToCall(bucket, wish);
+    if (!answer.call_loans.empty()) {
+      answer.retry_after = std::min(answer.retry_after, kRecallTime);
+    }
+    return answer;
+  }
+  bucket.bucket.level = std::max(level - answer.tokens, 0.0);
+  // A request that came twice is lent twice; its borrower takes one of them.
+  LoanOut& loan = bucket.loans[wish.id];
+  loan.tokens += answer.tokens;
+  loan.expires_at = now + kLoanValidity + kLoanMargin;
+  return answer;
+}
+
+void TakeLoanNews(RateHome& home,
+                  const LoanNews& news,
+                  Incarnation borrower,
+                  const RateLimits& limits,
+                  Duration now) {
+  const auto found = home.buckets.find(news.share);
+  if (found == home.buckets.end()) {
+    return;
+  }
+  HomeBucket& bucket = found->second;
+  Advance(bucket, limits, now);
+  const auto loan = bucket.loans.find({borrower, news.request});
+  if (loan == bucket.loans.end()) {
+    return;
+  }
+  const double tokens = std::clamp(news.tokens, 0.0, loan->second.tokens);
+  if (news.closed) {
+    bucket.bucket.level += tokens;
+    bucket.loans.erase(loan);
+  } else {
+    loan->second.tokens = tokens;
+  }
+}
+
+std::optional<HomeHandover> HandOver(RateHome& home,
+                                     const RateShare& share,
+                                     const RateLimits& limits,
+                                     Duration now) {
+  const auto found = home.buckets.find(share);
+  if (found == home.buckets.end()) {
+    return std::nullopt;
+  }
+  Advance(found->second, limits, now);
+  const HomeHandover handover{.share = share,
+                              .level = found->second.bucket.level,
+                              .lent = Lent(found->second)};
+  home.buckets.erase(found);
+  return handover;
+}
+
+void TakeOver(RateHome& home, const HomeHandover& handover, Duration now) {
+  HomeBucket bucket;
+  bucket.bucket = {.level = handover.level, .updated_at = now};
+  bucket.foreign = handover.lent;
+  bucket.foreign_until = now + kLoanValidity + kLoanMargin;
+  home.buckets.try_emplace(handover.share, std::move(bucket));
+}
+
+void ForgetIdle(RateHome& home,
+                const RateShare& share,
+                const RateLimits& limits,
+                Duration now) {
+  const auto found = home.buckets.find(share);
+  if (found == home.buckets.end()) {
+    return;
+  }
+  Advance(found->second, limits, now);
+  if (Lent(found->second) <= 0 &&
+      found->second.bucket.level + kFullMargin >= limits.burst) {
+    home.buckets.erase(found);
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/rate_home_unittest.cc
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <memory>   // for std::make_shared
+#include <utility>  // for std::move
+
+#include "celerykeel/core/rate_gate.h"  // for RateGate
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const RateShare kShare{"orchard", 0};
+constexpr RateLimits kLimits{.rate = 10, .burst = 3};
+
+LoanWish Wish(Incarnation borrower, uint64_t request, double needed) {
+  return {.share = kShare,
+          .id = {.borrower = borrower, .request = request},
+          .needed = needed,
+          .wanted = needed};
+}
+
+// Found by the property of the fleet: the level was brought up to the burst
+// for the time in which a token was still lent.
+TEST_CASE("a loan counts against the burst for as long as it was lent") {
+  RateHome home;
+  const Duration start = seconds(100);
+  CHECK(Lend(home, Wish(2, 1, 3), kLimits, seconds(0), start).tokens == 3);
+  TakeLoanNews(home, {kShare, 1, 0, true}, 2, kLimits,
+               start + milliseconds(500));
+  const LoanAnswer answer =
+      Lend(home, Wish(2, 2, 1), kLimits, seconds(0), start + milliseconds(500));
+  CHECK(answer.tokens == 0);
+  CHECK(answer.retry_after == milliseconds(100));
+}
+
+TEST_CASE("what is given back twice is there once") {
+  RateHome home;
+  const Duration start = seconds(100);
+  Lend(home, Wish(2, 1, 3), kLimits, seconds(0), start);
+  const LoanNews closed{kShare, 1, 2, true};
+  TakeLoanNews(home, closed, 2, kLimits, start);
+  TakeLoanNews(home, closed, 2, kLimits, start);
+  CHECK(home.buckets.at(kShare).bucket.level == 2);
+}
+
+TEST_CASE("a grant counts once, and not after its time") {
+  RateBorrower borrower;
+  const Duration start = seconds(100);
+  const auto first = AskFor(borrower, kShare, 1, 2, start).id.request;
+  TakeGrant(borrower, kShare, first, 1, start);
+  TakeGrant(borrower, kShare, first, 1, start);
+  CHECK(UseToken(borrower, kShare, start));
+  CHECK_FALSE(UseToken(borrower, kShare, start));
+  const auto second = AskFor(borrower, kShare, 1, 2, start).id.request;
+  TakeGrant(borrower, kShare, second, 1, start);
+  CHECK_FALSE(UseToken(borrower, kShare, start + kLoanValidity));
+  const auto third = AskFor(borrower, kShare, 1, 2, start).id.request;
+  TakeGrant(borrower, kShare, third, 1, start + kLoanValidity);
+  CHECK(borrower.shares.at(kShare).loans.count(third) == 0);
+}
+
+std::shared_ptr<const FleetState> RosterOf(Incarnation only, Offset version) {
+  FleetState state;
+  state.roster_version = version;
+  state.members[only].join.incarnation = only;
+  state.departed[99].departed_at = 1;
+  state.in_force.teams["orchard"].rate = kLimits.rate;
+  state.in_force.teams["orchard"].burst = kLimits.burst;
+  return std::make_shared<const FleetState>(std::move(state));
+}
+
+bool LendsNow(RateGate& gate, Duration now) {
+  RateActions actions;
+  Receive(gate, 7, LoanWish(Wish(7, 1, 1)), now, actions);
+  return std::get<LoanGrant>(actions.sends.at(0).note).tokens > 0;
+}
+
+// Others may have been the home while it slept, although its first and its
+// last roster both name it.
+TEST_CASE("a home that slept over changes of the roster begins anew") {
+  RateGate gate;
+  RateActions actions;
+  NoteView(gate, 1, RosterOf(1, 2), seconds(100), seconds(100), actions);
+  NoteView(gate, 1, RosterOf(1, 2), seconds(109), seconds(109), actions);
+  NoteView(gate, 1, RosterOf(1, 2), seconds(110), seconds(110), actions);
+  CHECK(LendsNow(gate, seconds(110)));
+  NoteView(gate, 1, RosterOf(1, 8), seconds(120), seconds(120), actions);
+  CHECK_FALSE(LendsNow(gate, seconds(120)));
+  NoteView(gate, 1, RosterOf(1, 8), seconds(127), seconds(127), actions);
+  CHECK(LendsNow(gate, seconds(127)));
+}
+
+}  // namespace
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/rate_roster.cc
@@ -0,0 +1,75 @@
+#include "celerykeel/core/rate_roster.h"
+
+#include <string>   // for std::to_string
+#include <tuple>    // for std::tie
+#include <utility>  // for std::move
+
+#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
+
+namespace celerykeel {
+
+namespace {
+
+constexpr size_t kRostersKept = 64;
+// A half of a small burst would hold no whole token for long.
+constexpr double kLeastBurstToSplit = 8;
+
+}  // namespace
+
+uint32_t ShareCount(const RateLimits& team) {
+  return team.burst >= kLeastBurstToSplit ? 2 : 1;
+}
+
+RateLimits ShareLimits(const RateLimits& team) {
+  const double count = ShareCount(team);
+  return {.rate = team.rate / count, .burst = team.burst / count};
+}
+
+std::optional<Incarnation> HomeOf(const FleetState& state,
+                                  const RateShare& share) {
+  const std::string subject =
+      "team/" + share.team + "/" + std::to_string(share.share);
+  std::optional<Incarnation> home;
+  uint64_t highest = 0;
+  for (const auto& [incarnation, member] : state.members) {
+    const uint64_t weight = RendezvousWeight(subject, member.join.instance);
+    if (!home || std::tie(weight, incarnation) > std::tie(highest, *home)) {
+      highest = weight;
+      home = incarnation;
+    }
+  }
+  return home;
+}
+
+void NoteRoster(RosterHistory& history,
+                std::shared_ptr<const FleetState> state,
+                Duration now) {
+  if (!history.seen.empty() &&
+      history.seen.back().state->roster_version == state->roster_version) {
+    history.seen.back().state = std::move(state);
+    return;
+  }
+  history.seen.push_back({std::move(state), now});
+  if (history.seen.size() > kRostersKept) {
+    history.seen.pop_front();
+  }
+}
+
+// A member whose state lacks the change that made this one the home has not
+// been fresh since the change, and the change was made before it was seen
+// here: from `at` on its freshness runs out.
+std::optional<HomeEra> EraOf(const RosterHistory& history,
+                             const RateShare& share,
+                             Incarnation self) {
+  std::optional<HomeEra> era;
+  for (auto seen = history.seen.rbegin(); seen != history.seen.rend(); ++seen) {
+    if (HomeOf(*seen->state, share) != self) {
+      break;
+    }
+    era = {.roster_version = seen->state->roster_version,
+           .acting_from = seen->at + kLendFreshness + kLendMargin};
+  }
+  return era;
+}
+
+}  // namespace celerykeel
