--- a/src/celerykeel/core/fold_unittest.cc
+++ b/src/celerykeel/core/fold_unittest.cc
@@ -57,6 +57,19 @@
   CHECK(state.roster_version == 3);
 }
 
+TEST_CASE("only a newer change of witnesses counts, and moves no program") {
+  FleetState state = FleetOfThree();
+  Fold(state, 4, WitnessChange{22, 2, {"b", "c", "d"}});
+  const AuditEntry* const entry =
+      Fold(state, 5, WitnessChange{22, 1, {"b", "x", "y"}});
+  REQUIRE(entry != nullptr);
+  CHECK_FALSE(entry->accepted);
+  CHECK(entry->reason == "change 2 of the witnesses is in force");
+  CHECK(state.members.at(22).join.witnesses ==
+        std::vector<std::string>{"b", "c", "d"});
+  CHECK(state.roster_version == 3);
+}
+
 TEST_CASE("a join may replace only an earlier incarnation of its instance") {
   FleetState state = FleetOfThree();
   Join again = JoinOf(23, "b");
@@ -84,7 +97,7 @@
   FleetState state = FleetOfThree();
   SUBCASE("one word of three is too few") {
     CHECK_FALSE(Fold(state, 4, Evict{11, {22}, 22, "silent"})->accepted);
-    CHECK(state.audit.back().reason == "words of 1 witnesses, 2 needed");
+    CHECK(state.audit.back().reason == "1 of the 2 words needed");
   }
   SUBCASE("its own word does not count") {
     CHECK_FALSE(Fold(state, 4, Evict{11, {22, 11}, 22, "silent"})->accepted);
--- a/src/celerykeel/core/ledger_ownership.cc
+++ b/src/celerykeel/core/ledger_ownership.cc
@@ -1,4 +1,4 @@
-#include <algorithm>  // for std::any_of
+#include <algorithm>  // for std::any_of, std::max
 #include <utility>    // for std::move
 
 #include "celerykeel/core/ledger_turn.h"  // for Turn, Place
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr unsigned kVersionBits = 24;  // versions of a family in one epoch
+
 ProgramState ExportOne(const ProgramFamily& family, const Program& program) {
   ProgramState state{.name = program.name,
                      .budget = family.budget,
@@ -62,15 +64,45 @@
 
 }  // namespace ledger
 
+namespace {
+
+// Callers of a state that another owner has gone beyond.
+void RefuseStale(Turn& turn, ProgramFamily& family) {
+  for (auto& [id, program] : family.programs) {
+    ledger::RefuseWaiting(
+        turn, program,
+        ledger::RefusalOf(turn, RefusalType::kNotOwner, Ran::kNo));
+    if (program.active) {
+      ledger::RefuseAll(
+          turn, *program.active,
+          ledger::RefusalOf(turn, RefusalType::kLeaseLapsed, Ran::kUnknown));
+      turn.actions.emplace_back(StopCall{program.active->submission.key});
+    }
+  }
+}
+
+}  // namespace
+
+// A paused owner may wake and write records after its journal was read. Slots
+// change hands by roster versions that only grow, so its records stay below
+// those of its successor, and a later reader takes the successor's state.
+uint64_t FirstVersion(Offset epoch) {
+  return epoch << kVersionBits;
+}
+
 LedgerActions AdoptFamily(ProgramLedger& ledger,
                           ProgramFamily family,
                           const Moment& moment) {
   Turn turn{ledger, moment, {}};
   if (const auto kept = ledger.families.find(family.root);
-      kept != ledger.families.end() && kept->second.version >= family.version) {
-    return {};
+      kept != ledger.families.end()) {
+    if (kept->second.version >= family.version) {
+      return {};
+    }
+    RefuseStale(turn, kept->second);
   }
   const ProgramName root = family.root;
+  family.version = std::max(family.version, FirstVersion(ledger.epoch));
   ProgramFamily& adopted = ledger.families[root] = std::move(family);
   for (auto& [id, program] : adopted.programs) {
     if (program.open_intent) {
--- a/src/celerykeel/core/program_ledger.cc
+++ b/src/celerykeel/core/program_ledger.cc
@@ -98,8 +98,11 @@
 }
 
 void RefuseAll(Turn& turn, const ActiveCall& call, const Refusal& refusal) {
+  // An earlier attempt may have run whatever became of the last one.
+  Refusal told = refusal;
+  told.ran = told.ran == Ran::kNo ? call.ran : told.ran;
   for (const Waiter waiter : call.waiters) {
-    Refuse(turn, waiter, refusal);
+    Refuse(turn, waiter, told);
   }
 }
 
@@ -233,6 +236,7 @@
   ProgramFamily family;
   family.root = root;
   family.budget = turn.ledger.options.default_budget;
+  family.version = FirstVersion(turn.ledger.epoch);
   family.started_at = turn.moment.wall;
   family.last_used_at = turn.moment.wall;
   family.rewritten_at = turn.moment.wall;
--- a/src/celerykeel/scheduler/owner_state.h
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -2,22 +2,27 @@
 
 #include <atomic>   // for std::atomic
 #include <map>      // for std::map
+#include <random>   // for std::mt19937_64
 #include <set>      // for std::set
 #include <string>   // for std::string
 #include <thread>   // for std::thread
 #include <variant>  // for std::variant
 #include <vector>   // for std::vector
 
-#include "celerykeel/call.pb.h"                    // for pb::CallMessage
-#include "celerykeel/core/program_ledger.h"        // for ProgramLedger
-#include "celerykeel/core/run_queue.h"             // for RunQueue
-#include "celerykeel/net/bounded_ring.h"           // for BoundedRing
-#include "celerykeel/net/feed_client.h"            // for FeedClient
-#include "celerykeel/scheduler/call_stream.h"      // for CallStream
-#include "celerykeel/scheduler/choose_endpoint.h"  // for EndpointLoad
-#include "celerykeel/scheduler/endpoint_call.h"    // for AttemptStop
-#include "celerykeel/scheduler/owner.h"            // for Owner
-#include "celerykeel/scheduler/worker_pool.h"      // for WorkerPool
+#include "celerykeel/call.pb.h"                      // for pb::CallMessage
+#include "celerykeel/core/adoption.h"                // for Adoption
+#include "celerykeel/core/program_ledger.h"          // for ProgramLedger
+#include "celerykeel/core/retry_budget.h"            // for RetryBudget
+#include "celerykeel/core/run_queue.h"               // for RunQueue
+#include "celerykeel/net/bounded_ring.h"             // for BoundedRing
+#include "celerykeel/net/feed_client.h"              // for FeedClient
+#include "celerykeel/scheduler/call_stream.h"        // for CallStream
+#include "celerykeel/scheduler/choose_endpoint.h"    // for EndpointLoad
+#include "celerykeel/scheduler/decision_log.h"       // for DecisionLog
+#include "celerykeel/scheduler/endpoint_call.h"      // for AttemptStop
+#include "celerykeel/scheduler/owner.h"              // for Owner
+#include "celerykeel/scheduler/scheduler_metrics.h"  // for SchedulerMetrics
+#include "celerykeel/scheduler/worker_pool.h"        // for WorkerPool
 
 // What the parts of the owner share. Private to the scheduler.
 namespace celerykeel {
@@ -40,8 +45,28 @@
   AppendVerdict verdict = AppendVerdict::kUncertain;
 };
 
-using OwnerEvent =
-    std::variant<std::monostate, PeerMessage, AttemptEnded, AppendEnded>;
+/// @brief What another scheduler hands over.
+struct HandoverCame {
+  pb::HandoverReply reply;
+};
+
+struct JournalPageCame {
+  Incarnation incarnation = 0;
+  JournalPage page;
+};
+
+using SchedulerEvent = std::variant<std::monostate,
+                                    PeerMessage,
+                                    AttemptEnded,
+                                    AppendEnded,
+                                    HandoverCame,
+                                    JournalPageCame>;
+
+/// @brief A message for a slot that this process does not act for yet.
+struct ParkedMessage {
+  PeerMessage message;
+  Duration until{};
+};
 
 /// @brief A gate that waits for the answer of a call.
 struct WaitingCaller {
@@ -59,21 +84,39 @@
 
 struct Owner::State {
   State(const SchedulerOptions& given,
-        std::shared_ptr<prometheus::Registry> metrics);
+        std::shared_ptr<prometheus::Registry> given_registry);
 
   // The owner's thread.
   void Run();
-  void Handle(OwnerEvent event);
+  void Handle(SchedulerEvent event);
   void HandleMessage(PeerMessage message);
-  void HandleCall(const Requester& requester, const pb::CallRequest& request);
+  void HandleCall(const PeerMessage& message);
   void HandleCancel(const Peer& peer, uint64_t id);
   void HandleQuery(const Requester& requester, const pb::ProgramQuery& query);
   void HandleDelete(const Requester& requester,
                     const pb::ProgramDelete& request);
+  void HandleExplain(const Requester& requester, const pb::ExplainQuery& query);
   void HandleAttempt(AttemptEnded ended);
   void TickIfDue();
   void StartQueued();
   Moment Read();
+  Refusal NotOwner() const;
+  void TakeView();
+
+  // Ownership of slots.
+  bool RefuseOrPark(const PeerMessage& message, const ProgramName& program);
+  void HandleHandover(const pb::HandoverReply& reply);
+  void HandleJournalPage(const JournalPageCame& came);
+  void HandleHandoverRequest(const Requester& requester,
+                             const pb::HandoverRequest& request);
+  void PerformAdoption(AdoptionActions actions);
+  void Do(const AskMember& action);
+  void Do(const ReadJournalPage& action);
+  void Do(const AdoptSlots& action);
+  void Do(const LoseSlots& action);
+  void ReleaseMoved();
+  void RetryParked();
+  void TickOwnership(Duration now);
 
   // Actions of the ledger.
   void Perform(LedgerActions actions);
@@ -102,11 +145,29 @@
 
   // From other threads.
   void PushFromPeer(Messenger& through, PeerMessage message);
-  void PushOwn(OwnerEvent event);
+  void PushOwn(SchedulerEvent event);
+  void PushReply(std::string_view bytes);
+
+  // Decisions and figures.
+  void Decide(const CallKey& key,
+              std::string_view what,
+              std::string_view chosen,
+              std::string_view reason);
+  void NotePlacement(const QueuedCall& call, const EndpointChoice& choice);
+  void CountRefusal(const Refusal& refusal);
+  void CountAttempt(const AttemptResult& result);
+  void ShowGauges();
+
+  // Leaving.
+  bool IsDraining() const;
+  bool MayTake(const ProgramName& program, Duration now) const;
+  bool HasNothingLeft() const;
+  void TickDrain(Duration now);
 
   SchedulerOptions options;
   std::shared_ptr<prometheus::Registry> registry;
-  BoundedRing<OwnerEvent> events;
+  SchedulerMetrics metrics;
+  BoundedRing<SchedulerEvent> events;
   std::atomic<bool> stopping{false};
   std::atomic<bool> draining{false};
   std::atomic<bool> drained{false};
@@ -114,8 +175,18 @@
   // Only the owner's thread uses these.
   FleetView view;
   ProgramLedger ledger;
+  Adoption adoption;
+  FamilyImages released;  // copies of what was handed over
+  std::vector<ParkedMessage> parked;
+  uint64_t last_request = 0;  // of ours to other schedulers
   RunQueue queue;
   EndpointLoad load;
+  RetryBudget retry_budget;
+  std::mt19937_64 random;
+  DecisionLog decisions;
+  Duration draining_since{};  // zero: not draining
+  Duration reported_at{};     // to the steward, that nothing is left
+  Duration left_by{};         // longest wait for its Leave
   Waiter last_waiter = 0;
   std::map<Waiter, WaitingCaller> callers;
   std::map<std::pair<std::string, uint64_t>, Waiter> waiter_of;
