--- a/include/celerykeel/gate/gate_server.h
+++ b/include/celerykeel/gate/gate_server.h
@@ -8,7 +8,9 @@
 #include <tl/expected.hpp>  // for tl::expected
 
 #include "celerykeel/core/time.h"            // for Duration
+#include "celerykeel/gate/gate_metrics.h"    // for GateMetrics
 #include "celerykeel/gate/owner_link.h"      // for OwnerLink
+#include "celerykeel/gate/rate_service.h"    // for RateService
 #include "celerykeel/net/feed_client.h"      // for FleetView
 #include "celerykeel/net/http_guard.h"       // for HttpServerOptions
 #include "celerykeel/net/operator_server.h"  // for ListenError
@@ -26,6 +28,8 @@
 struct GateParts {
   std::function<FleetView()> view;
   OwnerLink* link = nullptr;
+  RateService* rates = nullptr;    // null: every request is within its rate
+  GateMetrics* metrics = nullptr;  // may be null
 };
 
 /// @brief The callers' HTTP: chat, services, programs.
@@ -42,6 +46,9 @@
 
   size_t OpenConnections() const;
 
+  /// @brief Connections refused for want of a free thread, so far.
+  size_t RefusedConnections() const;
+
   /// @brief Takes no more connections; returns when the last answer is out.
   void Stop();
 
--- a/src/celerykeel/core/rate_gate.cc
+++ b/src/celerykeel/core/rate_gate.cc
@@ -13,6 +13,7 @@
 constexpr Duration kSilentRetry = std::chrono::seconds(1);
 constexpr Duration kEarlyKept = std::chrono::seconds(10);
 constexpr size_t kMaxEarly = 4096;
+constexpr size_t kMaxReleases = 4096;
 constexpr Duration kSweepEvery = std::chrono::seconds(1);
 constexpr uint32_t kMaxRecalls = 3;
 constexpr Duration kWorthWaiting = milliseconds(30);
@@ -317,6 +318,9 @@
                   Incarnation from,
                   const HandoverNote& note,
                   Duration now) {
+  if (gate.releases.size() >= kMaxReleases) {
+    return;
+  }
   Releases& releases = gate.releases[from];
   if (note.roster_version > releases.passed_on_version) {
     releases.passed_on_version = note.roster_version;
@@ -447,7 +451,7 @@
     SendNews(gate, GiveBack(gate.borrower, recall->share, now), now, actions);
   } else if (const auto* handover = std::get_if<HandoverNote>(&note)) {
     TakeHandover(gate, from, *handover, now);
-  } else {
+  } else if (gate.releases.size() < kMaxReleases) {
     const auto& release = std::get<ReleaseNote>(note);
     Releases& releases = gate.releases[from];
     if (release.roster_version > releases.newest.roster_version) {
--- a/src/celerykeel/gate/gate_fixture_unittest.h
+++ b/src/celerykeel/gate/gate_fixture_unittest.h
@@ -34,7 +34,8 @@
 /// A gate between a client and one fake scheduler.
 struct GateFixture {
   explicit GateFixture(FakeScheduler::Script script = AnswerChat,
-                       GateServerOptions options = {})
+                       GateServerOptions options = {},
+                       RateService* rates = nullptr)
       : scheduler_address(FreeAddress()),
         scheduler(scheduler_address, std::move(script)),
         link(OwnerLink::Create().value()),
@@ -45,7 +46,9 @@
     options.listen = this->gate_address;
     this->server =
         GateServer::Create(options, {.view = [this] { return feed.View(); },
-                                     .link = this->link.get()})
+                                     .link = this->link.get(),
+                                     .rates = rates,
+                                     .metrics = nullptr})
             .value();
     this->client.set_bearer_token_auth(kKeyText);
     this->client.set_read_timeout(20, 0);
--- a/src/celerykeel/gate/gate_server.cc
+++ b/src/celerykeel/gate/gate_server.cc
@@ -30,6 +30,7 @@
 constexpr char kEventStream[] = "text/event-stream";
 constexpr char kJson[] = "application/json";
 constexpr size_t kIdBytes = 16;
+constexpr Duration kShortestRetry = std::chrono::milliseconds(1);
 
 using httplib::Request;
 using httplib::Response;
@@ -112,6 +113,7 @@
   std::string data;  // to be written next
   bool last = false;
   bool abandoned_is_cancelled = false;
+  OpenStreamCount count;
 };
 
 bool WriteNext(OpenStream& stream, httplib::DataSink& sink) {
@@ -143,6 +145,7 @@
 
 struct GateServer::State {
   void Handle(const Request& request, Response& response) {
+    const Duration started = Now();
     tl::expected<void, pb::CallRefused> done = CheckHeaders(request);
     if (done) {
       done = this->Dispatch(request, response);
@@ -150,6 +153,28 @@
     if (!done) {
       Answer(response, done.error());
     }
+    if (this->parts.metrics != nullptr) {
+      this->parts.metrics->NoteAnswer(
+          done ? "answered" : RefusalName(done.error().type()),
+          Now() - started);
+    }
+  }
+
+  // Reading what was answered before takes nothing from the rate.
+  tl::expected<void, pb::CallRefused> CheckRate(
+      const std::optional<Caller>& caller) {
+    if (!caller || this->parts.rates == nullptr) {
+      return {};
+    }
+    const RateVerdict verdict = this->parts.rates->Admit(caller->team);
+    if (verdict.admitted) {
+      return {};
+    }
+    return Refused(Refuse(pb::RATE_EXCEEDED,
+                          verdict.home_silent
+                              ? "the home of the team's rate did not answer"
+                              : "the team has used up its rate and burst",
+                          std::max(verdict.retry_after, kShortestRetry)));
   }
 
   tl::expected<void, pb::CallRefused> Dispatch(const Request& request,
@@ -174,7 +199,8 @@
     auto caller = Authenticate(view.state->in_force,
                                request.get_header_value("Authorization"));
     // A stale instance cannot tell a new key from a wrong one.
-    if (Now() - view.fresh_at > this->options.config_patience) {
+    const bool has_key = caller || caller.error().type() != pb::NO_KEY;
+    if (has_key && Now() - view.fresh_at > this->options.config_patience) {
       return Refused(Refuse(pb::CONFIGURATION_STALE,
                             "this instance cannot tell whether the key holds",
                             std::chrono::seconds(2)));
@@ -298,6 +324,9 @@
                           call.kind() == pb::CHAT &&
                           call.idempotency_key().empty();
     if (message.has_request()) {
+      if (auto within = this->CheckRate(caller); !within) {
+        return within;
+      }
       SetAnswerHeaders(response, call);
     }
     auto relay = std::make_unique<CallRelay>(
@@ -367,7 +396,8 @@
     auto stream = std::make_shared<OpenStream>(
         OpenStream{.relay = std::move(relay),
                    .data = std::move(first),
-                   .abandoned_is_cancelled = one_call});
+                   .abandoned_is_cancelled = one_call,
+                   .count = OpenStreamCount(this->parts.metrics)});
     response.set_header("Cache-Control", "no-cache");
     response.set_chunked_content_provider(
         kEventStream,
@@ -424,6 +454,10 @@
   return this->state->server->Count().connections;
 }
 
+size_t GateServer::RefusedConnections() const {
+  return this->state->server->Count().refused;
+}
+
 void GateServer::Stop() {
   this->state->server->Stop();
 }
--- /dev/null
+++ b/src/celerykeel/wire/rate_codec_unittest.cc
@@ -0,0 +1,43 @@
+#include "celerykeel/wire/rate_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <limits>  // for std::numeric_limits
+
+namespace celerykeel {
+namespace {
+
+TEST_CASE("every kind of note comes through as it was") {
+  const RateShare share{"orchard", 1};
+  const std::vector<RateNote> notes = {
+      LoanWish{share, {7, 3}, 1, 2.5},
+      LoanGrant{share, 3, 2.5, std::chrono::milliseconds(20), true},
+      LoanNews{share, 3, 0.5, true},
+      LoanRecall{share},
+      HandoverNote{{share, 4, 1.5}, 12, true},
+      ReleaseNote{12, 2}};
+  for (const RateNote& note : notes) {
+    const std::string bytes = EncodeRateLetter({7, note});
+    const auto letter = DecodeRateLetter(bytes);
+    REQUIRE(letter);
+    CHECK(letter->from == 7);
+    CHECK(letter->note.index() == note.index());
+    CHECK(EncodeRateLetter(*letter) == bytes);
+  }
+}
+
+TEST_CASE("torn notes and amounts that are none are dropped") {
+  const RateShare share{"orchard", 0};
+  const std::string whole =
+      EncodeRateLetter({7, LoanWish{share, {7, 3}, 1, 2}});
+  CHECK_FALSE(DecodeRateLetter(whole.substr(0, whole.size() - 1)));
+  CHECK_FALSE(DecodeRateLetter(""));
+  for (const double amount : {-1.0, std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity()}) {
+    CHECK_FALSE(DecodeRateLetter(
+        EncodeRateLetter({7, LoanGrant{share, 3, amount, {}, false}})));
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel
