net: a program adds settings mistakes of its own

Cause: names of policies are known to celerykeel-load alone, and all mistakes are to be reported at once. Change: SettingsReader::AddMistake is public; nothing else changes.

--- a/include/celerykeel/net/settings.h
+++ b/include/celerykeel/net/settings.h
@@ -66,13 +66,16 @@
   /// "<file>" or "ticket" (words give "true" or "").
   std::string Argument(std::string_view name) const;
 
+  /// @brief Adds a mistake that only the program itself can see, such as an
+  /// unknown name.
+  void AddMistake(std::string_view flag,
+                  std::string_view found,
+                  std::string_view wanted);
+
   const std::vector<SettingsMistake>& Mistakes() const;
 
  private:
   std::string Find(std::string_view flag) const;
-  void AddMistake(std::string_view flag,
-                  std::string_view found,
-                  std::string_view wanted);
 
   std::map<std::string, std::string> values;  // flags and arguments given
   std::vector<SettingsMistake> mistakes;
