--- a/include/celerykeel/core/lease.h
+++ b/include/celerykeel/core/lease.h
@@ -17,8 +17,8 @@
   std::vector<std::string> witnesses;  // names of instances, its own included
   std::vector<std::string> next_witnesses;  // of a change under way, or empty
   bool change_sent = false;  // the change's record may stand in the log
-  uint64_t sequence = 0;                    // of the newest heartbeat
-  std::map<uint64_t, Duration> sent_at;     // heartbeats a vouch may answer
+  uint64_t sequence = 0;     // of the newest heartbeat
+  std::map<uint64_t, Duration> sent_at;        // heartbeats a vouch may answer
   std::map<std::string, Duration> vouched_at;  // by witness: when the newest
                                                // vouched heartbeat was sent
 };
--- a/src/celerykeel/core/rate_home_unittest.cc
+++ b/src/celerykeel/core/rate_home_unittest.cc
@@ -92,5 +92,31 @@
   CHECK(LendsNow(gate, seconds(127)));
 }
 
+// Its steward shows a gate the roster before it has joined, and not fresh.
+TEST_CASE("a member of a new fleet lends once the others have spoken") {
+  FleetState state;
+  state.members[1].fence = 1;
+  state.members[2].fence = 2;
+  state.roster_version = 2;
+  state.in_force.teams["orchard"].rate = kLimits.rate;
+  state.in_force.teams["orchard"].burst = kLimits.burst;
+  const auto before = std::make_shared<const FleetState>();
+  const auto roster = std::make_shared<const FleetState>(state);
+  const Incarnation home = HomeOf(state, kShare).value();
+  RateGate gate;
+  RateGate other;
+  RateActions actions;
+  NoteView(gate, 0, before, seconds(0), seconds(100), actions);
+  NoteView(gate, home, roster, seconds(100), seconds(100), actions);
+  CHECK_FALSE(LendsNow(gate, seconds(100)));
+  actions.sends.clear();
+  NoteView(other, 0, before, seconds(0), seconds(100), actions);
+  NoteView(other, 3 - home, roster, seconds(100), seconds(100), actions);
+  REQUIRE(actions.sends.size() == 1);
+  RateActions none;
+  Receive(gate, 3 - home, actions.sends[0].note, seconds(100), none);
+  CHECK(LendsNow(gate, seconds(100)));
+}
+
 }  // namespace
 }  // namespace celerykeel
