--- a/include/celerykeel/steward/control.h
+++ b/include/celerykeel/steward/control.h
@@ -115,6 +115,7 @@
   std::map<std::string, Subscriber> subscribers;  // by routing id
   std::set<std::string> drained;                  // processes that reported it
   Duration drain_until{};
+  Duration leave_since{};  // first attempt to leave
   Duration leave_after{};  // next attempt
 
   ControlTotals totals;
--- a/src/celerykeel/steward/control_unittest.cc
+++ b/src/celerykeel/steward/control_unittest.cc
@@ -121,6 +121,22 @@
   CHECK(out.log[0].payload == out.log[1].payload);
 }
 
+TEST_CASE("an instance that can't append its Leave goes all the same") {
+  Control control = MakeControl(Options(), 1);
+  Outbox out;
+  OnFleetPage(control, Page(1, {}), kStart, out);
+  OnFleetPage(control, Page(1, {{1, out.log.at(0).payload}}), kStart, out);
+  REQUIRE(control.self != 0);
+  OnLogFailure(control, out);
+  OnDrain(control, kStart, out);
+  OnTick(control, kStart, out);
+  REQUIRE(out.log.size() == 2);
+  CHECK(out.log[1].kind == OwnRecord::kLeave);
+  CHECK_FALSE(control.left);
+  OnTick(control, kStart + std::chrono::seconds(6), out);
+  CHECK(control.left);
+}
+
 TEST_CASE("the chosen member writes a snapshot once it is due") {
   StewardOptions options = Options();
   options.snapshot_every = std::chrono::seconds(1);
--- a/src/celerykeel/steward/membership.cc
+++ b/src/celerykeel/steward/membership.cc
@@ -198,23 +198,29 @@
 }
 
 // Without the word of its processes that they are done, an instance leaves only
-// once its lease has run out: a Leave tells successors not to wait.
+// once its lease has run out: a Leave tells successors not to wait. If the log
+// does not take the Leave, it goes all the same, and the others evict it.
 void LeaveIfDue(Control& control, Duration now, Outbox& out) {
   if (!control.draining || control.left) {
     return;
   }
   if (control.self == 0 ||
-      now > control.drain_until + control.options.lease + kLeaveTimeout) {
+      (control.leaving && now > control.leave_since + kLeaveTimeout)) {
     control.left = true;
     return;
   }
-  const bool may_leave = IsDrained(control) || (now >= control.drain_until &&
-                                                now >= control.lease_until);
-  if (may_leave && now >= control.leave_after) {
+  const bool may_leave =
+      control.leaving || IsDrained(control) ||
+      (now >= control.drain_until && now >= control.lease_until);
+  if (!may_leave || now < control.leave_after) {
+    return;
+  }
+  if (!control.leaving) {
     control.leaving = true;
-    control.leave_after = now + kRetry;
-    AppendOwn(out, OwnRecord::kLeave, Leave{control.self});
+    control.leave_since = now;
   }
+  control.leave_after = now + kRetry;
+  AppendOwn(out, OwnRecord::kLeave, Leave{control.self});
 }
 
 // Every member that ranks later waits longer, so that the next one writes when
