--- a/include/celerykeel/net/feed_client.h
+++ b/include/celerykeel/net/feed_client.h
@@ -21,6 +21,7 @@
   Incarnation self = 0;                     // 0: not joined yet
   Duration lease_until{};                   // act for programs only before it
   Duration fresh_at{};        // when the state was last known complete
+  Duration retention{};       // of the log's records; 0: not known
   Duration successor_wait{};  // after an eviction: a lease and a margin
   bool log_reachable = false;
   bool draining = false;
--- a/include/celerykeel/steward/options.h
+++ b/include/celerykeel/steward/options.h
@@ -28,6 +28,7 @@
   Duration append_wait = std::chrono::seconds(2);
   Duration drain_timeout = std::chrono::seconds(30);
   Duration snapshot_every = std::chrono::minutes(10);
+  Duration retention{};          // of the log's records; 0: not known
   uint32_t append_budget = 400;  // appends a second, of the whole fleet
 };
 
--- a/src/celerykeel/net/feed_client.cc
+++ b/src/celerykeel/net/feed_client.cc
@@ -101,6 +101,7 @@
     next.self = update.incarnation();
     next.lease_until = Duration(update.lease_until_ns());
     next.fresh_at = complete ? Duration(update.fresh_at_ns()) : next.fresh_at;
+    next.retention = std::chrono::milliseconds(update.retention_ms());
     next.successor_wait = std::chrono::milliseconds(update.successor_wait_ms());
     next.log_reachable = update.log_reachable();
     next.draining = update.draining();
--- a/src/celerykeel/steward/feed.cc
+++ b/src/celerykeel/steward/feed.cc
@@ -9,6 +9,11 @@
 constexpr size_t kMaxUpdateBytes = size_t{1} * 1024 * 1024;
 constexpr Duration kSubscriberTimeout = std::chrono::seconds(10);
 
+uint64_t Millis(Duration duration) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 void AddRecords(const RecordBuffer& buffer,
                 Offset offset,
                 pb::FeedUpdate& update) {
@@ -47,10 +52,9 @@
   update.set_log_reachable(control.log_reachable);
   update.set_draining(control.draining);
   update.set_offset(control.state.offset);
-  update.set_successor_wait_ms(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          control.options.lease + control.options.margin)
-          .count()));
+  update.set_successor_wait_ms(
+      Millis(control.options.lease + control.options.margin));
+  update.set_retention_ms(Millis(control.options.retention));
   if (Covers(control.records, offset, control.state.offset)) {
     AddRecords(control.records, offset, update);
   } else {
--- a/src/celerykeel/steward/options.cc
+++ b/src/celerykeel/steward/options.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/steward/options.h"
 
+#include <algorithm>  // for std::min
+
 namespace celerykeel {
 
 namespace {
@@ -30,6 +32,7 @@
   --drain-timeout-ms=N       leave after this long, drained or not (30000)
   --snapshot-every-ms=N      write the state again this often; at most half of
                              the log's retention (600000)
+  --retention-ms=N           how long the log keeps records (0: not known)
   --help                     this text
   --version                  version and commit
 
@@ -78,6 +81,11 @@
       reader.Millis("drain-timeout-ms", 30'000, 10, kHourMs);
   options.snapshot_every =
       reader.Millis("snapshot-every-ms", 600'000, 100, 24 * kHourMs);
+  options.retention = reader.Millis("retention-ms", 0, 0, 24 * kHourMs * 365);
+  if (options.retention > Duration{}) {
+    options.snapshot_every =
+        std::min(options.snapshot_every, options.retention / 2);
+  }
   return options;
 }
 
