--- a/include/celerykeel/standin/prefix_cache.h
+++ b/include/celerykeel/standin/prefix_cache.h
@@ -91,6 +91,13 @@
                     std::string_view program,
                     CacheChanges& changes);
 
+/// @brief The same for a caller that knows the program's only chain; it looks
+/// at these blocks alone.
+void ReleaseChain(PrefixCache& cache,
+                  std::string_view program,
+                  std::span<const BlockHash> chain,
+                  CacheChanges& changes);
+
 /// @brief The program's blocks, the start of its prefixes first.
 std::vector<ExportedBlock> ExportBlocks(const PrefixCache& cache,
                                         std::string_view program);
--- a/src/celerykeel/standin/prefix_cache.cc
+++ b/src/celerykeel/standin/prefix_cache.cc
@@ -158,6 +158,29 @@
   }
 }
 
+void ReleaseChain(PrefixCache& cache,
+                  std::string_view program,
+                  std::span<const BlockHash> chain,
+                  CacheChanges& changes) {
+  const uint32_t owner = NumberOf(cache, program);
+  for (const BlockHash hash : chain) {
+    const auto found = cache.blocks.find(hash);
+    if (found == cache.blocks.end()) {
+      continue;
+    }
+    CachedBlock& block = found->second;
+    if (std::erase(block.owners, owner) == 0) {
+      continue;
+    }
+    --cache.held[owner];
+    AddChange(changes, CacheChangeKind::kReleased, cache, owner);
+    if (block.owners.empty() && block.pins == 0) {
+      cache.evictable.erase(KeyOf(hash, block));
+      cache.blocks.erase(found);
+    }
+  }
+}
+
 std::vector<ExportedBlock> ExportBlocks(const PrefixCache& cache,
                                         std::string_view program) {
   std::vector<ExportedBlock> exported;
--- a/src/celerykeel/standin/prefix_cache_unittest.cc
+++ b/src/celerykeel/standin/prefix_cache_unittest.cc
@@ -109,5 +109,21 @@
   CHECK(holds);
 }
 
+TEST_CASE("releasing a program's chain is releasing the program") {
+  PrefixCache whole;
+  whole.capacity = 8;
+  CacheChanges changes;
+  Use(whole, "a", {1, 2, 3}, seconds(1), changes);
+  Use(whole, "b", {1, 20}, seconds(2), changes);
+  PrefixCache chain = whole;
+  ReleaseProgram(whole, "a", changes);
+  const std::vector<BlockHash> blocks = {1, 2, 3, 4};
+  ReleaseChain(chain, "a", blocks, changes);
+  CHECK(HeldTokens(chain) == HeldTokens(whole));
+  CHECK(chain.blocks.size() == whole.blocks.size());
+  CHECK(chain.evictable.size() == whole.evictable.size());
+  CHECK_FALSE(chain.blocks.contains(2));
+}
+
 }  // namespace
 }  // namespace celerykeel
