core, load: rank and placement, compared with the baselines

Cause: the scheduler places by least outstanding calls and sends no rank; nothing measured what that costs a program. Change: core/prefix_map (what an endpoint should hold, from what was sent), core/run_rank (least attained service in levels, teams over their share last), core/placement (wait + prefill + eviction, bounded load); celerykeel-load compare runs them and three baselines on a virtual clock, on the same arrivals.

--- /dev/null
+++ b/src/celerykeel/core/placement.cc
@@ -0,0 +1,160 @@
+#include "celerykeel/core/placement.h"
+
+#include <algorithm>  // for std::max, std::min, std::find
+#include <numeric>    // for std::accumulate
+#include <tuple>      // for std::tuple
+
+namespace celerykeel {
+
+namespace {
+
+uint32_t CallsUpTo(const EndpointBook& book, RunRank rank) {
+  return std::accumulate(book.outstanding.begin(),
+                         book.outstanding.begin() + rank + 1, 0U);
+}
+
+uint32_t Calls(const EndpointBook& book) {
+  return CallsUpTo(book, kMostRanks - 1);
+}
+
+double Seconds(Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+// Calls that run keep their slots whatever their rank; of those that wait only
+// the ones of no greater rank are ahead.
+double SlotWait(const EndpointBook& book, const PlacementRequest& request) {
+  const double slots = book.pace.slots;
+  const double all = Calls(book);
+  if (all < slots) {
+    return 0;
+  }
+  const double ahead = std::max(0.0, CallsUpTo(book, request.rank) - slots);
+  return (ahead + 1) / slots * Seconds(request.call_time);
+}
+
+double MemoryWait(const EndpointBook& book, const PlacementRequest& request) {
+  const auto capacity = static_cast<double>(book.held.capacity);
+  const auto wanted =
+      static_cast<double>(book.pinned_tokens + request.prompt.tokens);
+  return wanted <= capacity
+             ? 0
+             : (wanted - capacity) / capacity * Seconds(request.call_time);
+}
+
+// An endpoint with a free slot is never past the bound.
+bool IsOver(const EndpointBook& book,
+            const PlacementOptions& options,
+            double mean) {
+  return options.bounded_load > 0 && Calls(book) >= book.pace.slots &&
+         Calls(book) + 1 > options.bounded_load * mean;
+}
+
+// The best holder and `samples` drawn endpoints; all if there are few.
+std::vector<size_t> Candidates(std::span<const EndpointBook> books,
+                               const PlacementRequest& request,
+                               const PlacementOptions& options,
+                               uint64_t draw) {
+  std::vector<size_t> all(books.size());
+  std::iota(all.begin(), all.end(), size_t{0});
+  if (options.samples == 0 || options.samples + 1 >= books.size()) {
+    return all;
+  }
+  const auto holder = std::ranges::max_element(all, {}, [&](size_t i) {
+    return HeldTokens(books[i].held, request.prompt);
+  });
+  std::vector<size_t> some = {*holder};
+  while (some.size() < options.samples + 1) {
+    const size_t next = draw % books.size();
+    draw = draw * 6364136223846793005U + 1442695040888963407U;
+    draw ^= draw >> 29U;
+    if (std::find(some.begin(), some.end(), next) == some.end()) {
+      some.push_back(next);
+    }
+  }
+  return some;
+}
+
+}  // namespace
+
+double Total(const PlacementCost& cost) {
+  return cost.wait + cost.prefill + cost.eviction;
+}
+
+PlacementCost ExpectedCost(const EndpointBook& book,
+                           const PlacementRequest& request,
+                           const PlacementOptions& options,
+                           Duration now) {
+  const double pace = book.pace.prefill_tokens_per_second;
+  const uint64_t held =
+      options.knows_holdings ? HeldTokens(book.held, request.prompt) : 0;
+  const uint64_t unread = request.prompt.tokens - held;
+  const double running = std::min(Calls(book), book.pace.slots);
+  PlacementCost cost;
+  cost.wait = SlotWait(book, request) + MemoryWait(book, request) +
+              std::max(0.0, Seconds(book.read_until - now));
+  // An engine reads prompts between the steps of those that run, so each of
+  // them waits as long as the prompt takes.
+  cost.prefill = static_cast<double>(unread) / pace * (1 + running);
+  if (options.eviction_weight > 0) {
+    cost.eviction = options.eviction_weight *
+                    EvictionCharge(book.held, unread, options.half_age, now) /
+                    pace;
+  }
+  return cost;
+}
+
+std::optional<Placement> Place(std::span<const EndpointBook> books,
+                               const PlacementRequest& request,
+                               const PlacementOptions& options,
+                               uint64_t draw,
+                               Duration now) {
+  if (books.empty()) {
+    return std::nullopt;
+  }
+  const double calls = std::accumulate(
+      books.begin(), books.end(), 0.0,
+      [](double sum, const EndpointBook& book) { return sum + Calls(book); });
+  const double mean = calls / static_cast<double>(books.size());
+  Placement placement;
+  placement.costs.resize(books.size());
+  std::optional<std::tuple<bool, double, uint32_t>> least;
+  for (const size_t i : Candidates(books, request, options, draw)) {
+    PlacementCost& cost = placement.costs[i];
+    cost = ExpectedCost(books[i], request, options, now);
+    cost.is_over = IsOver(books[i], options, mean);
+    const std::tuple key(cost.is_over, Total(cost), Calls(books[i]));
+    if (!least || key < *least) {
+      least = key;
+      placement.endpoint = i;
+    }
+  }
+  return placement;
+}
+
+SentCall NoteSent(EndpointBook& book,
+                  const PlacementRequest& request,
+                  Duration now) {
+  const SentCall sent{request.rank, request.prompt.tokens};
+  const uint64_t unread =
+      request.prompt.tokens - HeldTokens(book.held, request.prompt);
+  const std::chrono::duration<double> reading(
+      static_cast<double>(unread) / book.pace.prefill_tokens_per_second);
+  book.read_until = std::max(book.read_until, now) +
+                    std::chrono::duration_cast<Duration>(reading);
+  ++book.outstanding[sent.rank];
+  book.pinned_tokens += sent.pinned_tokens;
+  NoteUsed(book.held, request.prompt, now);
+  return sent;
+}
+
+void NoteEnded(EndpointBook& book,
+               const SentCall& sent,
+               const PromptShape& prompt,
+               Duration now) {
+  --book.outstanding[sent.rank];
+  book.pinned_tokens -= sent.pinned_tokens;
+  NoteUsed(book.held, prompt, now);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/placement_unittest.cc
@@ -0,0 +1,179 @@
+#include <doctest/doctest.h>
+
+#include <random>  // for std::mt19937
+
+#include "celerykeel/core/placement.h"   // for Place, ExpectedCost
+#include "celerykeel/core/prefix_map.h"  // for PrefixMap
+#include "celerykeel/core/run_rank.h"    // for LevelOf, RankOf
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+PromptShape Prompt(const std::string& program, uint64_t own) {
+  return {program, 7, 100, 100 + own};
+}
+
+PlacementRequest Request(const std::string& program, uint64_t own) {
+  return {Prompt(program, own), 0, seconds(1)};
+}
+
+std::vector<EndpointBook> Books(size_t count, uint64_t capacity) {
+  std::vector<EndpointBook> books(count);
+  for (EndpointBook& book : books) {
+    book.held.capacity = capacity;
+  }
+  return books;
+}
+
+uint64_t SumOf(const PrefixMap& map) {
+  uint64_t held = 0;
+  for (const auto& [id, prefix] : map.programs) {
+    held += prefix.own_tokens;
+  }
+  for (const auto& [hash, shared] : map.shared) {
+    held += shared.tokens;
+  }
+  return held;
+}
+
+TEST_CASE("a sent prompt is held, and another program shares its start") {
+  PrefixMap map{.capacity = 10'000};
+  NoteUsed(map, Prompt("a", 500), seconds(1));
+  CHECK(HeldTokens(map, Prompt("a", 800)) == 600);
+  CHECK(HeldTokens(map, Prompt("b", 800)) == 100);
+  Forget(map, "a");
+  CHECK(HeldTokens(map, Prompt("b", 800)) == 0);
+  CHECK(map.held == 0);
+}
+
+TEST_CASE("the least recently used program is evicted, its end first") {
+  PrefixMap map{.capacity = 1000};
+  NoteUsed(map, Prompt("a", 500), seconds(1));
+  NoteUsed(map, Prompt("b", 300), seconds(2));
+  NoteUsed(map, Prompt("c", 300), seconds(3));
+  CHECK(map.held == 1000);
+  CHECK(HeldTokens(map, Prompt("a", 500)) == 400);
+  CHECK(HeldTokens(map, Prompt("b", 300)) == 400);
+}
+
+TEST_CASE("a report corrects the estimate unless it is from before the use") {
+  PrefixMap map{.capacity = 1000};
+  NoteUsed(map, Prompt("a", 500), seconds(5));
+  Correct(map, "a", 200, seconds(4));
+  CHECK(HeldTokens(map, Prompt("a", 500)) == 600);
+  Correct(map, "a", 200, seconds(6));
+  CHECK(HeldTokens(map, Prompt("a", 500)) == 200);
+  Correct(map, "a", 0, seconds(6));
+  CHECK(map.programs.empty());
+  CHECK(map.held == 0);
+}
+
+TEST_CASE("evicting a program used long ago costs less") {
+  PrefixMap map{.capacity = 600};
+  NoteUsed(map, Prompt("a", 500), seconds(0));
+  CHECK(EvictionCharge(map, 0, seconds(30), seconds(0)) == 0);
+  CHECK(EvictionCharge(map, 300, seconds(30), seconds(0)) == 300);
+  CHECK(EvictionCharge(map, 300, seconds(30), seconds(30)) == 150);
+}
+
+TEST_CASE("what a map holds is the sum of its parts, whatever happens") {
+  std::mt19937 random(11);
+  PrefixMap map{.capacity = 900};
+  Duration now{};
+  for (int i = 0; i < 20'000; ++i) {
+    now += seconds(1);
+    const uint32_t step = random() % 256;
+    const std::string program = "p" + std::to_string(step % 4);
+    if (step % 5 == 0) {
+      Forget(map, program);
+    } else if (step % 5 == 1) {
+      Correct(map, program, step, now);
+    } else {
+      NoteUsed(map, {program, step % 2, 50, 50 + 2 * step}, now);
+    }
+    REQUIRE(SumOf(map) == map.held);
+    REQUIRE(map.held <= map.capacity);
+    REQUIRE(map.by_use.size() == map.programs.size());
+  }
+}
+
+TEST_CASE("a call goes where its prefix is held") {
+  auto books = Books(4, 100'000);
+  NoteSent(books[2], Request("a", 5000), seconds(1));
+  const auto placement = Place(books, Request("a", 5200), {}, 0, seconds(2));
+  REQUIRE(placement);
+  CHECK(placement->endpoint == 2);
+  CHECK(placement->costs.size() == 4);
+  CHECK_FALSE(Place({}, Request("a", 1), {}, 0, seconds(2)));
+}
+
+TEST_CASE("a full holder is left when waiting costs more than reading again") {
+  auto books = Books(2, 1'000'000);
+  for (int i = 0; i < 40; ++i) {
+    NoteSent(books[0], Request("p" + std::to_string(i), 100), seconds(1));
+  }
+  CHECK(Place(books, Request("p0", 200), {}, 0, seconds(2))->endpoint == 1);
+  PlacementOptions unbounded;
+  unbounded.bounded_load = 0;
+  PlacementRequest urgent = Request("p0", 100'000);
+  NoteUsed(books[0].held, urgent.prompt, seconds(2));
+  urgent.call_time = milliseconds(100);
+  CHECK(Place(books, urgent, unbounded, 0, seconds(2))->endpoint == 0);
+}
+
+TEST_CASE("calls of a greater rank that wait are not ahead") {
+  EndpointBook book;
+  book.held.capacity = 1'000'000;
+  for (int i = 0; i < 48; ++i) {
+    PlacementRequest other = Request("p" + std::to_string(i), 1);
+    other.rank = 3;
+    NoteSent(book, other, seconds(1));
+  }
+  PlacementRequest request = Request("a", 1);
+  const double first = ExpectedCost(book, request, {}, seconds(2)).wait;
+  request.rank = 4;
+  CHECK(first < ExpectedCost(book, request, {}, seconds(2)).wait);
+}
+
+TEST_CASE("ended calls leave no trace but what is held") {
+  EndpointBook book;
+  book.held.capacity = 10'000;
+  const PlacementRequest request = Request("a", 400);
+  const SentCall sent = NoteSent(book, request, seconds(1));
+  NoteEnded(book, sent, Prompt("a", 450), seconds(2));
+  CHECK(book.outstanding[0] == 0);
+  CHECK(book.read_until < seconds(2));
+  CHECK(book.pinned_tokens == 0);
+  CHECK(HeldTokens(book.held, Prompt("a", 500)) == 550);
+}
+
+TEST_CASE("a program's level grows with the service it received") {
+  const RankOptions options;
+  CHECK(LevelOf(options, Duration{}) == 0);
+  CHECK(LevelOf(options, options.first_level) == 1);
+  CHECK(LevelOf(options, options.first_level * 3) == 2);
+  CHECK(LevelOf(options, std::chrono::hours(5)) == options.levels - 1);
+  CHECK(RankOf(options, Duration{}, 1) == 0);
+  CHECK(RankOf(options, Duration{}, 2) == options.levels);
+  CHECK(2 * options.levels <= kMostRanks);
+}
+
+TEST_CASE("a team's ratio is of its weight, and older service counts less") {
+  const RankOptions options;
+  TeamShares shares;
+  shares.teams["large"].weight = 3;
+  shares.teams["small"].weight = 1;
+  NoteService(shares, options, "large", seconds(6), seconds(0));
+  NoteService(shares, options, "small", seconds(2), seconds(0));
+  CHECK(ShareRatio(shares, options, "large", seconds(0)) == doctest::Approx(1));
+  NoteService(shares, options, "small", seconds(6), seconds(60));
+  CHECK(ShareRatio(shares, options, "small", seconds(60)) ==
+        doctest::Approx(2.8));
+  CHECK(ShareRatio(shares, options, "other", seconds(60)) == 0);
+}
+
+}  // namespace
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/prefix_map.cc
@@ -0,0 +1,120 @@
+#include "celerykeel/core/prefix_map.h"
+
+#include <algorithm>  // for std::min
+
+namespace celerykeel {
+
+namespace {
+
+void DropShared(PrefixMap& map, uint64_t hash) {
+  const auto found = map.shared.find(hash);
+  if (--found->second.users == 0) {
+    map.held -= found->second.tokens;
+    map.shared.erase(found);
+  }
+}
+
+// Blocks of a shared part are used by each of its programs, so that part goes
+// with the last of them.
+void EvictOver(PrefixMap& map) {
+  while (map.held > map.capacity && map.programs.size() > 1) {
+    const auto oldest = map.by_use.begin();
+    const auto found = map.programs.find(oldest->second);
+    HeldPrefix& prefix = found->second;
+    const uint64_t cut = std::min(prefix.own_tokens, map.held - map.capacity);
+    prefix.own_tokens -= cut;
+    map.held -= cut;
+    if (prefix.own_tokens == 0) {
+      DropShared(map, prefix.shared);
+      map.programs.erase(found);
+      map.by_use.erase(oldest);
+    }
+  }
+}
+
+uint64_t SharedTokens(const PrefixMap& map, uint64_t hash) {
+  const auto found = map.shared.find(hash);
+  return found == map.shared.end() ? 0 : found->second.tokens;
+}
+
+}  // namespace
+
+uint64_t HeldTokens(const PrefixMap& map, const PromptShape& prompt) {
+  const uint64_t shared =
+      std::min(SharedTokens(map, prompt.shared), prompt.shared_tokens);
+  const auto found = map.programs.find(prompt.program);
+  if (found == map.programs.end()) {
+    return shared;
+  }
+  return std::min(shared + found->second.own_tokens, prompt.tokens);
+}
+
+void NoteUsed(PrefixMap& map, const PromptShape& prompt, Duration now) {
+  Forget(map, prompt.program);
+  SharedPrefix& shared = map.shared[prompt.shared];
+  if (shared.users++ == 0) {
+    shared.tokens = prompt.shared_tokens;
+    map.held += shared.tokens;
+  }
+  const uint64_t own = prompt.tokens - prompt.shared_tokens;
+  map.held += own;
+  map.programs.emplace(prompt.program, HeldPrefix{prompt.shared, own, now});
+  map.by_use.emplace(now, prompt.program);
+  EvictOver(map);
+}
+
+void Forget(PrefixMap& map, std::string_view program) {
+  const auto found = map.programs.find(program);
+  if (found == map.programs.end()) {
+    return;
+  }
+  map.held -= found->second.own_tokens;
+  DropShared(map, found->second.shared);
+  map.by_use.erase({found->second.used_at, found->first});
+  map.programs.erase(found);
+}
+
+void Correct(PrefixMap& map,
+             std::string_view program,
+             uint64_t tokens,
+             Duration as_of) {
+  const auto found = map.programs.find(program);
+  if (found == map.programs.end() || as_of < found->second.used_at) {
+    return;
+  }
+  HeldPrefix& prefix = found->second;
+  const uint64_t shared = SharedTokens(map, prefix.shared);
+  if (tokens <= shared) {
+    Forget(map, program);
+    return;
+  }
+  if (const uint64_t own = tokens - shared; own < prefix.own_tokens) {
+    map.held -= prefix.own_tokens - own;
+    prefix.own_tokens = own;
+  }
+}
+
+double EvictionCharge(const PrefixMap& map,
+                      uint64_t tokens,
+                      Duration half_age,
+                      Duration now) {
+  if (map.held + tokens <= map.capacity) {
+    return 0;
+  }
+  uint64_t left = map.held + tokens - map.capacity;
+  double charge = 0;
+  for (const auto& [used_at, program] : map.by_use) {
+    const uint64_t cut =
+        std::min(left, map.programs.find(program)->second.own_tokens);
+    const double age = static_cast<double>((now - used_at).count()) /
+                       static_cast<double>(half_age.count());
+    charge += static_cast<double>(cut) / (1 + age);
+    left -= cut;
+    if (left == 0) {
+      break;
+    }
+  }
+  return charge;
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/load/load_main.cc
+++ b/src/celerykeel/load/load_main.cc
@@ -1,20 +1,26 @@
 #include <fmt/core.h>  // for fmt::print
 
+#include <charconv>     // for std::from_chars
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 #include <vector>       // for std::vector
 
-#include "celerykeel/load/latency_run.h"  // for RunLatency
-#include "celerykeel/net/settings.h"      // for SettingsReader
+#include "celerykeel/load/bench_policy.h"  // for FindPolicy
+#include "celerykeel/load/compare.h"       // for RunCompare
+#include "celerykeel/load/latency_run.h"   // for RunLatency
+#include "celerykeel/net/settings.h"       // for SettingsReader
 
 namespace celerykeel {
 
 namespace {
 
+constexpr double kMostLoad = 10;  // of the capacity
+
 constexpr char kUsage[] = R"(Drives a fleet with load and reports what it met.
 
 Usage:
   celerykeel-load latency --gates=ADDRS --engines=ADDRS [options]
+  celerykeel-load compare [options]
   celerykeel-load (-h | --help | --version)
 
 Options:
@@ -27,6 +33,11 @@
   --max-tokens=N    Tokens of each answer (default 16).
   --threads=N       Calls under way at most (default 64).
   --seed=N          Seed of the arrivals (default 1).
+  --workload=NAME   hardangersaft or oglje (compare; default hardangersaft).
+  --policies=NAMES  Policies to compare (default the baselines, las-cost).
+  --loads=LIST      Parts of the capacity (compare; default 0.9,1.1).
+  --programs=N      Programs of the workload (compare; default 1000).
+  --wholesaler=N    Team that sends five times its rate, from 1 (compare).
   --json            Report as JSON.
   -h --help         Show this.
   --version         Show the version.
@@ -58,11 +69,74 @@
   return options;
 }
 
+std::vector<BenchPolicy> ReadPolicies(SettingsReader& reader) {
+  std::vector<BenchPolicy> policies;
+  for (const std::string& name : SplitList(reader.Text(
+           "policies",
+           "fcfs-round-robin,fcfs-least-outstanding,fcfs-prefix-hash,"
+           "las-cost"))) {
+    if (auto policy = FindPolicy(name)) {
+      policies.push_back(*std::move(policy));
+    } else {
+      reader.AddMistake("policies", name, "names of policies");
+    }
+  }
+  return policies;
+}
+
+std::vector<double> ReadLoads(SettingsReader& reader) {
+  std::vector<double> loads;
+  for (const std::string& text : SplitList(reader.Text("loads", "0.9,1.1"))) {
+    double load = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), load);
+    if (error != std::errc() || end != text.data() + text.size() ||
+        !(load > 0 && load <= kMostLoad)) {
+      reader.AddMistake("loads", text, "numbers above 0, 10 at most");
+    }
+    loads.push_back(load);
+  }
+  return loads;
+}
+
+CompareOptions ReadCompareOptions(SettingsReader& reader) {
+  CompareOptions options;
+  const std::string workload = reader.Text("workload", "hardangersaft");
+  if (auto shape = FindWorkload(workload)) {
+    options.shape = *std::move(shape);
+  } else {
+    reader.AddMistake("workload", workload, "hardangersaft or oglje");
+  }
+  options.policies = ReadPolicies(reader);
+  options.loads = ReadLoads(reader);
+  options.workload.programs =
+      static_cast<uint32_t>(reader.Number("programs", 1000, 1, 1'000'000));
+  options.workload.seed = reader.Number("seed", 1, 0, UINT64_MAX);
+  if (const auto team = reader.Number("wholesaler", 0, 0, 8); team > 0) {
+    options.workload.wholesaler = static_cast<uint32_t>(team - 1);
+  }
+  return options;
+}
+
+int Compare(SettingsReader& reader) {
+  const CompareOptions options = ReadCompareOptions(reader);
+  const bool json = reader.Switch("json");
+  if (!reader.Mistakes().empty()) {
+    return ReportMistakes("load", reader);
+  }
+  const CompareReport report = RunCompare(options);
+  fmt::print("{}\n", json ? RenderJson(report) : RenderTable(report));
+  return kExitDone;
+}
+
 int Run(int argc, char** argv) {
   auto reader = SettingsReader::Parse(kUsage, argc, argv);
   if (!reader) {
     return ReportExit(reader.error());
   }
+  if (reader->Argument("compare") == "true") {
+    return Compare(*reader);
+  }
   const LatencyRunOptions options = ReadOptions(*reader);
   const bool json = reader->Switch("json");
   if (!reader->Mistakes().empty()) {
