--- a/include/celerykeel/core/placement.h
+++ b/include/celerykeel/core/placement.h
@@ -24,8 +24,10 @@
   EndpointPace pace;
   PrefixMap held;
   std::array<uint32_t, kMostRanks> outstanding{};  // calls, by rank
-  uint64_t pinned_tokens = 0;                      // of their prompts
-  Duration read_until{};  // when it should have read what was sent
+  uint32_t others = 0;         // calls of other schedulers, as reported
+  Duration reported_at{};      // when `others` held
+  uint64_t pinned_tokens = 0;  // of their prompts
+  Duration read_until{};       // when it should have read what was sent
 };
 
 struct PlacementOptions {
@@ -78,6 +80,10 @@
   uint64_t pinned_tokens = 0;
 };
 
+/// @brief The endpoint reported `calls` under way at `as_of`, `own` of them
+/// sent from here. A report older than the last one taken is ignored.
+void NoteLoad(EndpointBook& book, uint32_t calls, uint32_t own, Duration as_of);
+
 SentCall NoteSent(EndpointBook& book,
                   const PlacementRequest& request,
                   Duration now);
--- a/include/celerykeel/load/bench_run.h
+++ b/include/celerykeel/load/bench_run.h
@@ -17,6 +17,14 @@
   double slowdown = 1;  // over the same program alone
 };
 
+/// @brief How the schedulers of the bench see the engines.
+struct BenchReports {
+  Duration lag{};
+  double loss = 0;     // of the cache events
+  uint32_t cores = 1;  // schedulers; each owns a part of the programs
+  Duration every = std::chrono::milliseconds(500);  // load reports
+};
+
 struct BenchResult {
   std::vector<BenchProgram> programs;  // as in the workload
   uint64_t prompt_tokens = 0;
@@ -30,6 +38,7 @@
 /// @param load arrivals, as a part of the workload's capacity.
 BenchResult RunBench(const Workload& work,
                      const BenchPolicy& policy,
+                     const BenchReports& reports,
                      double load,
                      uint64_t seed);
 
--- a/include/celerykeel/load/compare.h
+++ b/include/celerykeel/load/compare.h
@@ -16,6 +16,7 @@
   std::vector<BenchPolicy> policies;
   std::vector<double> loads;  // of the workload's capacity
   WorkloadOptions workload;
+  BenchReports reports;
 };
 
 struct SlowdownSummary {
--- a/src/celerykeel/core/placement.cc
+++ b/src/celerykeel/core/placement.cc
@@ -10,7 +10,7 @@
 
 uint32_t CallsUpTo(const EndpointBook& book, RunRank rank) {
   return std::accumulate(book.outstanding.begin(),
-                         book.outstanding.begin() + rank + 1, 0U);
+                         book.outstanding.begin() + rank + 1, book.others);
 }
 
 uint32_t Calls(const EndpointBook& book) {
@@ -132,6 +132,16 @@
   return placement;
 }
 
+void NoteLoad(EndpointBook& book,
+              uint32_t calls,
+              uint32_t own,
+              Duration as_of) {
+  if (as_of >= book.reported_at) {
+    book.reported_at = as_of;
+    book.others = calls > own ? calls - own : 0;
+  }
+}
+
 SentCall NoteSent(EndpointBook& book,
                   const PlacementRequest& request,
                   Duration now) {
--- a/src/celerykeel/core/placement_unittest.cc
+++ b/src/celerykeel/core/placement_unittest.cc
@@ -150,6 +150,16 @@
   CHECK(HeldTokens(book.held, Prompt("a", 500)) == 550);
 }
 
+TEST_CASE("calls of other schedulers are known from reports, the newest wins") {
+  auto books = Books(2, 1'000'000);
+  NoteLoad(books[0], 40, 0, seconds(5));
+  NoteLoad(books[0], 0, 0, seconds(4));
+  CHECK(books[0].others == 40);
+  CHECK(Place(books, Request("a", 100), {}, 0, seconds(5))->endpoint == 1);
+  NoteLoad(books[0], 3, 5, seconds(6));
+  CHECK(books[0].others == 0);
+}
+
 TEST_CASE("a program's level grows with the service it received") {
   const RankOptions options;
   CHECK(LevelOf(options, Duration{}) == 0);
--- a/src/celerykeel/load/bench_policy.cc
+++ b/src/celerykeel/load/bench_policy.cc
@@ -46,6 +46,8 @@
        Without([](BenchPolicy& policy) { policy.cost.bounded_load = 0; })},
       {"las-cost-two-choices",
        Without([](BenchPolicy& policy) { policy.cost.samples = 2; })},
+      {"las-cost-no-reports",
+       Without([](BenchPolicy& policy) { policy.takes_reports = false; })},
       {"las-cost-unfair",
        Without([](BenchPolicy& policy) { policy.is_fair = false; })},
   };
--- a/src/celerykeel/load/bench_run.cc
+++ b/src/celerykeel/load/bench_run.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for std::ranges::min_element
 #include <charconv>   // for std::from_chars
+#include <numeric>    // for std::accumulate
 
 #include "celerykeel/load/bench_state.h"  // for BenchState
 
@@ -27,6 +28,10 @@
   return state.work.programs[state.work.agents[agent].program].team;
 }
 
+size_t CoreOf(const BenchState& state, uint32_t agent) {
+  return state.work.agents[agent].program % state.reports.cores;
+}
+
 uint64_t SharedTokens(const BenchState& state, uint32_t agent) {
   return state.work.shape.teams[TeamOf(state, agent)].shared_tokens;
 }
@@ -70,7 +75,8 @@
     case BenchPlacement::kPrefixHash:
       return Mix(uint64_t{agent}) % count;
     case BenchPlacement::kExpectedCost:
-      return Place(state.books, request, state.policy.cost, state.random(), now)
+      return Place(state.books[CoreOf(state, agent)], request,
+                   state.policy.cost, state.random(), now)
           ->endpoint;
   }
   return 0;
@@ -83,7 +89,7 @@
   const RankOptions& options = state.policy.rank;
   const double ratio =
       state.policy.is_fair
-          ? ShareRatio(state.shares, options,
+          ? ShareRatio(state.shares[CoreOf(state, agent)], options,
                        std::to_string(TeamOf(state, agent)), now)
           : 0;
   return RankOf(options, state.attained[state.work.agents[agent].program],
@@ -114,7 +120,8 @@
                                  FromSeconds(state.call_seconds)};
   agent.engine = ChooseEngine(state, index, request, now);
   agent.sent_at = now;
-  agent.sent = NoteSent(state.books[agent.engine], request, now);
+  agent.sent =
+      NoteSent(state.books[CoreOf(state, index)][agent.engine], request, now);
   agent.used.insert(agent.engine);
   EngineWork work;
   work.id = agent.id;
@@ -142,7 +149,7 @@
   for (const size_t engine : agent.used) {
     ReleaseChain(state.engines[engine].cache, agent.id, blocks,
                  state.engines[engine].changes);
-    Forget(state.books[engine].held, agent.id);
+    Forget(state.books[CoreOf(state, index)][engine].held, agent.id);
   }
   if (agent.parent >= 0) {
     const auto parent = static_cast<uint32_t>(agent.parent);
@@ -151,6 +158,7 @@
     }
     return;
   }
+  --state.open_programs;
   const uint32_t number = state.work.agents[index].program;
   const Duration alone = state.work.programs[number].alone;
   BenchProgram& program = state.result.programs[number];
@@ -209,23 +217,83 @@
   ++state.result.programs[number].calls;
   const Duration service = ServiceOf(state, turn, prompt - cached);
   state.attained[number] += service;
-  NoteService(state.shares, state.policy.rank,
+  NoteService(state.shares[CoreOf(state, index)], state.policy.rank,
               std::to_string(TeamOf(state, index)), service, now);
   const double seconds =
       std::chrono::duration<double>(now - agent.sent_at).count();
   state.call_seconds += kMeanGain * (seconds - state.call_seconds);
-  NoteEnded(state.books[agent.engine], agent.sent,
+  NoteEnded(state.books[CoreOf(state, index)][agent.engine], agent.sent,
             ShapeOf(state, index, agent.history), now);
   ContinueAgent(state, index, now);
 }
 
+uint32_t AgentOf(const std::string& id) {
+  uint32_t index = 0;
+  std::from_chars(id.data(), id.data() + id.size(), index);
+  return index;
+}
+
+void SendCacheReports(BenchState& state,
+                      size_t engine,
+                      const CacheChanges& changes,
+                      Duration now) {
+  if (!state.policy.takes_reports) {
+    return;
+  }
+  std::bernoulli_distribution is_lost(state.reports.loss);
+  for (const auto& [key, change] : changes.by_program) {
+    if (change.kind == CacheChangeKind::kEvicted && !is_lost(state.losses)) {
+      state.cache_reports.push_back({engine, AgentOf(change.program),
+                                     change.held_blocks * kBlockTokens, now});
+      AddEvent(state, now + state.reports.lag, BenchEventKind::kCacheReport, 0);
+    }
+  }
+}
+
+void TakeCacheReport(BenchState& state) {
+  const CacheReport report = state.cache_reports.front();
+  state.cache_reports.pop_front();
+  Correct(state.books[CoreOf(state, report.agent)][report.engine].held,
+          state.agents[report.agent].id, report.tokens, report.as_of);
+}
+
+void TakeSample(BenchState& state, Duration now) {
+  LoadSample sample;
+  sample.as_of = now;
+  for (const EngineBatcher& engine : state.engines) {
+    sample.calls.push_back(Outstanding(engine));
+  }
+  for (const auto& books : state.books) {
+    std::vector<uint32_t>& own = sample.own.emplace_back();
+    for (const EndpointBook& book : books) {
+      own.push_back(std::accumulate(book.outstanding.begin(),
+                                    book.outstanding.end(), 0U));
+    }
+  }
+  state.load_samples.push_back(std::move(sample));
+  AddEvent(state, now + state.reports.lag, BenchEventKind::kLoadReport, 0);
+  if (state.open_programs > 0) {
+    AddEvent(state, now + state.reports.every, BenchEventKind::kSample, 0);
+  }
+}
+
+void TakeLoadReport(BenchState& state) {
+  const LoadSample sample = std::move(state.load_samples.front());
+  state.load_samples.pop_front();
+  for (size_t core = 0; core < state.books.size(); ++core) {
+    for (size_t i = 0; i < sample.calls.size(); ++i) {
+      NoteLoad(state.books[core][i], sample.calls[i], sample.own[core][i],
+               sample.as_of);
+    }
+  }
+}
+
 void EndStep(BenchState& state, size_t engine, Duration now) {
   const StepOutcome outcome = FinishStep(state.engines[engine], now);
+  SendCacheReports(state, engine, outcome.changes, now);
   for (const WorkProgress& progress : outcome.progress) {
     if (progress.is_finished) {
-      uint32_t index = 0;
-      std::from_chars(progress.id.data(),
-                      progress.id.data() + progress.id.size(), index);
+      const uint32_t index = AgentOf(progress.id);
       EndCall(state, index, progress.cached_tokens, now);
     }
   }
@@ -234,16 +302,23 @@
 
 void Prepare(BenchState& state, double load) {
   const Workload& work = state.work;
+  state.books.resize(state.reports.cores);
+  state.shares.resize(state.reports.cores);
+  state.open_programs = work.programs.size();
   for (uint32_t i = 0; i < work.shape.engines; ++i) {
     state.engines.push_back(MakeEngineBatcher(work.shape.engine));
     EndpointBook book;
     book.pace = {work.shape.engine.slots,
                  work.shape.engine.prefill_tokens_per_second};
     book.held.capacity = work.shape.engine.cache_tokens;
-    state.books.push_back(std::move(book));
+    for (auto& books : state.books) {
+      books.push_back(book);
+    }
   }
   for (uint32_t i = 0; i < work.shape.teams.size(); ++i) {
-    state.shares.teams[std::to_string(i)].weight = work.shape.teams[i].weight;
+    for (TeamShares& shares : state.shares) {
+      shares.teams[std::to_string(i)].weight = work.shape.teams[i].weight;
+    }
   }
   state.agents.resize(work.agents.size());
   for (size_t i = 0; i < state.agents.size(); ++i) {
@@ -259,23 +334,44 @@
   }
 }
 
+void Handle(BenchState& state, const BenchEvent& event) {
+  switch (event.kind) {
+    case BenchEventKind::kCall:
+      SendCall(state, event.subject, event.at);
+      break;
+    case BenchEventKind::kStep:
+      EndStep(state, event.subject, event.at);
+      break;
+    case BenchEventKind::kSample:
+      TakeSample(state, event.at);
+      break;
+    case BenchEventKind::kLoadReport:
+      TakeLoadReport(state);
+      break;
+    case BenchEventKind::kCacheReport:
+      TakeCacheReport(state);
+      break;
+  }
+}
+
 }  // namespace
 
 BenchResult RunBench(const Workload& work,
                      const BenchPolicy& policy,
+                     const BenchReports& reports,
                      double load,
                      uint64_t seed) {
-  BenchState state(work, policy);
+  BenchState state(work, policy, reports);
   state.random.seed(seed);
+  state.losses.seed(seed);
   Prepare(state, load);
+  if (policy.takes_reports && reports.cores > 1) {
+    AddEvent(state, Duration{}, BenchEventKind::kSample, 0);
+  }
   while (!state.events.empty()) {
     const BenchEvent event = state.events.top();
     state.events.pop();
-    if (event.kind == BenchEventKind::kCall) {
-      SendCall(state, event.subject, event.at);
-    } else {
-      EndStep(state, event.subject, event.at);
-    }
+    Handle(state, event);
     state.result.ended_at = event.at;
   }
   return std::move(state.result);
--- a/src/celerykeel/load/bench_state.h
+++ b/src/celerykeel/load/bench_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // for uint32_t, uint64_t
+#include <deque>    // for std::deque
 #include <map>      // for std::map
 #include <queue>    // for std::priority_queue
 #include <random>   // for std::mt19937_64
@@ -16,7 +17,22 @@
 
 namespace celerykeel {
 
-enum class BenchEventKind { kCall, kStep };
+enum class BenchEventKind { kCall, kStep, kSample, kLoadReport, kCacheReport };
+
+/// @brief What an engine held of a program when it evicted some of it.
+struct CacheReport {
+  size_t engine = 0;
+  uint32_t agent = 0;
+  uint64_t tokens = 0;
+  Duration as_of{};
+};
+
+/// @brief Calls under way in all, and of each core, by engine.
+struct LoadSample {
+  Duration as_of{};
+  std::vector<uint32_t> calls;
+  std::vector<std::vector<uint32_t>> own;  // by core
+};
 
 struct BenchEvent {
   Duration at{};
@@ -43,22 +59,29 @@
 
 /// @brief All that changes in a run of the bench.
 struct BenchState {
-  BenchState(const Workload& bench_work, const BenchPolicy& bench_policy)
-      : work(bench_work), policy(bench_policy) {}
+  BenchState(const Workload& bench_work,
+             const BenchPolicy& bench_policy,
+             const BenchReports& bench_reports)
+      : work(bench_work), policy(bench_policy), reports(bench_reports) {}
 
   const Workload& work;
   const BenchPolicy& policy;
+  const BenchReports& reports;
+  std::deque<CacheReport> cache_reports;  // on their way
+  std::deque<LoadSample> load_samples;    // on their way
+  std::mt19937_64 losses;
+  size_t open_programs = 0;
   std::priority_queue<BenchEvent, std::vector<BenchEvent>, std::greater<>>
       events;
   uint64_t event_count = 0;
   std::vector<EngineBatcher> engines;
-  std::vector<EndpointBook> books;
+  std::vector<std::vector<EndpointBook>> books;  // by core and engine
   std::vector<BenchAgent> agents;
   std::vector<Duration> attained;  // by program
   std::vector<Duration> started_at;
-  TeamShares shares;
-  double call_seconds = 1;  // moving mean
-  uint64_t turns = 0;       // of the round robin
+  std::vector<TeamShares> shares;  // by core
+  double call_seconds = 1;         // moving mean
+  uint64_t turns = 0;              // of the round robin
   std::mt19937_64 random;
   BenchResult result;
 };
--- a/src/celerykeel/load/compare.cc
+++ b/src/celerykeel/load/compare.cc
@@ -79,9 +79,9 @@
   report.capacity = work.capacity;
   for (const double load : options.loads) {
     for (const BenchPolicy& policy : options.policies) {
-      CompareRow row =
-          SummarizeRun(RunBench(work, policy, load, options.workload.seed),
-                       options.workload.wholesaler);
+      CompareRow row = SummarizeRun(
+          RunBench(work, policy, options.reports, load, options.workload.seed),
+          options.workload.wholesaler);
       row.policy = policy.name;
       row.load = load;
       report.rows.push_back(std::move(row));
--- a/src/celerykeel/load/compare_unittest.cc
+++ b/src/celerykeel/load/compare_unittest.cc
@@ -28,6 +28,16 @@
   CHECK(first != RenderJson(RunCompare(Options(4))));
 }
 
+TEST_CASE("late and lost reports, and several schedulers, are seeded too") {
+  CompareOptions options = Options(3);
+  options.shape.engine.cache_tokens = 65'536;
+  const std::string prompt = RenderJson(RunCompare(options));
+  options.reports = {.lag = std::chrono::seconds(5), .loss = 0.1, .cores = 3};
+  const std::string late = RenderJson(RunCompare(options));
+  CHECK(late == RenderJson(RunCompare(options)));
+  CHECK(late != prompt);
+}
+
 TEST_CASE("every program ends under every policy, with all its calls") {
   const Workload work = MakeWorkload(Small(), {.programs = 60, .seed = 5});
   std::vector<uint32_t> calls(work.programs.size());
@@ -37,7 +47,7 @@
   for (const char* name :
        {"fcfs-round-robin", "fcfs-least-outstanding", "fcfs-prefix-hash",
         "las-cost", "las-cost-two-choices"}) {
-    const BenchResult result = RunBench(work, *FindPolicy(name), 1.2, 5);
+    const BenchResult result = RunBench(work, *FindPolicy(name), {}, 1.2, 5);
     REQUIRE(result.programs.size() == calls.size());
     for (size_t i = 0; i < calls.size(); ++i) {
       CHECK(result.programs[i].calls == calls[i]);
@@ -50,7 +60,7 @@
   WorkloadShape shape = Small();
   shape.fan_out_share = 0;
   const Workload work = MakeWorkload(shape, {.programs = 1, .seed = 2});
-  const BenchResult result = RunBench(work, *FindPolicy("las-cost"), 1, 2);
+  const BenchResult result = RunBench(work, *FindPolicy("las-cost"), {}, 1, 2);
   const double cold = 1600 / shape.engine.prefill_tokens_per_second;
   const Duration alone = work.programs[0].alone;
   CHECK(result.programs[0].latency >= alone);
--- a/src/celerykeel/load/load_main.cc
+++ b/src/celerykeel/load/load_main.cc
@@ -37,6 +37,10 @@
   --policies=NAMES  Policies to compare (default the baselines, las-cost).
   --loads=LIST      Parts of the capacity (compare; default 0.9,1.1).
   --programs=N      Programs of the workload (compare; default 1000).
+  --cache-tokens=N  Memory of each engine (compare; default the workload's).
+  --report-lag-ms=N How late reports of engines are (compare; default 0).
+  --event-loss=N    Of a hundred cache events, the lost (compare; default 0).
+  --cores=N         Schedulers that share the programs (compare; default 1).
   --wholesaler=N    Team that sends five times its rate, from 1 (compare).
   --json            Report as JSON.
   -h --help         Show this.
@@ -112,6 +116,13 @@
   options.workload.programs =
       static_cast<uint32_t>(reader.Number("programs", 1000, 1, 1'000'000));
   options.workload.seed = reader.Number("seed", 1, 0, UINT64_MAX);
+  options.shape.engine.cache_tokens = reader.Number(
+      "cache-tokens", options.shape.engine.cache_tokens, 1024, 1'000'000'000);
+  options.reports.lag = reader.Millis("report-lag-ms", 0, 0, 600'000);
+  options.reports.loss =
+      static_cast<double>(reader.Number("event-loss", 0, 0, 100)) / 100;
+  options.reports.cores =
+      static_cast<uint32_t>(reader.Number("cores", 1, 1, 64));
   if (const auto team = reader.Number("wholesaler", 0, 0, 8); team > 0) {
     options.workload.wholesaler = static_cast<uint32_t>(team - 1);
   }
