--- a/include/celerykeel/core/placement.h
+++ b/include/celerykeel/core/placement.h
@@ -36,6 +36,9 @@
   double bounded_load = 1.5;  // of the mean outstanding; 0: no bound
   uint32_t samples = 0;       // endpoints drawn beside the best holder; 0: all
   bool knows_holdings = true;
+  // An old report says how busy all endpoints are rather than which one: what
+  // it says beyond the mean counts half after this.
+  Duration report_half_life = std::chrono::seconds(1);
 };
 
 struct PlacementRequest {
@@ -59,9 +62,11 @@
   std::vector<PlacementCost> costs;  // by index
 };
 
+/// @param others calls of other schedulers, as far as reports are trusted.
 PlacementCost ExpectedCost(const EndpointBook& book,
                            const PlacementRequest& request,
                            const PlacementOptions& options,
+                           double others,
                            Duration now);
 
 /// @brief The endpoint of the least expected cost, those past the bound on
--- a/src/celerykeel/core/placement.cc
+++ b/src/celerykeel/core/placement.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/core/placement.h"
 
 #include <algorithm>  // for std::max, std::min, std::find
+#include <cmath>      // for std::exp2
 #include <numeric>    // for std::accumulate
 #include <tuple>      // for std::tuple
 
@@ -10,7 +11,7 @@
 
 uint32_t CallsUpTo(const EndpointBook& book, RunRank rank) {
   return std::accumulate(book.outstanding.begin(),
-                         book.outstanding.begin() + rank + 1, book.others);
+                         book.outstanding.begin() + rank + 1, 0U);
 }
 
 uint32_t Calls(const EndpointBook& book) {
@@ -23,13 +24,16 @@
 
 // Calls that run keep their slots whatever their rank; of those that wait only
 // the ones of no greater rank are ahead.
-double SlotWait(const EndpointBook& book, const PlacementRequest& request) {
+double SlotWait(const EndpointBook& book,
+                const PlacementRequest& request,
+                double others) {
   const double slots = book.pace.slots;
-  const double all = Calls(book);
+  const double all = Calls(book) + others;
   if (all < slots) {
     return 0;
   }
-  const double ahead = std::max(0.0, CallsUpTo(book, request.rank) - slots);
+  const double ahead =
+      std::max(0.0, CallsUpTo(book, request.rank) + others - slots);
   return (ahead + 1) / slots * Seconds(request.call_time);
 }
 
@@ -42,12 +46,31 @@
              : (wanted - capacity) / capacity * Seconds(request.call_time);
 }
 
+template <typename Value>
+double Mean(std::span<const EndpointBook> books, Value&& value) {
+  double sum = 0;
+  for (const EndpointBook& book : books) {
+    sum += value(book);
+  }
+  return sum / static_cast<double>(books.size());
+}
+
+double TrustedOthers(const EndpointBook& book,
+                     const PlacementOptions& options,
+                     double mean,
+                     Duration now) {
+  const double halvings =
+      Seconds(now - book.reported_at) / Seconds(options.report_half_life);
+  return mean + (book.others - mean) * std::exp2(-halvings);
+}
+
 // An endpoint with a free slot is never past the bound.
-bool IsOver(const EndpointBook& book,
+bool IsOver(const EndpointPace& pace,
             const PlacementOptions& options,
+            double calls,
             double mean) {
-  return options.bounded_load > 0 && Calls(book) >= book.pace.slots &&
-         Calls(book) + 1 > options.bounded_load * mean;
+  return options.bounded_load > 0 && calls >= pace.slots &&
+         calls + 1 > options.bounded_load * mean;
 }
 
 // The best holder and `samples` drawn endpoints; all if there are few.
@@ -84,14 +107,16 @@
 PlacementCost ExpectedCost(const EndpointBook& book,
                            const PlacementRequest& request,
                            const PlacementOptions& options,
+                           double others,
                            Duration now) {
   const double pace = book.pace.prefill_tokens_per_second;
   const uint64_t held =
       options.knows_holdings ? HeldTokens(book.held, request.prompt) : 0;
   const uint64_t unread = request.prompt.tokens - held;
-  const double running = std::min(Calls(book), book.pace.slots);
+  const double running =
+      std::min<double>(Calls(book) + others, book.pace.slots);
   PlacementCost cost;
-  cost.wait = SlotWait(book, request) + MemoryWait(book, request) +
+  cost.wait = SlotWait(book, request, others) + MemoryWait(book, request) +
               std::max(0.0, Seconds(book.read_until - now));
   // An engine reads prompts between the steps of those that run, so each of
   // them waits as long as the prompt takes.
@@ -112,18 +137,20 @@
   if (books.empty()) {
     return std::nullopt;
   }
-  const double calls = std::accumulate(
-      books.begin(), books.end(), 0.0,
-      [](double sum, const EndpointBook& book) { return sum + Calls(book); });
-  const double mean = calls / static_cast<double>(books.size());
+  const double mean_own = Mean(books, Calls);
+  const double mean_others =
+      Mean(books, [](const EndpointBook& book) { return book.others; });
   Placement placement;
   placement.costs.resize(books.size());
-  std::optional<std::tuple<bool, double, uint32_t>> least;
+  std::optional<std::tuple<bool, double, double>> least;
   for (const size_t i : Candidates(books, request, options, draw)) {
     PlacementCost& cost = placement.costs[i];
-    cost = ExpectedCost(books[i], request, options, now);
-    cost.is_over = IsOver(books[i], options, mean);
-    const std::tuple key(cost.is_over, Total(cost), Calls(books[i]));
+    const double others = TrustedOthers(books[i], options, mean_others, now);
+    const double calls = Calls(books[i]) + others;
+    cost = ExpectedCost(books[i], request, options, others, now);
+    cost.is_over =
+        IsOver(books[i].pace, options, calls, mean_own + mean_others);
+    const std::tuple key(cost.is_over, Total(cost), calls);
     if (!least || key < *least) {
       least = key;
       placement.endpoint = i;
--- a/src/celerykeel/core/placement_unittest.cc
+++ b/src/celerykeel/core/placement_unittest.cc
@@ -133,9 +133,9 @@
     NoteSent(book, other, seconds(1));
   }
   PlacementRequest request = Request("a", 1);
-  const double first = ExpectedCost(book, request, {}, seconds(2)).wait;
+  const double first = ExpectedCost(book, request, {}, 0, seconds(2)).wait;
   request.rank = 4;
-  CHECK(first < ExpectedCost(book, request, {}, seconds(2)).wait);
+  CHECK(first < ExpectedCost(book, request, {}, 0, seconds(2)).wait);
 }
 
 TEST_CASE("ended calls leave no trace but what is held") {
@@ -156,6 +156,11 @@
   NoteLoad(books[0], 0, 0, seconds(4));
   CHECK(books[0].others == 40);
   CHECK(Place(books, Request("a", 100), {}, 0, seconds(5))->endpoint == 1);
+  NoteLoad(books[1], 39, 0, seconds(5));
+  CHECK(Place(books, Request("a", 100), {}, 0, seconds(5))->endpoint == 1);
+  NoteSent(books[1], Request("b", 100), seconds(5));
+  NoteSent(books[1], Request("c", 100), seconds(5));
+  CHECK(Place(books, Request("d", 100), {}, 0, seconds(60))->endpoint == 0);
   NoteLoad(books[0], 3, 5, seconds(6));
   CHECK(books[0].others == 0);
 }
