core, load: prefixes of long pauses are given up at their start

Cause: engines evict the least recently used prefix, which during pauses is as often one that is needed soon as one that is not. Change: core/pause learns how long each tool pauses a program (middle of its pauses) and gives a prefix up at the start of a pause if the endpoint is full and would evict it before the tool should end.

--- a/include/celerykeel/load/bench_policy.h
+++ b/include/celerykeel/load/bench_policy.h
@@ -26,14 +26,15 @@
   RankOptions rank;
   PlacementOptions cost;
   bool takes_reports = true;  // of what engines hold and how loaded they are
-  bool is_fair = false;       // ranks teams over their share last
+  bool drops_over_pauses = true;  // or leaves it to the engines' LRU
+  bool is_fair = false;           // ranks teams over their share last
 };
 
 /// @brief A policy by its name: fcfs-round-robin, fcfs-least-outstanding,
 /// fcfs-prefix-hash, las-cost (the project's), fcfs-cost, las-prefix-hash,
 /// or las-cost without a part: las-cost-no-holdings, -no-eviction, -no-bound,
-/// -unfair, -no-reports; las-cost-two-choices looks at two drawn endpoints and
-/// the holder.
+/// -unfair, -no-reports, -no-drop; las-cost-two-choices looks at two drawn
+/// endpoints and the holder.
 std::optional<BenchPolicy> FindPolicy(std::string_view name);
 
 }  // namespace celerykeel
--- a/include/celerykeel/load/workload.h
+++ b/include/celerykeel/load/workload.h
@@ -15,7 +15,8 @@
 struct WorkTurn {
   uint64_t new_tokens = 0;           // of the prompt, beyond the history
   uint64_t answer_tokens = 0;        // at least 1
-  Duration pause{};                  // of the tool that the answer calls
+  std::string_view tool;             // that the answer calls
+  Duration pause{};                  // of the tool
   std::vector<uint32_t> sub_agents;  // started together, waited for
 };
 
--- /dev/null
+++ b/src/celerykeel/core/pause.cc
@@ -0,0 +1,45 @@
+#include "celerykeel/core/pause.h"
+
+#include <algorithm>  // for std::max
+#include <cmath>      // for std::exp, std::log
+
+namespace celerykeel {
+
+namespace {
+
+constexpr double kLeastGain = 0.02;  // of the moving mean
+constexpr double kLeastSeconds = 0.001;
+constexpr double kFullShare = 0.95;  // of the capacity
+
+}  // namespace
+
+void NotePause(PauseTimes& times, std::string_view tool, Duration pause) {
+  PauseTimes::Tool& known = times.tools[std::string(tool)];
+  ++known.count;
+  const double gain =
+      std::max(kLeastGain, 1 / static_cast<double>(known.count));
+  const double seconds =
+      std::max(std::chrono::duration<double>(pause).count(), kLeastSeconds);
+  known.log_seconds += gain * (std::log(seconds) - known.log_seconds);
+}
+
+Duration ExpectedPause(const PauseTimes& times, std::string_view tool) {
+  const auto found = times.tools.find(tool);
+  if (found == times.tools.end()) {
+    return {};
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::exp(found->second.log_seconds)));
+}
+
+// What is evicted next was last used as long ago as prefixes last.
+bool KeepOverPause(const PrefixMap& map, Duration expected, Duration now) {
+  if (map.by_use.empty() ||
+      static_cast<double>(map.held) <
+          kFullShare * static_cast<double>(map.capacity)) {
+    return true;
+  }
+  return expected <= now - map.by_use.begin()->first;
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/load/bench_policy.cc
+++ b/src/celerykeel/load/bench_policy.cc
@@ -48,6 +48,8 @@
        Without([](BenchPolicy& policy) { policy.cost.samples = 2; })},
       {"las-cost-no-reports",
        Without([](BenchPolicy& policy) { policy.takes_reports = false; })},
+      {"las-cost-no-drop",
+       Without([](BenchPolicy& policy) { policy.drops_over_pauses = false; })},
       {"las-cost-unfair",
        Without([](BenchPolicy& policy) { policy.is_fair = false; })},
   };
--- a/src/celerykeel/load/bench_run.cc
+++ b/src/celerykeel/load/bench_run.cc
@@ -113,7 +113,11 @@
 
 void SendCall(BenchState& state, uint32_t index, Duration now) {
   BenchAgent& agent = state.agents[index];
-  const WorkTurn& turn = state.work.agents[index].turns[agent.turn];
+  const std::vector<WorkTurn>& turns = state.work.agents[index].turns;
+  const WorkTurn& turn = turns[agent.turn];
+  if (agent.turn > 0) {
+    NotePause(state.pauses, turns[agent.turn - 1].tool, now - agent.paused_at);
+  }
   const uint64_t prompt = agent.history + turn.new_tokens;
   const PlacementRequest request{ShapeOf(state, index, prompt),
                                  RankFor(state, index, now),
@@ -143,7 +147,7 @@
   AddEvent(state, now, BenchEventKind::kCall, index);
 }
 
-void EndAgent(BenchState& state, uint32_t index, Duration now) {
+void ReleaseHeld(BenchState& state, uint32_t index) {
   BenchAgent& agent = state.agents[index];
   const std::vector<BlockHash> blocks = BlocksOf(state, index, agent.history);
   for (const size_t engine : agent.used) {
@@ -151,6 +155,26 @@
                  state.engines[engine].changes);
     Forget(state.books[CoreOf(state, index)][engine].held, agent.id);
   }
+  agent.used.clear();
+}
+
+void StartPause(BenchState& state,
+                uint32_t index,
+                std::string_view tool,
+                Duration now) {
+  BenchAgent& agent = state.agents[index];
+  agent.paused_at = now;
+  const PrefixMap& held = state.books[CoreOf(state, index)][agent.engine].held;
+  if (state.policy.placement == BenchPlacement::kExpectedCost &&
+      state.policy.drops_over_pauses &&
+      !KeepOverPause(held, ExpectedPause(state.pauses, tool), now)) {
+    ReleaseHeld(state, index);
+  }
+}
+
+void EndAgent(BenchState& state, uint32_t index, Duration now) {
+  BenchAgent& agent = state.agents[index];
+  ReleaseHeld(state, index);
   if (agent.parent >= 0) {
     const auto parent = static_cast<uint32_t>(agent.parent);
     if (--state.agents[parent].open_sub_agents == 0) {
@@ -175,6 +199,7 @@
     EndAgent(state, index, now);
     return;
   }
+  StartPause(state, index, turn.tool, now);
   if (turn.sub_agents.empty()) {
     AddEvent(state, now + turn.pause, BenchEventKind::kCall, index);
     return;
--- a/src/celerykeel/load/bench_state.h
+++ b/src/celerykeel/load/bench_state.h
@@ -10,6 +10,7 @@
 #include <tuple>    // for std::tie
 #include <vector>   // for std::vector
 
+#include "celerykeel/core/pause.h"              // for PauseTimes
 #include "celerykeel/core/placement.h"          // for EndpointBook, SentCall
 #include "celerykeel/core/run_rank.h"           // for TeamShares
 #include "celerykeel/load/bench_run.h"          // for BenchResult
@@ -53,6 +54,7 @@
   uint32_t open_sub_agents = 0;
   size_t engine = 0;  // of the call under way
   Duration sent_at{};
+  Duration paused_at{};
   SentCall sent;
   std::set<size_t> used;  // engines
 };
@@ -80,8 +82,9 @@
   std::vector<Duration> attained;  // by program
   std::vector<Duration> started_at;
   std::vector<TeamShares> shares;  // by core
-  double call_seconds = 1;         // moving mean
-  uint64_t turns = 0;              // of the round robin
+  PauseTimes pauses;
+  double call_seconds = 1;  // moving mean
+  uint64_t turns = 0;       // of the round robin
   std::mt19937_64 random;
   BenchResult result;
 };
--- a/src/celerykeel/load/workload.cc
+++ b/src/celerykeel/load/workload.cc
@@ -43,6 +43,7 @@
       DrawTokens(random, is_first ? shape.first_tokens : shape.result_tokens);
   turn.answer_tokens = DrawTokens(random, shape.answer_tokens);
   const bool is_slow = DrawBool(random, shape.slow_pause_share);
+  turn.tool = is_slow ? "approval" : "booking";
   const double seconds = DrawLogNormal(
       random, is_slow ? shape.slow_pause_seconds : shape.pause_seconds,
       shape.pause_spread);
@@ -79,6 +80,7 @@
           DrawAgent(random, work, work.agents[root].program, 3));
     }
     work.agents[root].turns[i].pause = {};
+    work.agents[root].turns[i].tool = "sub-agents";
     work.agents[root].turns[i].sub_agents = std::move(sub_agents);
   }
 }
