--- a/src/celerykeel/core/lease.cc
+++ b/src/celerykeel/core/lease.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/lease.h"
 
-#include <algorithm>   // for std::find, std::sort
+#include <algorithm>   // for std::find, std::min, std::sort
 #include <functional>  // for std::greater
 
 namespace celerykeel {
@@ -47,10 +47,11 @@
 
 // An eviction is checked against the present witnesses before the change's
 // record and against the next ones after it. The holder does not know on which
-// side of it an eviction falls until it has folded the record.
+// side of it an eviction falls until it has folded the record. Before the
+// record was sent no eviction can fall behind it.
 Duration LeaseUntil(const HolderLease& lease, Duration duration) {
   const Duration until = LeaseUntil(lease, lease.witnesses, duration);
-  return lease.next_witnesses.empty()
+  return lease.next_witnesses.empty() || !lease.change_sent
              ? until
              : std::min(until,
                         LeaseUntil(lease, lease.next_witnesses, duration));
@@ -71,7 +72,9 @@
     return Duration{};
   }
   std::sort(times.begin(), times.end(), std::greater<>());
-  return times[majority - 1] + duration;
+  const Duration vouched = times[majority - 1];
+  const bool is_lone = witnesses.size() == 1;
+  return (is_lone ? std::min(vouched, lease.log_read_at) : vouched) + duration;
 }
 
 std::vector<std::string> SilentWitnesses(const HolderLease& lease,
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -5,11 +5,12 @@
 #include <functional>  // for std::function
 #include <thread>      // for std::this_thread
 
-#include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/net/clock.h"         // for Now
-#include "celerykeel/net/feed_client.h"   // for FeedClient
-#include "celerykeel/testing/fake_log.h"  // for FakeLog
-#include "celerykeel/wire/fleet_codec.h"  // for EncodeFleetRecord
+#include "celerykeel/net/bounded_ring.h"      // for BoundedRing
+#include "celerykeel/net/clock.h"             // for Now
+#include "celerykeel/net/feed_client.h"       // for FeedClient
+#include "celerykeel/testing/fake_log.h"      // for FakeLog
+#include "celerykeel/testing/free_address.h"  // for FreeAddress
+#include "celerykeel/wire/fleet_codec.h"      // for EncodeFleetRecord
 
 namespace celerykeel {
 namespace {
@@ -28,23 +29,17 @@
   return true;
 }
 
-std::string AddressAt(int port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
-// Each instance takes ten ports.
 StewardOptions OptionsOf(int number, const FakeLog& log) {
-  const int port = 22900 + number * 10;
   StewardOptions options;
   options.instance = "instance-" + std::to_string(number);
   options.availability_zone = "zone-" + std::to_string(number);
   options.log = log.Address();
-  options.feed = AddressAt(port);
-  options.peers = AddressAt(port + 1);
-  options.operators = AddressAt(port + 2);
-  options.gate_address = AddressAt(port + 3);
-  options.scheduler_address = AddressAt(port + 4);
-  options.rate_address = AddressAt(port + 5);
+  options.feed = FreeAddress();
+  options.peers = FreeAddress();
+  options.operators = FreeAddress();
+  options.gate_address = FreeAddress();
+  options.scheduler_address = FreeAddress();
+  options.rate_address = FreeAddress();
   options.lease = std::chrono::seconds(2);
   options.heartbeat = std::chrono::milliseconds(50);
   options.margin = std::chrono::milliseconds(200);
@@ -79,13 +74,14 @@
   log.Put("fleet", TicketRecord(1));
   const StewardOptions options = OptionsOf(1, log);
   const auto steward = Start(options);
+  BoundedRing<AppendResult> results(1);
+  BoundedRing<JournalPage> pages(1);
   const auto reader = Reader(options);
   REQUIRE(Eventually([&] { return HoldsLease(reader->View(), Now()); }));
   const FleetView view = reader->View();
   CHECK(view.state->members.at(view.self).join.instance == "instance-1");
   CHECK(view.state->in_force.teams.contains("eidfjord-coop"));
 
-  BoundedRing<AppendResult> results(1);
   REQUIRE(reader->AppendJournal(
       {"one", "two"},
       [&](const AppendResult& result) { results.Push(result); }));
@@ -94,7 +90,6 @@
   CHECK(result->outcome == AppendOutcome::kAppended);
   CHECK(result->first_offset == 1);
 
-  BoundedRing<JournalPage> pages(1);
   REQUIRE(reader->ReadJournal(
       view.self, 1, 1, [&](const JournalPage& page) { pages.Push(page); }));
   const auto page = pages.Pop(kPatience);
