--- a/src/celerykeel/core/rate_gate.cc
+++ b/src/celerykeel/core/rate_gate.cc
@@ -50,7 +50,7 @@
 
 // Gates begin at different shares, so that both homes are asked alike.
 uint32_t FirstShare(const RateGate& gate, uint32_t count) {
-  return static_cast<uint32_t>(gate.self % count);
+  return count < 2 ? 0 : static_cast<uint32_t>(gate.self % count);
 }
 
 bool UseAnyToken(RateGate& gate, const std::string& team, Duration now) {
