core: a team's two shares have two homes, and a silent home is not waited for

Ruled out: tokens stranded in loans (none were out). Change: the second share's home is chosen among the other members; after 75 ms without an answer the other share is asked.

--- a/include/celerykeel/core/rate_gate.h
+++ b/include/celerykeel/core/rate_gate.h
@@ -76,6 +76,8 @@
   uint32_t asked = 0;    // shares that were asked in vain
   uint32_t recalls = 0;  // times that loans were called back for it
   uint64_t request = 0;  // the wish under way
+  Duration asked_at{};   // when that wish was sent
+  bool silent = false;   // a home did not answer
   Duration ask_at{};     // when to ask, if no wish is under way
   Duration until{};
   Duration retry_after{};
--- a/src/celerykeel/core/rate_fleet_unittest.cc
+++ b/src/celerykeel/core/rate_fleet_unittest.cc
@@ -159,6 +159,23 @@
   CHECK_FALSE(Check(WithoutRule::kCountingOfLoans, kRunsUntilFailure).holds);
 }
 
+TEST_CASE("one dead home does not refuse a team inside its rate") {
+  for (Incarnation dead = 1; dead <= 3; ++dead) {
+    RateWorld world({.without = WithoutRule::kNothing, .team = {100, 100}});
+    for (int i = 0; i < 3; ++i) {
+      world.Join();
+    }
+    world.Advance(seconds(10));
+    world.Kill(dead);
+    for (const Incarnation alive : world.Alive()) {
+      world.Request(alive);
+      world.Advance(seconds(1));
+    }
+    CHECK(world.admitted.size() == 2);
+    CHECK(world.refused.empty());
+  }
+}
+
 // Thirteen gates, a third of the callers on one of them, the team at a part of
 // its rate. A request is inside the rate if a bucket of the whole fleet, in
 // one place, would have let it through.
--- a/src/celerykeel/core/rate_gate.cc
+++ b/src/celerykeel/core/rate_gate.cc
@@ -42,6 +42,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kAskAgain = milliseconds(50);
+constexpr Duration kHomeSilence = milliseconds(75);  // then the other is asked
 constexpr Duration kSilentRetry = std::chrono::seconds(1);
 constexpr Duration kSweepEvery = std::chrono::seconds(1);
 constexpr uint32_t kMaxRecalls = 3;
@@ -115,6 +116,7 @@
   }
   const LoanWish wish = AskFor(gate.borrower, share, 1, gate.self, now);
   waiting.request = wish.id.request;
+  waiting.asked_at = now;
   actions.sends.push_back({*home, wish});
 }
 
@@ -160,6 +162,11 @@
 void AskDue(RateGate& gate, Duration now, RateActions& actions) {
   RateActions asked;
   for (RateWaiting& waiting : gate.waiting) {
+    if (waiting.request != 0 && now - waiting.asked_at >= kHomeSilence) {
+      waiting.request = 0;
+      waiting.silent = true;
+      TryNextShare(gate, waiting, kSilentRetry, now);
+    }
     const uint32_t count = ShareCount(LimitsOf(gate, waiting.team));
     if (waiting.request == 0 && waiting.ask_at <= now &&
         waiting.asked < count) {
@@ -182,7 +189,7 @@
         {.ticket = waiting.ticket,
          .admitted = false,
          .retry_after = waiting.asked > 0 ? waiting.retry_after : kSilentRetry,
-         .home_silent = !refused});
+         .home_silent = !refused || waiting.silent});
     return true;
   });
 }
--- a/src/celerykeel/core/rate_roster.cc
+++ b/src/celerykeel/core/rate_roster.cc
@@ -14,6 +14,24 @@
 // A half of a small burst would hold no whole token for long.
 constexpr double kLeastBurstToSplit = 8;
 
+std::optional<Incarnation> BestMember(const FleetState& state,
+                                      const RateShare& share,
+                                      std::optional<Incarnation> excluded) {
+  const std::string subject =
+      "team/" + share.team + "/" + std::to_string(share.share);
+  std::optional<Incarnation> best;
+  uint64_t highest = 0;
+  for (const auto& [incarnation, member] : state.members) {
+    const uint64_t weight = RendezvousWeight(subject, member.join.instance);
+    if (incarnation != excluded &&
+        (!best || std::tie(weight, incarnation) > std::tie(highest, *best))) {
+      highest = weight;
+      best = incarnation;
+    }
+  }
+  return best;
+}
+
 }  // namespace
 
 uint32_t ShareCount(const RateLimits& team) {
@@ -25,20 +43,14 @@
   return {.rate = team.rate / count, .burst = team.burst / count};
 }
 
+// The second share never has the home of the first, so that one death leaves
+// the team half of its rate.
 std::optional<Incarnation> HomeOf(const FleetState& state,
                                   const RateShare& share) {
-  const std::string subject =
-      "team/" + share.team + "/" + std::to_string(share.share);
-  std::optional<Incarnation> home;
-  uint64_t highest = 0;
-  for (const auto& [incarnation, member] : state.members) {
-    const uint64_t weight = RendezvousWeight(subject, member.join.instance);
-    if (!home || std::tie(weight, incarnation) > std::tie(highest, *home)) {
-      highest = weight;
-      home = incarnation;
-    }
+  if (share.share == 0 || state.members.size() == 1) {
+    return BestMember(state, share, std::nullopt);
   }
-  return home;
+  return BestMember(state, share, HomeOf(state, {share.team, 0}));
 }
 
 void NoteRoster(RosterHistory& history,
