scheduler: the successor's wait comes from the steward

Change: AdoptionOptions.successor_wait, taken from the feed's successor_wait_ms; the two flags are gone.

--- a/include/celerykeel/core/adoption.h
+++ b/include/celerykeel/core/adoption.h
@@ -15,8 +15,8 @@
 using SlotSet = std::bitset<kSlots>;
 
 struct AdoptionOptions {
-  Duration lease = std::chrono::seconds(4);
-  Duration margin = std::chrono::milliseconds(500);  // for drift of clocks
+  Duration successor_wait = std::chrono::milliseconds(4500);  // after an
+                                                              // eviction
   Duration ask_every = std::chrono::milliseconds(100);
   uint32_t page_records = 500;
 };
--- a/include/celerykeel/scheduler/scheduler_options.h
+++ b/include/celerykeel/scheduler/scheduler_options.h
@@ -42,8 +42,6 @@
   --read-timeout-ms=N        longest silence of an endpoint, 120000
   --predecessor-wait-ms=N    wait of a call for the one before it, 1000
   --idle-end-ms=N            a program unused for so long ends, 3600000
-  --lease-ms=N               lease of an instance, as at the steward, 4000
-  --margin-ms=N              for drift of clocks, as at the steward, 500
   --adoption-wait-ms=N       wait of a call for its former owner, 10000
   --audit-every-ms=N         between two looks at what engines hold, 5000
   --drain-serve-ms=N         goes on with programs after SIGTERM, 2000
--- a/src/celerykeel/core/adoption.cc
+++ b/src/celerykeel/core/adoption.cc
@@ -39,9 +39,7 @@
 Duration NotBefore(const Adoption& adoption, const DepartedMember& departed) {
   const Duration seen =
       adoption.departed_at.at(departed.member.join.incarnation);
-  return departed.evicted
-             ? seen + adoption.options.lease + adoption.options.margin
-             : seen;
+  return departed.evicted ? seen + adoption.options.successor_wait : seen;
 }
 
 void StartRound(Adoption& adoption, const FleetState& state) {
--- a/src/celerykeel/core/adoption_unittest.cc
+++ b/src/celerykeel/core/adoption_unittest.cc
@@ -77,7 +77,7 @@
   FleetState state = Fleet({kSelf}, 2);
   Depart(state, kOther, /*evicted=*/true);
   TakeRoster(adoption, state, kSelf, seconds(100));
-  const Duration lease = adoption.options.lease + adoption.options.margin;
+  const Duration lease = adoption.options.successor_wait;
   CHECK(Tick(adoption, seconds(100) + lease - milliseconds(1)).empty());
   CHECK(Count<ReadJournalPage>(Tick(adoption, seconds(100) + lease)) == 1);
   CHECK(adoption.ready.none());
--- a/src/celerykeel/scheduler/owner_ownership.cc
+++ b/src/celerykeel/scheduler/owner_ownership.cc
@@ -37,6 +37,10 @@
 
 void Owner::State::TakeView() {
   this->view = this->feed->View();
+  // The steward's word, so that both count with the same lease.
+  if (this->view.successor_wait > Duration::zero()) {
+    this->adoption.options.successor_wait = this->view.successor_wait;
+  }
   this->PerformAdoption(
       TakeRoster(this->adoption, *this->view.state, this->view.self, Now()));
 }
--- a/src/celerykeel/scheduler/owner_unittest.cc
+++ b/src/celerykeel/scheduler/owner_unittest.cc
@@ -43,8 +43,7 @@
     options.listen = AddressAt(this->port + 1);
     options.workers = 8;
     options.audit_every = std::chrono::milliseconds(20);
-    options.adoption.lease = std::chrono::milliseconds(300);
-    options.adoption.margin = std::chrono::milliseconds(50);
+    options.adoption.successor_wait = std::chrono::milliseconds(350);
     auto created =
         Owner::Create(options, std::make_shared<prometheus::Registry>());
     REQUIRE(created.has_value());
--- a/src/celerykeel/scheduler/scheduler_options.cc
+++ b/src/celerykeel/scheduler/scheduler_options.cc
@@ -28,8 +28,6 @@
       reader.Millis("rewrite-every-ms", 21'600'000, 1, 30 * kDayMillis);
   options.adoption_wait =
       reader.Millis("adoption-wait-ms", 10'000, 1, kDayMillis);
-  options.adoption.lease = reader.Millis("lease-ms", 4'000, 1, kDayMillis);
-  options.adoption.margin = reader.Millis("margin-ms", 500, 0, kDayMillis);
   options.drain_serve = reader.Millis("drain-serve-ms", 2'000, 0, kDayMillis);
   options.leave_wait = reader.Millis("leave-wait-ms", 10'000, 0, kDayMillis);
   options.audit_every = reader.Millis("audit-every-ms", 5'000, 10, kDayMillis);
