scheduler: engines are chosen by expected cost, and get a rank

Cause: ChooseEndpoint took the fewest calls of ours and knew nothing of what an engine holds; no priority was sent. Change: EndpointLoad keeps an EndpointBook for each engine, noted at dispatch and at the end of an attempt and forgotten when a program is released; ChooseEndpoint takes the least expected cost (an endpoint that failed the call still last); the level of the program's tokens is sent as the engine's priority. Explanations show the parts of the cost. Tokens stand for service.

--- a/include/celerykeel/scheduler/choose_endpoint.h
+++ b/include/celerykeel/scheduler/choose_endpoint.h
@@ -9,6 +9,7 @@
 
 #include "celerykeel/core/call.h"         // for CallWork
 #include "celerykeel/core/fleet_state.h"  // for FleetState
+#include "celerykeel/core/placement.h"    // for EndpointBook, PlacementRequest
 #include "celerykeel/core/run_queue.h"    // for QueuedCall
 
 namespace celerykeel {
@@ -16,6 +17,7 @@
 /// @brief What this process knows of the load of the endpoints.
 struct EndpointLoad {
   std::map<std::string, uint32_t> outstanding;  // calls of ours, by endpoint
+  std::map<std::string, EndpointBook> books;    // of engines
 };
 
 /// @brief Why no endpoint was chosen.
@@ -29,17 +31,26 @@
 struct EndpointChoice {
   struct Alternative {
     std::string endpoint;
-    double cost = 0;  // calls of ours under way
+    double cost = 0;      // engines: seconds; services: calls of ours under way
+    uint32_t calls = 0;   // of ours under way
+    PlacementCost parts;  // engines
     bool avoided = false;
   };
   std::string endpoint;
   std::vector<Alternative> alternatives;
 };
 
-/// @brief The endpoint that serves the call and has the fewest calls of ours;
-/// one that has failed the call only if there is no other.
-tl::expected<EndpointChoice, NoChoice> ChooseEndpoint(const FleetState& view,
-                                                      const EndpointLoad& load,
-                                                      const QueuedCall& call);
+/// @brief What is believed of an engine, made new if nothing is yet.
+EndpointBook BookOf(const EndpointLoad& load, const Endpoint& endpoint);
+
+/// @brief The engine of the least expected cost, or the service with the
+/// fewest calls of ours; one that has failed the call only if there is no
+/// other.
+tl::expected<EndpointChoice, NoChoice> ChooseEndpoint(
+    const FleetState& view,
+    const EndpointLoad& load,
+    const QueuedCall& call,
+    const PlacementRequest& request,
+    Duration now);
 
 }  // namespace celerykeel
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -163,6 +163,7 @@
       --outstanding->second == 0) {
     this->load.outstanding.erase(outstanding);
   }
+  this->BookEnded(ended);
   this->attempts.erase(ended.dispatch);
   if (const auto newest = this->newest_attempt.find(ended.key);
       newest != this->newest_attempt.end() &&
--- a/src/celerykeel/scheduler/owner_actions.cc
+++ b/src/celerykeel/scheduler/owner_actions.cc
@@ -207,7 +207,8 @@
 
 void Owner::State::Do(const DispatchCall& action) {
   auto stop = std::make_shared<AttemptStop>();
-  this->attempts[action.dispatch] = {action.endpoint, stop};
+  const std::optional<SentCall> sent = this->BookSent(action);
+  this->attempts[action.dispatch] = {action.endpoint, stop, sent};
   this->newest_attempt[action.key] = action.dispatch;
   if (action.work->kind == CallKind::kChat) {
     this->cached_at[action.key.program].insert(action.endpoint);
@@ -225,6 +226,7 @@
   call.messages = action.messages;
   call.max_tokens = action.max_tokens;
   call.stream = this->StreamOf(action);
+  call.priority = sent ? sent->rank : 0;
   call.stop = std::move(stop);
   call.connect_timeout = this->options.connect_timeout;
   call.read_timeout = this->options.read_timeout;
@@ -279,6 +281,10 @@
     return;
   }
   for (const std::string& id : found->second) {
+    if (const auto book = this->load.books.find(id);
+        book != this->load.books.end()) {
+      celerykeel::Forget(book->second.held, CacheName(action.program));
+    }
     if (std::string address = this->AddressOf(id); !address.empty()) {
       this->workers->Start(
           CacheRelease{std::move(address), CacheName(action.program)});
@@ -298,7 +304,8 @@
       kept.push_back(std::move(call));
       continue;
     }
-    auto choice = ChooseEndpoint(*this->view.state, this->load, call);
+    auto choice = ChooseEndpoint(*this->view.state, this->load, call,
+                                 this->RequestFor(call.key.program), now);
     if (choice) {
       this->NotePlacement(call, *choice);
       this->Perform(StartCall(this->ledger, call.key,
--- a/src/celerykeel/scheduler/owner_state.h
+++ b/src/celerykeel/scheduler/owner_state.h
@@ -89,6 +89,7 @@
 struct RunningAttempt {
   std::string endpoint;
   std::shared_ptr<AttemptStop> stop;
+  std::optional<SentCall> sent;  // to an engine
 };
 
 struct Owner::State {
@@ -163,6 +164,9 @@
               std::string_view chosen,
               std::string_view reason);
   void NotePlacement(const QueuedCall& call, const EndpointChoice& choice);
+  PlacementRequest RequestFor(const ProgramName& name) const;
+  std::optional<SentCall> BookSent(const DispatchCall& action);
+  void BookEnded(const AttemptEnded& ended);
   void CountRefusal(const Refusal& refusal);
   void CountAttempt(const AttemptResult& result);
   void ShowGauges();
--- a/src/celerykeel/scheduler/owner_upkeep.cc
+++ b/src/celerykeel/scheduler/owner_upkeep.cc
@@ -39,12 +39,16 @@
 void Owner::State::NotePlacement(const QueuedCall& call,
                                  const EndpointChoice& choice) {
   pb::Decision decision =
-      DecisionOf(call.key, "place", choice.endpoint, "fewest calls under way");
-  for (const auto& [endpoint, cost, avoided] : choice.alternatives) {
+      DecisionOf(call.key, "place", choice.endpoint, "least expected cost");
+  for (const EndpointChoice::Alternative& other : choice.alternatives) {
     pb::Alternative& alternative = *decision.add_alternatives();
-    alternative.set_name(endpoint);
-    alternative.set_cost(cost);
-    alternative.set_inputs(fmt::format("calls={} failed_it={}", cost, avoided));
+    alternative.set_name(other.endpoint);
+    alternative.set_cost(other.cost);
+    alternative.set_inputs(
+        fmt::format("calls={} failed_it={} wait_s={:.3f} prefill_s={:.3f} "
+                    "eviction_s={:.3f}",
+                    other.calls, other.avoided, other.parts.wait,
+                    other.parts.prefill, other.parts.eviction));
   }
   Add(this->decisions, std::move(decision));
   if (call.avoid.empty()) {
