core: a team stands behind others from twice its share on

Cause: at 1.25 a small team passes its share by one long program and is then served last, worst with little memory. Change: RankOptions::over_share is 2. The test of RankOf now checks both sides of the bound, whatever it is; before it took 2 for above.

--- a/include/celerykeel/core/run_rank.h
+++ b/include/celerykeel/core/run_rank.h
@@ -14,9 +14,9 @@
 
 struct RankOptions {
   Duration first_level = std::chrono::milliseconds(500);  // of service
-  double growth = 3;         // each level is so much longer than the one before
-  uint32_t levels = 5;       // the last has no end
-  double over_share = 1.25;  // of its share, above which a team stands behind
+  double growth = 3;      // each level is so much longer than the one before
+  uint32_t levels = 5;    // the last has no end
+  double over_share = 2;  // of its share, above which a team stands behind
   Duration share_half_life = std::chrono::seconds(60);
 };
 
--- a/src/celerykeel/core/placement_unittest.cc
+++ b/src/celerykeel/core/placement_unittest.cc
@@ -172,7 +172,9 @@
   CHECK(LevelOf(options, options.first_level * 3) == 2);
   CHECK(LevelOf(options, std::chrono::hours(5)) == options.levels - 1);
   CHECK(RankOf(options, Duration{}, 1) == 0);
-  CHECK(RankOf(options, Duration{}, 2) == options.levels);
+  CHECK(RankOf(options, Duration{}, options.over_share) == 0);
+  CHECK(RankOf(options, Duration{}, options.over_share + 0.01) ==
+        options.levels);
   CHECK(2 * options.levels <= kMostRanks);
 }
 
