--- a/src/celerykeel/load/workload.cc
+++ b/src/celerykeel/load/workload.cc
@@ -196,8 +196,10 @@
   if (options.wholesaler) {
     std::exponential_distribution<double> further(
         (options.wholesaler_factor - 1) * Weight(shape, *options.wholesaler));
-    for (double next = further(random); next < at; next += further(random)) {
+    double next = further(random);
+    while (next < at) {
       AddProgram(random, work, *options.wholesaler, next);
+      next += further(random);
     }
   }
   return work;
