core: what an attempt came to has a file of its own

Cause: ledger_outcome.cc had grown to 457 lines with two jobs: what an attempt at an endpoint came to, and what becomes of its outcome. Change: ledger_attempt.cc; four functions between the two are declared in ledger_turn.h. Behaviour is the same.

--- a/src/celerykeel/core/ledger_outcome.cc
+++ b/src/celerykeel/core/ledger_outcome.cc
@@ -12,10 +12,6 @@
 
 namespace {
 
-constexpr uint32_t kStatusTooManyRequests = 429;
-constexpr uint32_t kStatusServerError = 500;
-constexpr uint32_t kStatusClientError = 400;
-
 bool IsChat(const ActiveCall& call) {
   return call.submission.work->kind == CallKind::kChat;
 }
@@ -66,8 +62,6 @@
   FlushJournal(turn, family);
 }
 
-namespace {
-
 // Ends the active call without an answer. Tokens that an engine spent on it
 // are charged, since it may have run for long.
 void FailCall(Turn& turn,
@@ -98,6 +92,8 @@
   call.phase = CallPhase::kOutcome;
 }
 
+namespace {
+
 void ExtendHistory(Program& program, const CallRecord& record) {
   program.messages.insert(program.messages.end(), record.new_messages.begin(),
                           record.new_messages.end());
@@ -107,6 +103,8 @@
   }
 }
 
+}  // namespace
+
 void RecordAnswer(Turn& turn, Place place, AttemptResult result) {
   ProgramFamily& family = *place.family;
   Program& program = *place.program;
@@ -137,6 +135,8 @@
                call.record->usage.prompt + call.record->usage.completion);
 }
 
+namespace {
+
 // Tells the callers of a call whose outcome is settled.
 void TellOutcome(Turn& turn, Place place) {
   ActiveCall& call = *place.program->active;
@@ -178,6 +178,8 @@
   }
 }
 
+}  // namespace
+
 void AwaitOutcome(Turn& turn, Place place) {
   if (turn.moment.log_reachable) {
     FlushJournal(turn, *place.family);
@@ -186,6 +188,8 @@
   }
 }
 
+namespace {
+
 void Dispatch(Turn& turn, Place place) {
   ActiveCall& call = *place.program->active;
   call.phase = CallPhase::kDispatched;
@@ -256,70 +260,6 @@
   }
 }
 
-bool IsRetryableStatus(uint32_t status) {
-  return status == kStatusTooManyRequests || status >= kStatusServerError;
-}
-
-// An engine that answers 429 or 5xx has not served the request.
-AttemptResult::Kind KindOf(const ActiveCall& call,
-                           const AttemptResult& result) {
-  if (result.kind == AttemptResult::Kind::kAnswered && IsChat(call) &&
-      IsRetryableStatus(result.status)) {
-    return AttemptResult::Kind::kUnknown;
-  }
-  return result.kind;
-}
-
-bool MayRetry(const Turn& turn,
-              const ActiveCall& call,
-              const AttemptResult& result,
-              AttemptResult::Kind kind) {
-  const bool is_safe = kind == AttemptResult::Kind::kNotRun ||
-                       (call.submission.work->idempotent && !result.relayed);
-  return is_safe && result.may_retry && !call.stopping &&
-         call.attempts < turn.ledger.options.attempts;
-}
-
-void RetryCall(Turn& turn, ActiveCall& call) {
-  call.phase = CallPhase::kQueued;
-  call.avoid.push_back(call.endpoint);
-  turn.actions.emplace_back(
-      QueueCall{call.submission.key, call.submission.work, call.avoid});
-}
-
-// An engine's refusal of the request itself: the caller may correct it and use
-// the number again.
-void PassRefusal(Turn& turn, Place place, AttemptResult result) {
-  ActiveCall& call = *place.program->active;
-  CallRecord record = DraftRecord(turn, *place.family, call);
-  record.state = CallState::kFailed;
-  record.status = result.status;
-  record.content_type = std::move(result.content_type);
-  record.answer = std::move(result.body);
-  const auto shared = std::make_shared<const CallRecord>(std::move(record));
-  for (const Waiter waiter : call.waiters) {
-    turn.actions.emplace_back(AnswerCaller{.waiter = waiter,
-                                           .record = shared,
-                                           .replayed = false,
-                                           .durable = true});
-  }
-  ClearActive(turn, place);
-}
-
-Refusal FailureOf(const Turn& turn,
-                  const ActiveCall& call,
-                  const AttemptResult& result,
-                  AttemptResult::Kind kind) {
-  if (call.stopping) {
-    return {.type = RefusalType::kCancelled, .ran = Ran::kUnknown};
-  }
-  if (kind == AttemptResult::Kind::kNotRun) {
-    return RefusalOf(turn, RefusalType::kEndpointFailed, Ran::kNo);
-  }
-  return RefusalOf(turn, RefusalType::kEndpointFailed,
-                   result.relayed ? Ran::kYes : Ran::kUnknown);
-}
-
 }  // namespace
 
 void TellHeld(Turn& turn, Place place, bool is_last_chance) {
@@ -333,12 +273,6 @@
 
 }  // namespace ledger
 
-AttemptResult EndedAs(AttemptResult::Kind kind) {
-  AttemptResult result;
-  result.kind = kind;
-  return result;
-}
-
 LedgerActions StartCall(ProgramLedger& ledger,
                         const CallKey& key,
                         std::string endpoint,
@@ -391,43 +325,6 @@
   return std::move(turn.actions);
 }
 
-LedgerActions FinishAttempt(ProgramLedger& ledger,
-                            const CallKey& key,
-                            DispatchId dispatch,
-                            AttemptResult result,
-                            const Moment& moment) {
-  Turn turn{ledger, moment, {}};
-  const Place place = ledger::Find(ledger, key.program);
-  ActiveCall* const call = ledger::FindActive(place, key);
-  if (call == nullptr || call->phase != CallPhase::kDispatched ||
-      call->dispatch != dispatch) {
-    return {};
-  }
-  const AttemptResult::Kind kind = ledger::KindOf(*call, result);
-  if (kind != AttemptResult::Kind::kNotRun) {
-    call->ran = Ran::kUnknown;
-  }
-  const bool is_answer = kind == AttemptResult::Kind::kAnswered;
-  const bool is_refusal = is_answer && ledger::IsChat(*call) &&
-                          result.status >= ledger::kStatusClientError;
-  if (is_refusal) {
-    ledger::PassRefusal(turn, place, std::move(result));
-  } else if (is_answer) {
-    ledger::RecordAnswer(turn, place, std::move(result));
-    ledger::AwaitOutcome(turn, place);
-  } else if (ledger::MayRetry(turn, *call, result, kind)) {
-    ledger::RetryCall(turn, *call);
-  } else if (kind == AttemptResult::Kind::kNotRun ||
-             call->submission.work->idempotent) {
-    ledger::FailCall(turn, place, ledger::FailureOf(turn, *call, result, kind),
-                     result.usage);
-  } else {
-    ledger::LoseCall(turn, place);
-    ledger::AwaitOutcome(turn, place);
-  }
-  return std::move(turn.actions);
-}
-
 LedgerActions FinishAppend(ProgramLedger& ledger,
                            const ProgramName& root,
                            AppendVerdict verdict,
--- a/src/celerykeel/core/ledger_turn.h
+++ b/src/celerykeel/core/ledger_turn.h
@@ -85,6 +85,21 @@
                     const ActiveCall& call,
                     const TokenUsage& usage);
 
+/// @brief Ends the active call without an answer, and charges what it used.
+void FailCall(Turn& turn,
+              Place place,
+              const Refusal& refusal,
+              const TokenUsage& usage);
+
+/// @brief The active call may have run and nobody knows; its number is taken.
+void LoseCall(Turn& turn, Place place);
+
+/// @brief Records the answer of the active call and its part of the history.
+void RecordAnswer(Turn& turn, Place place, AttemptResult result);
+
+/// @brief Holds the outcome back until its record is in the log.
+void AwaitOutcome(Turn& turn, Place place);
+
 /// @brief The record of the active call with its identity filled in.
 CallRecord DraftRecord(const Turn& turn,
                        const ProgramFamily& family,
