standin: the four mains end in one function

Cause: reading the whole change again, the same twelve lines (mistakes, create, cannot listen, serve) stood in each of the four stand-ins' mains. Change: RunStandin beside WaitUntilStopped in http_host.h; behaviour is the same.

--- a/include/celerykeel/standin/http_host.h
+++ b/include/celerykeel/standin/http_host.h
@@ -9,7 +9,9 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
+#include "celerykeel/net/log.h"              // for Log
 #include "celerykeel/net/operator_server.h"  // for ListenError
+#include "celerykeel/net/settings.h"         // for SettingsReader
 
 namespace httplib {
 class Server;
@@ -64,4 +66,23 @@
 /// @brief Logs the address and serves until SIGTERM or SIGINT.
 void WaitUntilStopped(std::string_view part, std::string_view address);
 
+/// @brief The end of a stand-in's main: reports what is wrong with its
+/// settings, or serves until a signal to stop.
+/// @return the exit status.
+template <typename Server, typename Options>
+int RunStandin(std::string_view part,
+               const SettingsReader& reader,
+               const Options& options) {
+  if (!reader.Mistakes().empty()) {
+    return ReportMistakes(part, reader);
+  }
+  const auto server = Server::Create(options);
+  if (!server) {
+    Log(part, "cannot listen", {{"address", server.error().address}});
+    return kExitFailed;
+  }
+  WaitUntilStopped(part, options.listen);
+  return kExitDone;
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/standin/standin_engine_main.cc
+++ b/src/celerykeel/standin/standin_engine_main.cc
@@ -1,8 +1,7 @@
-#include "celerykeel/net/log.h"                // for Log
 #include "celerykeel/net/settings.h"           // for SettingsReader
 #include "celerykeel/net/stop_signal.h"        // for BlockStopSignals
 #include "celerykeel/standin/engine_server.h"  // for EngineServer
-#include "celerykeel/standin/http_host.h"      // for WaitUntilStopped
+#include "celerykeel/standin/http_host.h"      // for RunStandin
 
 namespace {
 
@@ -66,15 +65,6 @@
   options.transfer_tokens_per_second = static_cast<double>(
       reader->Number("transfer-tokens-per-s", 1'000'000, 1, kManyTokens));
   options.checks_fencing = reader->Switch("checks-fencing");
-  if (!reader->Mistakes().empty()) {
-    return celerykeel::ReportMistakes(kPart, *reader);
-  }
-  const auto server = celerykeel::EngineServer::Create(options);
-  if (!server) {
-    celerykeel::Log(kPart, "cannot listen",
-                    {{"address", server.error().address}});
-    return celerykeel::kExitFailed;
-  }
-  celerykeel::WaitUntilStopped(kPart, options.listen);
-  return celerykeel::kExitDone;
+  return celerykeel::RunStandin<celerykeel::EngineServer>(kPart, *reader,
+                                                          options);
 }
--- a/src/celerykeel/standin/standin_link_main.cc
+++ b/src/celerykeel/standin/standin_link_main.cc
@@ -1,7 +1,6 @@
-#include "celerykeel/net/log.h"              // for Log
 #include "celerykeel/net/settings.h"         // for SettingsReader
 #include "celerykeel/net/stop_signal.h"      // for BlockStopSignals
-#include "celerykeel/standin/http_host.h"    // for WaitUntilStopped
+#include "celerykeel/standin/http_host.h"    // for RunStandin
 #include "celerykeel/standin/link_server.h"  // for LinkServer
 
 namespace {
@@ -36,15 +35,6 @@
   options.to = reader->Address("to", "");
   options.control = reader->Address("control", "");
   options.delay = reader->Millis("delay-ms", 0, 0, kLongestDelayMillis);
-  if (!reader->Mistakes().empty()) {
-    return celerykeel::ReportMistakes(kPart, *reader);
-  }
-  const auto server = celerykeel::LinkServer::Create(options);
-  if (!server) {
-    celerykeel::Log(kPart, "cannot listen",
-                    {{"address", server.error().address}});
-    return celerykeel::kExitFailed;
-  }
-  celerykeel::WaitUntilStopped(kPart, options.listen);
-  return celerykeel::kExitDone;
+  return celerykeel::RunStandin<celerykeel::LinkServer>(kPart, *reader,
+                                                        options);
 }
--- a/src/celerykeel/standin/standin_platform_main.cc
+++ b/src/celerykeel/standin/standin_platform_main.cc
@@ -1,7 +1,6 @@
-#include "celerykeel/net/log.h"                  // for Log
 #include "celerykeel/net/settings.h"             // for SettingsReader
 #include "celerykeel/net/stop_signal.h"          // for BlockStopSignals
-#include "celerykeel/standin/http_host.h"        // for WaitUntilStopped
+#include "celerykeel/standin/http_host.h"        // for RunStandin
 #include "celerykeel/standin/platform_server.h"  // for PlatformServer
 
 namespace {
@@ -40,15 +39,6 @@
   options.list_lag = reader->Millis("list-lag-ms", 2'000, 0, kDayMillis);
   options.weights_rate =
       reader->Number("weights-rate", 200'000'000, 1, 100'000'000'000);
-  if (!reader->Mistakes().empty()) {
-    return celerykeel::ReportMistakes(kPart, *reader);
-  }
-  const auto server = celerykeel::PlatformServer::Create(options);
-  if (!server) {
-    celerykeel::Log(kPart, "cannot listen",
-                    {{"address", server.error().address}});
-    return celerykeel::kExitFailed;
-  }
-  celerykeel::WaitUntilStopped(kPart, options.listen);
-  return celerykeel::kExitDone;
+  return celerykeel::RunStandin<celerykeel::PlatformServer>(kPart, *reader,
+                                                            options);
 }
--- a/src/celerykeel/standin/standin_service_main.cc
+++ b/src/celerykeel/standin/standin_service_main.cc
@@ -1,7 +1,6 @@
-#include "celerykeel/net/log.h"                 // for Log
 #include "celerykeel/net/settings.h"            // for SettingsReader
 #include "celerykeel/net/stop_signal.h"         // for BlockStopSignals
-#include "celerykeel/standin/http_host.h"       // for WaitUntilStopped
+#include "celerykeel/standin/http_host.h"       // for RunStandin
 #include "celerykeel/standin/service_server.h"  // for ServiceServer
 
 namespace {
@@ -30,15 +29,6 @@
   celerykeel::ServiceOptions options;
   options.listen = reader->Address("listen", "127.0.0.1:7200");
   options.checks_fencing = reader->Switch("checks-fencing");
-  if (!reader->Mistakes().empty()) {
-    return celerykeel::ReportMistakes(kPart, *reader);
-  }
-  const auto server = celerykeel::ServiceServer::Create(options);
-  if (!server) {
-    celerykeel::Log(kPart, "cannot listen",
-                    {{"address", server.error().address}});
-    return celerykeel::kExitFailed;
-  }
-  celerykeel::WaitUntilStopped(kPart, options.listen);
-  return celerykeel::kExitDone;
+  return celerykeel::RunStandin<celerykeel::ServiceServer>(kPart, *reader,
+                                                           options);
 }
