core: a share's first home starts full at any reading of the clock

Cause: a home that nobody had lent before was given acting_from zero, and its bucket was filled for the time since the clock's zero. With 0.001/s a machine up for seven minutes held 0.4 tokens, and refused what was inside the rate. Change: LendStart says whether anybody lent before; a first home starts full at the time of the first wish.

--- a/include/celerykeel/core/rate_home.h
+++ b/include/celerykeel/core/rate_home.h
@@ -90,13 +90,18 @@
 /// clocks that differ in pace.
 inline constexpr Duration kLoanMargin = std::chrono::milliseconds(100);
 
+/// @brief How a home begins with a share of which it knows nothing.
+struct LendStart {
+  bool first = false;      // nobody lent from it before: it starts full
+  Duration acting_from{};  // else: by then no earlier home lends; starts empty
+};
+
 /// @brief Lends from a share.
-/// @param acting_from when this home may begin if it knows nothing of the
-/// share: by then no earlier home lends any more. It then starts empty.
+/// @param start used only if the home knows nothing of the share.
 LoanAnswer Lend(RateHome& home,
                 const LoanWish& wish,
                 const RateLimits& limits,
-                Duration acting_from,
+                const LendStart& start,
                 Duration now);
 
 /// @brief Takes a borrower's word on what it still holds of a loan, or gives
--- a/src/celerykeel/core/rate_home.cc
+++ b/src/celerykeel/core/rate_home.cc
@@ -49,6 +49,12 @@
   Refill(bucket.bucket, limits.rate, limits.burst - Lent(bucket), now);
 }
 
+HomeBucket StartFull(const RateLimits& limits, Duration now) {
+  HomeBucket bucket;
+  bucket.bucket = {.level = limits.burst, .updated_at = now};
+  return bucket;
+}
+
 // Whatever an earlier home lent in its last moment is still in use for one
 // validity, and may be a whole burst; until then nothing more is lent.
 HomeBucket StartEmpty(const RateLimits& limits, Duration acting_from) {
@@ -81,17 +87,20 @@
 LoanAnswer Lend(RateHome& home,
                 const LoanWish& wish,
                 const RateLimits& limits,
-                Duration acting_from,
+                const LendStart& start,
                 Duration now) {
-  if (now < acting_from && !home.buckets.contains(wish.share)) {
-    return {.tokens = 0,
-            .retry_after = acting_from + kLoanValidity + kLoanMargin - now,
-            .call_loans = {}};
+  if (!start.first && now < start.acting_from &&
+      !home.buckets.contains(wish.share)) {
+    return {
+        .tokens = 0,
+        .retry_after = start.acting_from + kLoanValidity + kLoanMargin - now,
+        .call_loans = {}};
   }
   const auto [found, fresh] = home.buckets.try_emplace(wish.share);
   HomeBucket& bucket = found->second;
   if (fresh) {
-    bucket = StartEmpty(limits, acting_from);
+    bucket = start.first ? StartFull(limits, now)
+                         : StartEmpty(limits, start.acting_from);
   }
   Advance(bucket, limits, now);
   const double level = bucket.bucket.level;
--- a/src/celerykeel/core/rate_home_unittest.cc
+++ b/src/celerykeel/core/rate_home_unittest.cc
@@ -13,6 +13,7 @@
 
 const RateShare kShare{"orchard", 0};
 constexpr RateLimits kLimits{.rate = 10, .burst = 3};
+constexpr LendStart kFirst{.first = true, .acting_from = {}};
 
 LoanWish Wish(Incarnation borrower, uint64_t request, double needed) {
   return {.share = kShare,
@@ -21,16 +22,36 @@
           .wanted = needed};
 }
 
+// A fresh instance reads seconds on its boot clock; one that was up for hours
+// reads hours. Neither says anything of the time in which tokens came.
+TEST_CASE("what a home lends first does not depend on the clock's reading") {
+  constexpr RateLimits kSlow{.rate = 0.001, .burst = 2};
+  for (const Duration now :
+       {Duration::zero(), Duration(seconds(7)), Duration(seconds(420)),
+        Duration(std::chrono::hours(300))}) {
+    RateHome first;
+    CHECK(Lend(first, Wish(2, 1, 2), kSlow, kFirst, now).tokens == 2);
+    CHECK(Lend(first, Wish(2, 2, 1), kSlow, kFirst, now).tokens == 0);
+
+    RateHome successor;
+    const LendStart after{.first = false, .acting_from = now + seconds(5)};
+    CHECK(Lend(successor, Wish(2, 1, 1), kSlow, after, now).tokens == 0);
+    CHECK(
+        Lend(successor, Wish(2, 2, 1), kSlow, after, now + seconds(5)).tokens ==
+        0);
+  }
+}
+
 // Found by the property of the fleet: the level was brought up to the burst
 // for the time in which a token was still lent.
 TEST_CASE("a loan counts against the burst for as long as it was lent") {
   RateHome home;
   const Duration start = seconds(100);
-  CHECK(Lend(home, Wish(2, 1, 3), kLimits, seconds(0), start).tokens == 3);
+  CHECK(Lend(home, Wish(2, 1, 3), kLimits, kFirst, start).tokens == 3);
   TakeLoanNews(home, {kShare, 1, 0, true}, 2, kLimits,
                start + milliseconds(500));
   const LoanAnswer answer =
-      Lend(home, Wish(2, 2, 1), kLimits, seconds(0), start + milliseconds(500));
+      Lend(home, Wish(2, 2, 1), kLimits, kFirst, start + milliseconds(500));
   CHECK(answer.tokens == 0);
   CHECK(answer.retry_after == milliseconds(100));
 }
@@ -38,7 +59,7 @@
 TEST_CASE("what is given back twice is there once") {
   RateHome home;
   const Duration start = seconds(100);
-  Lend(home, Wish(2, 1, 3), kLimits, seconds(0), start);
+  Lend(home, Wish(2, 1, 3), kLimits, kFirst, start);
   const LoanNews closed{kShare, 1, 2, true};
   TakeLoanNews(home, closed, 2, kLimits, start);
   TakeLoanNews(home, closed, 2, kLimits, start);
--- a/src/celerykeel/core/rate_lender.cc
+++ b/src/celerykeel/core/rate_lender.cc
@@ -40,16 +40,16 @@
 
 // A share that is no longer this gate's is passed on with the view, so one
 // with a bucket needs no look at the rosters.
-std::optional<Duration> ActingFrom(const RateGate& gate,
-                                   const RateShare& share) {
+std::optional<LendStart> StartOf(const RateGate& gate, const RateShare& share) {
   if (gate.home.buckets.contains(share)) {
-    return Duration::zero();
+    return LendStart{};
   }
   const auto era = EraOf(gate.roster, share, gate.self);
   if (!era) {
     return std::nullopt;
   }
-  return NobodyElseLends(gate) ? Duration::zero() : era->acting_from;
+  return LendStart{.first = NobodyElseLends(gate),
+                   .acting_from = era->acting_from};
 }
 
 // An earlier note of the same sender, late or doubled, must not pass for one
@@ -98,12 +98,12 @@
                   .tokens = 0,
                   .retry_after = {},
                   .not_home = true};
-  const auto acting_from = ActingFrom(gate, wish.share);
+  const auto start = StartOf(gate, wish.share);
   const RateLimits team = LimitsOf(gate, wish.share.team);
-  if (acting_from && !gate.resigned && now - gate.fresh_at < kLendFreshness &&
+  if (start && !gate.resigned && now - gate.fresh_at < kLendFreshness &&
       wish.share.share < ShareCount(team)) {
     const LoanAnswer answer =
-        Lend(gate.home, wish, ShareLimits(team), *acting_from, now);
+        Lend(gate.home, wish, ShareLimits(team), *start, now);
     grant.not_home = false;
     grant.tokens = answer.tokens;
     grant.retry_after = answer.retry_after;
