--- /dev/null
+++ b/include/celerykeel/core/store_call.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>   // for uint64_t
+#include <optional>  // for std::optional
+#include <string>    // for std::string
+#include <variant>   // for std::variant
+#include <vector>    // for std::vector
+
+namespace celerykeel {
+
+/// @brief Makes a repeated append harmless and fences an older writer. Equal
+/// epochs don't exclude each other: one is never used by two writers.
+struct ProducerStamp {
+  std::string producer;
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;  // the next after the last one of this epoch
+};
+
+struct AppendCall {
+  std::string topic;
+  uint32_t partition = 0;
+  std::optional<ProducerStamp> stamp;
+  std::vector<std::string> records;  // all or none are appended
+};
+
+struct AppendDone {
+  uint64_t offset = 0;  // of the first record
+  uint64_t end = 0;
+};
+
+struct ReadCall {
+  std::string topic;
+  uint32_t partition = 0;
+  uint64_t from = 0;
+  uint64_t wait_ms = 0;  // for a record, if there is none
+};
+
+struct ReadDone {
+  uint64_t end = 0;
+  uint64_t first = 0;  // oldest offset that is kept
+  std::vector<std::string> records;
+};
+
+/// @brief Asks for the newest record of each key of a keyed topic.
+struct NewestCall {
+  std::string topic;
+  std::string after;  // a key, to continue
+};
+
+struct KeyedRecord {
+  std::string key;
+  std::string value;
+  bool dropped = false;  // the key has no value any more
+  uint64_t offset = 0;
+};
+
+struct NewestDone {
+  std::vector<KeyedRecord> records;
+  bool more = false;
+  uint64_t end = 0;
+};
+
+/// @brief Another writer has a higher epoch.
+struct Fenced {
+  uint64_t epoch = 0;
+};
+/// @brief The sequence does not follow the last one.
+struct OutOfSequence {
+  uint64_t expected = 0;
+};
+/// @brief The records asked for are gone.
+struct Expired {
+  uint64_t first = 0;
+};
+/// @brief The store refused and did nothing.
+struct StoreRefused {
+  int status = 0;
+};
+/// @brief No answer: the call may have taken effect, or may yet.
+struct NoAnswer {
+  std::string reason;
+};
+/// @brief An answer that can't be read.
+struct BadAnswer {
+  int status = 0;
+};
+
+using StoreError = std::
+    variant<Fenced, OutOfSequence, Expired, StoreRefused, NoAnswer, BadAnswer>;
+
+/// @brief A few words for a log line.
+std::string Describe(const StoreError& error);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/include/celerykeel/node/caller_server.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "celerykeel/node/asio.h"  // for Task
+
+namespace celerykeel {
+
+struct Node;
+
+/// @brief Accepts callers and serves their connections.
+Task<> ServeCallers(Node& node);
+
+/// @brief Answers whether this instance takes callers, and its metrics.
+Task<> ServeReadiness(Node& node);
+
+/// @brief Stops taking callers, finishes what is under way, and ends the loop.
+Task<> StopGracefully(Node& node);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/include/celerykeel/node/log_sink.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>           // for uint64_t
+#include <initializer_list>  // for std::initializer_list
+#include <map>               // for std::map
+#include <string>            // for std::string
+#include <string_view>       // for std::string_view
+#include <utility>           // for std::pair
+
+#include <nlohmann/json_fwd.hpp>  // for nlohmann::json
+
+#include "celerykeel/core/time.h"  // for Duration
+
+namespace celerykeel {
+
+/// @brief How much a line matters when there are too many.
+enum class LogLevel {
+  kOrdinary,  // one of many alike: sampled under load
+  kUnusual,   // always written
+};
+
+/// @brief A field of a log line. Never a key, a prompt or an answer.
+struct LogValue {
+  LogValue(std::string_view field_name, std::string_view text);
+  LogValue(std::string_view field_name, const char* text);
+  LogValue(std::string_view field_name, const std::string& text);
+  LogValue(std::string_view field_name, uint64_t number);
+  LogValue(std::string_view field_name, uint32_t number);
+  LogValue(std::string_view field_name, int number);
+  LogValue(std::string_view field_name, bool flag);
+  /// Whole milliseconds.
+  LogValue(std::string_view field_name, Duration duration);
+
+  std::string_view name;
+  std::string json;
+};
+
+/// @brief Structured lines on standard output, one JSON object each. Writing
+/// never blocks: what the reader does not take in time is dropped and counted.
+struct LogSink {
+  std::string instance;
+  double ordinary_per_second = 200;  // lines, above which they are sampled
+  double ordinary_left = 0;
+  Duration refilled_at{};
+  uint64_t sampled_out = 0;  // since the last line that says so
+  uint64_t dropped = 0;
+  std::string buffer;
+};
+
+/// @brief Makes standard output non-blocking.
+void OpenLog(LogSink& log, std::string_view instance);
+
+/// @brief Adds a line.
+///
+///     WriteLog(log, LogLevel::kUnusual, "slot taken", {{"slot", slot}});
+///     // {"ms":1207,"instance":"a","event":"slot taken","slot":3}
+void WriteLog(LogSink& log,
+              LogLevel level,
+              std::string_view event,
+              std::initializer_list<LogValue> fields = {});
+
+/// @brief Hands the buffer to standard output, as far as it takes it.
+void FlushLog(LogSink& log);
+
+/// @brief One line on standard output before the process ends.
+void WriteFatal(std::string_view reason);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/include/celerykeel/node/node.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>  // for uint64_t
+#include <map>      // for std::map
+#include <memory>   // for std::shared_ptr
+#include <set>      // for std::set
+#include <string>   // for std::string
+
+#include "celerykeel/core/deployment.h"      // for Deployment
+#include "celerykeel/core/endpoint_table.h"  // for EndpointTable
+#include "celerykeel/core/rate_borrower.h"   // for RateBorrower
+#include "celerykeel/core/rate_home.h"       // for RateHome
+#include "celerykeel/core/slot_table.h"      // for KnownFleet
+#include "celerykeel/node/asio.h"            // for asio::io_context
+#include "celerykeel/node/caller_stream.h"   // for CallerStream
+#include "celerykeel/node/log_sink.h"        // for LogSink
+#include "celerykeel/node/options.h"         // for NodeOptions
+#include "celerykeel/node/out_connection.h"  // for OutPool
+#include "celerykeel/node/peer_link.h"       // for PeerNetwork
+#include "celerykeel/node/slot_host.h"       // for SlotHost
+#include "celerykeel/node/store_client.h"    // for StoreClient
+
+namespace celerykeel {
+
+/// @brief What a peer's last heartbeat said besides its membership.
+struct PeerState {
+  uint64_t deployment_version = 0;
+  bool store_reached = false;
+  std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
+};
+
+/// @brief Rates of teams: what is borrowed, and what is lent as a home.
+struct RateDesk {
+  RateBorrower borrower;
+  RateHome home;
+  std::map<std::string, uint64_t> home_epochs;  // of `home`'s buckets, by team
+  // This instance's own part of each team's rate, for when no home answers.
+  std::map<std::string, TokenBucket> own;
+  std::set<std::string> asking;  // teams with a wish ahead under way
+};
+
+/// @brief All state of one instance. One thread, the loop's, uses it.
+struct Node {
+  explicit Node(NodeOptions from) : options(std::move(from)) {}
+
+  asio::io_context io{1};
+  NodeOptions options;
+  Incarnation incarnation = 0;
+  LogSink log;
+
+  std::shared_ptr<const Deployment> deployment;  // null until one is known
+  EndpointTable endpoints;
+  OutPool endpoint_pool;
+  StoreClient store;
+
+  KnownFleet fleet;
+  PeerNetwork peers;
+  std::map<std::string, PeerState> peer_states;
+  SlotHost slots;
+  RateDesk rates;
+
+  bool catching_up = false;      // with the configuration of a peer
+  uint64_t entries_skipped = 0;  // endpoint entries that don't decode
+
+  std::set<CallerStreamPtr> callers;  // open connections
+  uint64_t calls_under_way = 0;
+  bool stopping = false;
+};
+
+/// @brief Ready for callers: it knows what is in force and where to send.
+bool IsReady(const Node& node);
+
+}  // namespace celerykeel
--- /dev/null
+++ b/include/celerykeel/node/rates.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <tl/expected.hpp>  // for tl::expected
+
+#include "celerykeel/core/deployment.h"  // for DeployedTeam
+#include "celerykeel/node.pb.h"          // for pb::RateWish
+#include "celerykeel/node/asio.h"        // for Task
+
+namespace celerykeel {
+
+struct Node;
+
+/// @brief Takes one request out of a team's rate, or says when to come back.
+Task<tl::expected<void, Duration>> TakeFromRate(Node& node, DeployedTeam team);
+
+/// @brief Lends to another instance, if this one is the team's home.
+pb::RateGrant LendToPeer(Node& node, const pb::RateWish& wish);
+
+}  // namespace celerykeel
--- a/src/celerykeel/net/clock.cc
+++ b/src/celerykeel/base/clock.cc
@@ -1,4 +1,4 @@
-#include "celerykeel/net/clock.h"
+#include "celerykeel/base/clock.h"
 
 #include <time.h>  // for clock_gettime
 
--- /dev/null
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -0,0 +1,128 @@
+#include "celerykeel/core/endpoint_table.h"
+
+#include <algorithm>  // for std::min
+#include <tuple>      // for std::tuple
+
+#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
+
+namespace celerykeel {
+
+namespace {
+
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(3);
+constexpr uint32_t kMaxDoublings = 4;
+// Load above which a subject's own endpoint is passed over for the next one.
+constexpr double kCrowded = 0.85;
+// Load from which a call without a subject goes to a less loaded endpoint.
+constexpr double kSpread = 0.34;
+
+double Load(const EndpointStatus& endpoint) {
+  return double(endpoint.in_flight + endpoint.in_flight_peers) /
+         std::max(endpoint.entry.slots, 1U);
+}
+
+bool TakesWork(const EndpointStatus& endpoint, const EndpointWish& wish) {
+  return endpoint.entry.service == wish.service && !endpoint.entry.leaving &&
+         (wish.excluded == nullptr ||
+          !wish.excluded->contains(endpoint.entry.id));
+}
+
+// An entry that went while the store was away, or shortly before it was back.
+bool MayComeBack(const EndpointTable& table, Duration now) {
+  return table.store_back_at && now < *table.store_back_at + kReturnTime;
+}
+
+}  // namespace
+
+void NoteEntry(EndpointTable& table, const EndpointEntry& entry) {
+  EndpointStatus& endpoint = table.endpoints[entry.id];
+  if (!endpoint.entry.id.empty() &&
+      (entry.started_at < endpoint.entry.started_at ||
+       (entry.started_at == endpoint.entry.started_at &&
+        entry.beat < endpoint.entry.beat))) {
+    return;
+  }
+  if (entry.started_at != endpoint.entry.started_at) {
+    endpoint.failures = 0;
+    endpoint.avoid_until = {};
+  }
+  endpoint.entry = entry;
+  endpoint.lapsed_at.reset();
+}
+
+void NoteRemoved(EndpointTable& table, std::string_view id, Duration now) {
+  const auto found = table.endpoints.find(id);
+  if (found == table.endpoints.end()) {
+    return;
+  }
+  if (MayComeBack(table, now)) {
+    found->second.lapsed_at = now;
+    return;
+  }
+  table.endpoints.erase(found);
+}
+
+void DropLapsed(EndpointTable& table, Duration now) {
+  if (MayComeBack(table, now)) {
+    return;
+  }
+  std::erase_if(table.endpoints, [](const auto& entry) {
+    return entry.second.lapsed_at.has_value();
+  });
+}
+
+void NoteFailure(EndpointTable& table, std::string_view id, Duration now) {
+  if (const auto found = table.endpoints.find(id);
+      found != table.endpoints.end()) {
+    const uint32_t doublings = std::min(found->second.failures, kMaxDoublings);
+    ++found->second.failures;
+    found->second.avoid_until =
+        now + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+  }
+}
+
+void NoteSuccess(EndpointTable& table, std::string_view id) {
+  if (const auto found = table.endpoints.find(id);
+      found != table.endpoints.end()) {
+    found->second.failures = 0;
+    found->second.avoid_until = {};
+  }
+}
+
+// Endpoints to avoid come last: all may fail at once, and then one of them is
+// still better than none.
+EndpointStatus* ChooseEndpoint(EndpointTable& table,
+                               const EndpointWish& wish,
+                               Duration now) {
+  const double unhurried = wish.prefers_subject ? kCrowded : kSpread;
+  EndpointStatus* best = nullptr;
+  std::tuple<bool, bool, double, bool, uint64_t> lowest;
+  for (auto& [id, endpoint] : table.endpoints) {
+    if (!TakesWork(endpoint, wish)) {
+      continue;
+    }
+    const double load = Load(endpoint);
+    const std::tuple<bool, bool, double, bool, uint64_t> rank{
+        endpoint.avoid_until > now, endpoint.lapsed_at.has_value(),
+        load < unhurried ? 0 : load,
+        wish.prefers_subject ? id != wish.preferred
+                             : endpoint.entry.zone != wish.zone,
+        ~RendezvousWeight(wish.subject, id)};
+    if (best == nullptr || rank < lowest) {
+      best = &endpoint;
+      lowest = rank;
+    }
+  }
+  return best;
+}
+
+bool HasEndpoint(const EndpointTable& table, std::string_view service) {
+  return std::any_of(table.endpoints.begin(), table.endpoints.end(),
+                     [service](const auto& entry) {
+                       return entry.second.entry.service == service &&
+                              !entry.second.entry.leaving;
+                     });
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/event_stream.cc
@@ -0,0 +1,76 @@
+#include "celerykeel/core/event_stream.h"
+
+#include <utility>  // for std::move
+
+namespace celerykeel {
+
+namespace {
+
+std::string_view FieldValue(std::string_view line, size_t name_size) {
+  line.remove_prefix(name_size + 1);
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+void ReadLine(StreamEvent& event, std::string_view line, bool& has_data) {
+  if (line.starts_with("data:")) {
+    if (has_data) {
+      event.data += '\n';
+    }
+    event.data += FieldValue(line, 4);
+    has_data = true;
+  } else if (line.starts_with("id:")) {
+    event.id = FieldValue(line, 2);
+  }
+}
+
+StreamEvent ReadEvent(std::string_view raw) {
+  StreamEvent event;
+  event.raw = raw;
+  bool has_data = false;
+  while (!raw.empty()) {
+    const size_t end = raw.find('\n');
+    std::string_view line = raw.substr(0, end);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    ReadLine(event, line, has_data);
+    raw.remove_prefix(end == std::string_view::npos ? raw.size() : end + 1);
+  }
+  return event;
+}
+
+// Position after the blank line that ends the first event.
+size_t EndOfEvent(std::string_view bytes) {
+  size_t at = bytes.find('\n');
+  while (at != std::string_view::npos) {
+    if (bytes.substr(at + 1).starts_with('\n')) {
+      return at + 2;
+    }
+    if (bytes.substr(at + 1).starts_with("\r\n")) {
+      return at + 3;
+    }
+    at = bytes.find('\n', at + 1);
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> AddBytes(EventSplitter& splitter,
+                                  std::string_view bytes) {
+  splitter.partial += bytes;
+  std::vector<StreamEvent> events;
+  std::string_view rest = splitter.partial;
+  for (size_t end = EndOfEvent(rest); end != std::string_view::npos;
+       end = EndOfEvent(rest)) {
+    events.push_back(ReadEvent(rest.substr(0, end)));
+    rest.remove_prefix(end);
+  }
+  splitter.partial = std::string(rest);
+  return events;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/slot_table.cc
@@ -0,0 +1,104 @@
+#include "celerykeel/core/slot_table.h"
+
+#include <xxhash.h>  // for XXH3_64bits_withSeed
+
+#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
+
+namespace celerykeel {
+
+namespace {
+
+// An instance that hears less than half of the fleet may be the one that is
+// cut off; then only the store can tell whether a holder lives.
+bool HearsMost(const KnownFleet& fleet, Duration now) {
+  size_t known = 0;
+  size_t heard = 0;
+  for (const auto& [instance, member] : fleet.members) {
+    const bool alive_in_store =
+        member.beat_at && now < *member.beat_at + kStoreSilence;
+    if (IsInTouch(member, now)) {
+      ++known;
+      ++heard;
+    } else if (alive_in_store && !member.refused && !member.leaving) {
+      ++known;
+    }
+  }
+  return 2 * (heard + 1) > known + 1;
+}
+
+bool IsDead(const FleetMember& member, bool hears_most, Duration now) {
+  if (member.leaving) {
+    return true;
+  }
+  if (IsInTouch(member, now)) {
+    return false;
+  }
+  const bool alive_in_store =
+      member.beat_at && now < *member.beat_at + kStoreSilence;
+  return member.refused || hears_most || !alive_in_store;
+}
+
+std::optional<std::string> BestHolder(const KnownFleet& fleet,
+                                      uint32_t slot,
+                                      bool hears_most,
+                                      Duration now) {
+  const std::string subject = "slot/" + std::to_string(slot);
+  std::string best = fleet.self;
+  uint64_t highest = RendezvousWeight(subject, fleet.self);
+  for (const auto& [instance, member] : fleet.members) {
+    if (IsDead(member, hears_most, now) || !IsInTouch(member, now)) {
+      continue;
+    }
+    if (const uint64_t weight = RendezvousWeight(subject, instance);
+        weight > highest) {
+      best = instance;
+      highest = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+bool IsInTouch(const FleetMember& member, Duration now) {
+  return member.heard_at && now < *member.heard_at + kSilence;
+}
+
+bool NoteHolder(KnownFleet& fleet, uint32_t slot, const SlotHolder& holder) {
+  if (slot >= fleet.slots.size() || holder.epoch <= fleet.slots[slot].epoch) {
+    return false;
+  }
+  fleet.slots[slot] = holder;
+  return true;
+}
+
+std::vector<uint32_t> SlotsToTake(const KnownFleet& fleet, Duration now) {
+  std::vector<uint32_t> slots;
+  if (now < fleet.started_at + kListenFirst) {
+    return slots;
+  }
+  const bool hears_most = HearsMost(fleet, now);
+  for (uint32_t slot = 0; slot < fleet.slots.size(); ++slot) {
+    const SlotHolder& holder = fleet.slots[slot];
+    if (holder.instance == fleet.self) {
+      continue;
+    }
+    const auto member = fleet.members.find(holder.instance);
+    const bool vacant = holder.epoch == 0 || member == fleet.members.end() ||
+                        IsDead(member->second, hears_most, now);
+    if (vacant && BestHolder(fleet, slot, hears_most, now) == fleet.self) {
+      slots.push_back(slot);
+    }
+  }
+  return slots;
+}
+
+uint32_t SlotOfSubject(std::string_view team,
+                       std::string_view subject,
+                       uint32_t slots) {
+  const uint64_t seed = XXH3_64bits(team.data(), team.size());
+  return static_cast<uint32_t>(
+      XXH3_64bits_withSeed(subject.data(), subject.size(), seed) % slots);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -0,0 +1,161 @@
+#include "celerykeel/core/turn_ledger.h"
+
+#include <algorithm>  // for std::max
+
+namespace celerykeel {
+
+namespace {
+
+uint64_t Running(const ProgramSpend& spend) {
+  uint64_t tokens = 0;
+  for (const auto& [turn, most] : spend.running) {
+    tokens += most;
+  }
+  return tokens;
+}
+
+SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend) {
+  return {.program = program,
+          .spent = spend.spent,
+          .ceiling = spend.asked,
+          .largest = spend.largest,
+          .slack_used = spend.slack_used};
+}
+
+void ReplaySpend(TurnLedger& ledger, const SpendRecord& record) {
+  ProgramSpend& spend = ledger.programs[record.program];
+  spend.spent = std::max(spend.spent, record.spent);
+  spend.ceiling = std::max(spend.ceiling, record.ceiling);
+  spend.asked = spend.ceiling;
+  spend.largest = std::max(spend.largest, record.largest);
+  spend.slack_used = spend.slack_used || record.slack_used;
+}
+
+void ReplayTurn(TurnLedger& ledger, const TurnRecord& record) {
+  auto turn = std::make_shared<StoredTurn>();
+  turn->text = record.base + record.input + record.output;
+  turn->expires_at = record.expires_at;
+  turn->oldest_record = record.ended_at;
+  if (!record.previous.empty()) {
+    turn->previous = FindTurn(ledger, record.program.team, record.previous);
+    if (turn->previous == nullptr) {
+      return;  // the chain before it has expired, and so has this turn
+    }
+    turn->oldest_record = turn->previous->oldest_record;
+  }
+  ledger.turns[{record.program.team, record.turn}] = std::move(turn);
+}
+
+}  // namespace
+
+void Replay(TurnLedger& ledger, const SlotRecord& record) {
+  if (const auto* spend = std::get_if<SpendRecord>(&record)) {
+    ReplaySpend(ledger, *spend);
+  } else if (const auto* turn = std::get_if<TurnRecord>(&record)) {
+    ReplayTurn(ledger, *turn);
+  }
+}
+
+// The holder before may have handed out everything up to the ceiling. Its last
+// turn is seldom used whole, and the rule allows the most of one turn above
+// the budget, so one turn is not counted; but only once, or the excess of
+// several takeovers would add up.
+void AssumeSpent(TurnLedger& ledger, Duration now) {
+  for (auto& [program, spend] : ledger.programs) {
+    spend.used_at = now;
+    const uint64_t slack = spend.slack_used ? 0 : spend.largest;
+    const uint64_t assumed = spend.ceiling - std::min(spend.ceiling, slack);
+    spend.slack_used = spend.slack_used || spend.ceiling > spend.spent;
+    spend.spent = std::max(spend.spent, assumed);
+    spend.ceiling = 0;
+    spend.asked = 0;
+  }
+}
+
+tl::expected<void, BudgetSpent> AdmitTurn(TurnLedger& ledger,
+                                          const TurnWish& wish,
+                                          Duration now) {
+  ProgramSpend& spend = ledger.programs[wish.program];
+  spend.used_at = now;
+  if (spend.running.contains(wish.turn)) {
+    return {};
+  }
+  if (spend.spent + Running(spend) + wish.most_tokens > wish.budget) {
+    return tl::unexpected(BudgetSpent{});
+  }
+  spend.running[wish.turn] = wish.most_tokens;
+  spend.largest = std::max(spend.largest, wish.most_tokens);
+  return {};
+}
+
+bool IsCovered(const ProgramSpend& spend) {
+  return spend.spent + Running(spend) <= spend.ceiling;
+}
+
+std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
+                                        const ProgramName& program) {
+  ProgramSpend& spend = ledger.programs[program];
+  const uint64_t wanted = spend.spent + Running(spend) + spend.largest;
+  if (wanted <= spend.asked) {
+    return std::nullopt;
+  }
+  spend.asked = wanted;
+  return RecordOf(program, spend);
+}
+
+void NoteDurable(TurnLedger& ledger, const SpendRecord& record) {
+  const auto found = ledger.programs.find(record.program);
+  if (found != ledger.programs.end()) {
+    found->second.ceiling = std::max(found->second.ceiling, record.ceiling);
+  }
+}
+
+SpendRecord SettleTurn(TurnLedger& ledger,
+                       const ProgramName& program,
+                       const std::string& turn,
+                       uint64_t used,
+                       uint64_t most_tokens,
+                       Duration now) {
+  ProgramSpend& spend = ledger.programs[program];
+  spend.used_at = now;
+  spend.largest = std::max(spend.largest, most_tokens);
+  if (spend.running.erase(turn) > 0) {
+    spend.spent += used;
+  }
+  spend.asked = std::max(spend.asked, spend.spent);
+  return RecordOf(program, spend);
+}
+
+std::shared_ptr<const StoredTurn> FindTurn(const TurnLedger& ledger,
+                                           const std::string& team,
+                                           const std::string& turn) {
+  const auto found = ledger.turns.find({team, turn});
+  return found == ledger.turns.end() ? nullptr : found->second;
+}
+
+std::string ChainText(const StoredTurn& turn) {
+  std::vector<const StoredTurn*> chain;
+  size_t size = 0;
+  for (const StoredTurn* link = &turn; link != nullptr;
+       link = link->previous.get()) {
+    chain.push_back(link);
+    size += link->text.size();
+  }
+  std::string text;
+  text.reserve(size);
+  for (auto link = chain.rbegin(); link != chain.rend(); ++link) {
+    text += (*link)->text;
+  }
+  return text;
+}
+
+void Expire(TurnLedger& ledger, WallMillis wall, Duration now, Duration idle) {
+  std::erase_if(ledger.turns, [wall](const auto& entry) {
+    return entry.second->expires_at < wall;
+  });
+  std::erase_if(ledger.programs, [now, idle](const auto& entry) {
+    return entry.second.running.empty() && entry.second.used_at + idle < now;
+  });
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -15,7 +15,7 @@
 #include "celerykeel/ctl/key_make.h"       // for MakeKey
 #include "celerykeel/ctl/submit.h"         // for SubmitTicket
 #include "celerykeel/ctl/views.h"          // for ShowStatus
-#include "celerykeel/net/clock.h"          // for Now
+#include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/wire/ticket_json.h"   // for ParseTicketJson
 
 namespace celerykeel {
--- a/src/celerykeel/gate/call_relay.cc
+++ b/src/celerykeel/gate/call_relay.cc
@@ -4,7 +4,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/core/rendezvous.h"    // for OwnerOf
-#include "celerykeel/net/clock.h"          // for Now
+#include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/wire/problem_json.h"  // for Refuse
 
 namespace celerykeel {
--- a/src/celerykeel/gate/fakes_unittest.cc
+++ b/src/celerykeel/gate/fakes_unittest.cc
@@ -4,7 +4,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/core/key_digest.h"  // for KeyDigest
-#include "celerykeel/net/clock.h"        // for Now
+#include "celerykeel/base/clock.h"        // for Now
 
 namespace celerykeel::testing {
 
--- a/src/celerykeel/gate/gate_server.cc
+++ b/src/celerykeel/gate/gate_server.cc
@@ -17,7 +17,7 @@
 #include "celerykeel/gate/credentials.h"     // for Authenticate
 #include "celerykeel/gate/program_json.h"    // for ProgramJson
 #include "celerykeel/gate/route_match.h"     // for FindRoute
-#include "celerykeel/net/clock.h"            // for Now
+#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/net/http_server.h"      // for HttpServer
 #include "celerykeel/wire/problem_json.h"    // for ProblemJson
 
--- a/src/celerykeel/gate/rate_service.cc
+++ b/src/celerykeel/gate/rate_service.cc
@@ -5,7 +5,7 @@
 #include <utility>        // for std::move
 
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/net/clock.h"         // for Now
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/wire/rate_codec.h"   // for EncodeRateLetter
 
 namespace celerykeel {
--- a/src/celerykeel/gate/rate_service_unittest.cc
+++ b/src/celerykeel/gate/rate_service_unittest.cc
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "celerykeel/gate/gate_fixture_unittest.h"  // for GateFixture
-#include "celerykeel/net/clock.h"                   // for Now
+#include "celerykeel/base/clock.h"                   // for Now
 
 namespace celerykeel {
 namespace {
--- a/src/celerykeel/load/latency_run.cc
+++ b/src/celerykeel/load/latency_run.cc
@@ -9,7 +9,7 @@
 
 #include "celerykeel/load/arrivals.h"   // for PoissonArrivals
 #include "celerykeel/load/http_call.h"  // for RunLoadCall
-#include "celerykeel/net/clock.h"       // for Now
+#include "celerykeel/base/clock.h"       // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/net/feed_client.cc
+++ b/src/celerykeel/net/feed_client.cc
@@ -10,7 +10,7 @@
 
 #include "celerykeel/core/fold.h"         // for Fold
 #include "celerykeel/feed.pb.h"           // for pb::FeedRequest
-#include "celerykeel/net/clock.h"         // for Now
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/wire/fleet_codec.h"  // for DecodeFleetRecord
 
 namespace celerykeel {
--- a/src/celerykeel/net/messenger.cc
+++ b/src/celerykeel/net/messenger.cc
@@ -14,7 +14,7 @@
 #include <zmq.hpp>  // for zmq::context_t, zmq::socket_t, zmq::poll
 
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/net/clock.h"         // for Now
+#include "celerykeel/base/clock.h"         // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/net/socket_stream.cc
+++ b/src/celerykeel/net/socket_stream.cc
@@ -7,7 +7,7 @@
 #include <algorithm>  // for std::min, std::max
 #include <cerrno>     // for errno
 
-#include "celerykeel/net/clock.h"  // for Now
+#include "celerykeel/base/clock.h"  // for Now
 
 namespace celerykeel {
 
--- /dev/null
+++ b/src/celerykeel/node/answer_reader.cc
@@ -0,0 +1,140 @@
+#include "celerykeel/node/answer_reader.h"
+
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>  // for std::max
+#include <charconv>   // for std::from_chars
+
+namespace celerykeel {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr uint32_t kMostHeadBytes = 64 * 1024;
+constexpr unsigned kFirstFinalStatus = 200;
+// Without a word of the peer on how long it keeps an idle connection.
+constexpr Duration kUnstatedIdle = std::chrono::seconds(4);
+// A connection is given up this part before its peer would close it.
+constexpr int kIdleParts = 2;
+
+Duration IdleLimit(boost::beast::string_view keep_alive) {
+  const std::string_view text(keep_alive.data(), keep_alive.size());
+  const size_t at = text.find("timeout=");
+  if (at == std::string_view::npos) {
+    return kUnstatedIdle;
+  }
+  int64_t seconds = 0;
+  const std::string_view digits = text.substr(at + 8);
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::chrono::seconds(std::max<int64_t>(seconds, 0)) / kIdleParts;
+}
+
+ExchangeError Translate(const ErrorCode& error) {
+  if (error == boost::beast::error::timeout) {
+    return ExchangeError::kSilent;
+  }
+  if (error.category() ==
+          make_error_code(http::error::end_of_stream).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    return ExchangeError::kGarbled;
+  }
+  return ExchangeError::kClosed;
+}
+
+}  // namespace
+
+AnswerReader::AnswerReader(OutConnectionPtr from)
+    : connection(std::move(from)) {
+  this->parser.body_limit(boost::none);
+  this->parser.header_limit(kMostHeadBytes);
+  this->parser.eager(true);
+}
+
+Task<tl::expected<AnswerHead, ExchangeError>> AnswerReader::ReadHead(
+    asio::steady_timer::time_point until) {
+  auto& body = this->parser.get().body();
+  body.data = this->piece.data();
+  body.size = this->piece.size();
+  body.more = false;
+  this->connection->stream.expires_at(until);
+  ErrorCode error;
+  while (!this->parser.is_header_done()) {
+    co_await http::async_read_some(this->connection->stream,
+                                   this->connection->buffer, this->parser,
+                                   Into(error));
+    if (error == http::error::need_buffer) {
+      break;
+    }
+    if (error) {
+      co_return tl::unexpected(Translate(error));
+    }
+  }
+  const auto& message = this->parser.get();
+  AnswerHead head;
+  head.status = static_cast<int>(message.result_int());
+  if (message.result_int() < kFirstFinalStatus) {
+    co_return tl::unexpected(ExchangeError::kGarbled);
+  }
+  for (const auto& field : message) {
+    head.headers.emplace_back(std::string(field.name_string()),
+                              std::string(field.value()));
+  }
+  head.keep_alive = message.keep_alive();
+  head.idle_limit = IdleLimit(message[http::field::keep_alive]);
+  const auto type = message[http::field::content_type];
+  head.is_event_stream =
+      type.size() >= 17 && type.substr(0, 17) == "text/event-stream";
+  co_return head;
+}
+
+Task<tl::expected<std::optional<std::string>, ExchangeError>>
+AnswerReader::ReadSome(asio::steady_timer::time_point until) {
+  auto& body = this->parser.get().body();
+  while (true) {
+    // What came together with the head, or in the read before.
+    const size_t had = this->piece.size() - body.size;
+    if (had > 0) {
+      std::string bytes(this->piece.data(), had);
+      body.data = this->piece.data();
+      body.size = this->piece.size();
+      co_return bytes;
+    }
+    if (this->parser.is_done()) {
+      co_return std::optional<std::string>();
+    }
+    this->connection->stream.expires_at(until);
+    ErrorCode error;
+    co_await http::async_read_some(this->connection->stream,
+                                   this->connection->buffer, this->parser,
+                                   Into(error));
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    if (error && body.size == this->piece.size()) {
+      co_return tl::unexpected(Translate(error));
+    }
+  }
+}
+
+Task<tl::expected<std::string, ExchangeError>> AnswerReader::ReadAll(
+    asio::steady_timer::time_point until,
+    size_t limit) {
+  std::string all;
+  while (true) {
+    auto some = co_await this->ReadSome(until);
+    if (!some) {
+      co_return tl::unexpected(some.error());
+    }
+    if (!*some) {
+      co_return all;
+    }
+    all += **some;
+    if (all.size() > limit) {
+      co_return tl::unexpected(ExchangeError::kGarbled);
+    }
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/attempts.cc
@@ -0,0 +1,298 @@
+#include "celerykeel/node/attempts.h"
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/node/node.h"   // for Node
+#include "platform/headers.h"       // for platform::EncodeAttempt
+
+namespace celerykeel {
+
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kFirstFailure = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr Duration kConnectPatience = std::chrono::milliseconds(400);
+// A call that must not run twice goes over a connection that is fresh enough
+// not to be closed by its endpoint just then.
+constexpr Duration kFreshIdle = std::chrono::milliseconds(300);
+constexpr Duration kAnyIdle = std::chrono::seconds(60);
+constexpr size_t kMostAnswerBytes = 16UL * 1024 * 1024;
+// Answers of earlier requests that are skipped before our own.
+constexpr int kMostStale = 2;
+// Endpoints that were tried in vain without running it count only here.
+constexpr uint32_t kMostTries = 4;
+constexpr Duration kBusyRetry = std::chrono::milliseconds(250);
+constexpr Duration kLeastTime = std::chrono::milliseconds(5);
+
+asio::steady_timer::time_point Until(Duration left) {
+  return asio::steady_timer::clock_type::now() +
+         std::chrono::duration_cast<asio::steady_timer::duration>(left);
+}
+
+EndpointStatus* Choose(Node& node, const Call& call) {
+  const bool by_subject = call.route->has_affinity;
+  const CallFacts& facts = call.request.facts;
+  const EndpointWish wish{.service = call.service,
+                          .zone = node.options.zone,
+                          .subject = !facts.program.empty() && by_subject
+                                         ? facts.program
+                                     : !facts.object.empty() ? facts.object
+                                                             : facts.id,
+                          .preferred = call.preferred_endpoint,
+                          .prefers_subject = by_subject,
+                          .excluded = &call.tried};
+  return ChooseEndpoint(node.endpoints, wish, Now());
+}
+
+// How long an endpoint may take until the head of its answer. What may be
+// repeated leaves time for another endpoint.
+Duration HeadPatience(const Call& call) {
+  const Duration left = TimeLeft(call);
+  const bool may_repeat = call.route->repeat == RepeatRule::kIdempotent &&
+                          call.runs < call.route->max_tries;
+  return may_repeat
+             ? std::max(left / 2, Duration(std::chrono::milliseconds(100)))
+             : left;
+}
+
+AttemptFacts FactsFor(const Call& call, const EndpointEntry& endpoint) {
+  return {.endpoint_id = endpoint.id,
+          .team = call.team == nullptr ? "" : call.team->name,
+          .time_left = TimeLeft(call),
+          .urgency = std::nullopt,
+          .resume_after = call.last_event};
+}
+
+// The next answer on the connection that is to this request. One to an earlier
+// request may come first, late.
+Task<tl::expected<AnswerHead, ExchangeError>> ReadOwnHead(
+    const Call& call,
+    Attempt& attempt,
+    OutConnectionPtr connection,
+    asio::steady_timer::time_point until) {
+  for (int stale = 0; stale <= kMostStale; ++stale) {
+    attempt.reader = std::make_shared<AnswerReader>(connection);
+    auto head = co_await attempt.reader->ReadHead(until);
+    if (!head) {
+      co_return head;
+    }
+    const AnswerFacts facts =
+        platform::DecodeAnswer(head->headers, head->status);
+    if (facts.request_id == call.request.facts.id || facts.not_run) {
+      co_return head;
+    }
+    const auto skipped =
+        co_await attempt.reader->ReadAll(until, kMostAnswerBytes);
+    if (!skipped) {
+      co_return tl::unexpected(skipped.error());
+    }
+  }
+  co_return tl::unexpected(ExchangeError::kGarbled);
+}
+
+void LogAttempt(Node& node,
+                const Call& call,
+                const Attempt& attempt,
+                std::string_view outcome) {
+  WriteLog(node.log, LogLevel::kOrdinary, "attempt",
+           {{"id", call.request.facts.id},
+            {"endpoint", attempt.endpoint},
+            {"try", call.tries},
+            {"status", attempt.head.status},
+            {"outcome", outcome},
+            {"after_ms", Now() - call.arrived_at}});
+}
+
+AttemptEnd EndOfFailure(const Call& call, ExchangeError error) {
+  if (call.caller->gone) {
+    return AttemptEnd::kCallerGone;
+  }
+  if (TimeLeft(call) <= kLeastTime) {
+    return AttemptEnd::kTimedOut;
+  }
+  return error == ExchangeError::kNotConnected ? AttemptEnd::kNotRun
+                                               : AttemptEnd::kMayHaveRun;
+}
+
+}  // namespace
+
+InFlight::InFlight(Node& of, std::string at)
+    : node(of), endpoint(std::move(at)) {
+  if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
+      found != this->node.endpoints.endpoints.end()) {
+    ++found->second.in_flight;
+  }
+}
+
+InFlight::~InFlight() {
+  if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
+      found != this->node.endpoints.endpoints.end() &&
+      found->second.in_flight > 0) {
+    --found->second.in_flight;
+  }
+}
+
+Task<Attempt> StartAttempt(Node& node, CallPtr call, std::string_view body) {
+  Attempt attempt;
+  const EndpointStatus* chosen = Choose(node, *call);
+  if (chosen == nullptr) {
+    co_return attempt;
+  }
+  const EndpointEntry endpoint = chosen->entry;
+  attempt.endpoint = endpoint.id;
+  attempt.address = endpoint.address;
+  attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
+  call->tried.insert(endpoint.id);
+  ++call->tries;
+  const bool once = call->route->repeat != RepeatRule::kIdempotent;
+  const auto connection =
+      co_await Connect(node.io, node.endpoint_pool, endpoint.address,
+                       once ? kFreshIdle : kAnyIdle,
+                       std::min(kConnectPatience, TimeLeft(*call)));
+  if (connection == nullptr) {
+    NoteFailure(node.endpoints, endpoint.id, Now());
+    attempt.end = EndOfFailure(*call, ExchangeError::kNotConnected);
+    LogAttempt(node, *call, attempt, "not connected");
+    co_return attempt;
+  }
+  if (call->caller->gone || TimeLeft(*call) <= kLeastTime) {
+    Close(*connection);
+    attempt.end =
+        call->caller->gone ? AttemptEnd::kCallerGone : AttemptEnd::kTimedOut;
+    co_return attempt;
+  }
+  call->attempt = connection;
+  const OutRequest out{.method = call->request.method,
+                       .target = call->request.target,
+                       .host = call->request.host,
+                       .headers = platform::EncodeAttempt(
+                           call->request, FactsFor(*call, endpoint)),
+                       .body = body};
+  ++call->runs;  // until it is known that it did not run
+  const auto until = Until(HeadPatience(*call));
+  const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
+  // A server may answer before it has read the whole body, so an answer is
+  // looked for even then.
+  auto head = co_await ReadOwnHead(*call, attempt, connection, until);
+  if (!head) {
+    Close(*connection);
+    call->attempt = nullptr;
+    attempt.end = EndOfFailure(*call, head.error());
+    if (attempt.end == AttemptEnd::kMayHaveRun) {
+      NoteFailure(node.endpoints, endpoint.id, Now());
+    }
+    LogAttempt(node, *call, attempt, "no answer");
+    co_return attempt;
+  }
+  attempt.head = std::move(*head);
+  if (unsent) {
+    attempt.head.keep_alive = false;
+  }
+  const AnswerFacts facts =
+      platform::DecodeAnswer(attempt.head.headers, attempt.head.status);
+  if (facts.not_run) {
+    --call->runs;
+    Close(*connection);
+    call->attempt = nullptr;
+    NoteFailure(node.endpoints, endpoint.id, Now());
+    attempt.end = AttemptEnd::kNotRun;
+    LogAttempt(node, *call, attempt, "not run");
+    co_return attempt;
+  }
+  const bool success = attempt.head.status >= kFirstSuccess &&
+                       attempt.head.status < kFirstRedirect;
+  if (success && !facts.sealed) {
+    // Nothing shows that the endpoint itself made this answer.
+    Close(*connection);
+    call->attempt = nullptr;
+    attempt.end = AttemptEnd::kMayHaveRun;
+    LogAttempt(node, *call, attempt, "unsealed");
+    co_return attempt;
+  }
+  NoteSuccess(node.endpoints, endpoint.id);
+  attempt.end = AttemptEnd::kAnswered;
+  LogAttempt(node, *call, attempt, "answered");
+  co_return attempt;
+}
+
+Task<bool> RelayWhole(Node& node, CallPtr call, Attempt& attempt) {
+  const auto body = co_await attempt.reader->ReadAll(Until(TimeLeft(*call)),
+                                                     kMostAnswerBytes);
+  const auto connection = call->attempt;
+  call->attempt = nullptr;
+  if (!body) {
+    if (connection != nullptr) {
+      Close(*connection);
+    }
+    LogAttempt(node, *call, attempt, "broken off");
+    co_return false;
+  }
+  GiveBack(node.endpoint_pool, attempt.address, connection, attempt.head);
+  if (!call->caller->gone) {
+    co_await SendWhole(call->caller, attempt.head.status, attempt.head.headers,
+                       std::move(*body));
+  }
+  co_return true;
+}
+
+bool MayTry(const Call& call) {
+  return call.runs < call.route->max_tries && call.tries < kMostTries;
+}
+
+CallRefusal RefusalOf(const Call& call, AttemptEnd end) {
+  if (end == AttemptEnd::kTimedOut) {
+    return call.runs > 0
+               ? CallRefusal{kGatewayTimeout, "no answer in time", {}}
+               : CallRefusal{kUnavailable, "not run: no time left", kBusyRetry};
+  }
+  if (end == AttemptEnd::kMayHaveRun) {
+    return {kBadGateway, "the endpoint broke off", {}};
+  }
+  return {kUnavailable, "not run: no endpoint takes it now", kBusyRetry};
+}
+
+Task<> RunAttempts(Node& node, CallPtr call) {
+  const std::string body = call->request.body;
+  AttemptEnd end = AttemptEnd::kNoEndpoint;
+  while (MayTry(*call)) {
+    Attempt attempt = co_await StartAttempt(node, call, body);
+    if (attempt.end == AttemptEnd::kNoEndpoint) {
+      break;
+    }
+    end = attempt.end;
+    if (end == AttemptEnd::kAnswered) {
+      const bool may_retry = call->route->repeat == RepeatRule::kIdempotent &&
+                             attempt.head.status >= kFirstFailure &&
+                             MayTry(*call);
+      if (!may_retry && co_await RelayWhole(node, call, attempt)) {
+        co_return;
+      }
+      if (may_retry && call->attempt != nullptr) {
+        Close(*call->attempt);
+        call->attempt = nullptr;
+      }
+      end = AttemptEnd::kMayHaveRun;
+      NoteFailure(node.endpoints, attempt.endpoint, Now());
+    }
+    if (call->caller->gone || end == AttemptEnd::kCallerGone) {
+      co_return;
+    }
+    if (end == AttemptEnd::kTimedOut ||
+        (end == AttemptEnd::kMayHaveRun &&
+         call->route->repeat != RepeatRule::kIdempotent)) {
+      break;
+    }
+  }
+  if (end != AttemptEnd::kTimedOut && call->runs > 0) {
+    end = AttemptEnd::kMayHaveRun;
+  }
+  co_await Refuse(node, call, RefusalOf(*call, end));
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/call_path.cc
@@ -0,0 +1,121 @@
+#include "celerykeel/node/call_path.h"
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include <xxhash.h>  // for XXH3_64bits
+
+#include "celerykeel/base/clock.h"      // for Now
+#include "celerykeel/node/attempts.h"   // for RunAttempts
+#include "celerykeel/node/node.h"       // for Node
+#include "celerykeel/node/rates.h"      // for TakeFromRate
+#include "celerykeel/node/turn_path.h"  // for ServeTurn
+
+namespace celerykeel {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+
+// The same program goes to the same part of a split route.
+double SplitPoint(const CallRequest& request) {
+  const std::string& subject =
+      request.facts.program.empty() ? request.facts.id : request.facts.program;
+  const uint64_t hash = XXH3_64bits(subject.data(), subject.size());
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  return double(hash) / kRange;
+}
+
+std::optional<CallRefusal> Check(const Node& node, Call& call) {
+  if (node.deployment == nullptr) {
+    return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
+  }
+  call.deployment = node.deployment;
+  call.route =
+      MatchRoute(*call.deployment, call.request.host, call.request.target);
+  if (call.route == nullptr) {
+    return CallRefusal{kNotFound, "no such route", {}};
+  }
+  if (!call.route->open && !call.deployment->teams.empty()) {
+    call.team = TeamOfKey(*call.deployment, call.request.facts.key);
+    if (call.team == nullptr) {
+      return CallRefusal{kUnauthorized, "the key is not known", {}};
+    }
+  }
+  if (call.request.facts.id.empty()) {
+    return CallRefusal{kBadRequest, "the request has no id", {}};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Duration TimeLeft(const Call& call) {
+  return call.deadline - Now();
+}
+
+Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal) {
+  WriteLog(
+      node.log, LogLevel::kOrdinary, "refused",
+      {{"id", call->request.facts.id},
+       {"program", call->request.facts.program},
+       {"route", call->route == nullptr ? "" : call->route->name},
+       {"status", refusal.status},
+       {"reason", refusal.reason},
+       {"tries", call->tries},
+       {"after_ms", Now() - call->arrived_at},
+       {"retry_after_ms", refusal.retry_after},
+       {"version", call->deployment == nullptr ? uint64_t{0}
+                                               : call->deployment->version}});
+  if (call->caller->gone || call->caller->broken) {
+    co_return;
+  }
+  co_await SendRefusal(call->caller, refusal);
+}
+
+Task<> ServeCall(Node& node, CallerStreamPtr caller, CallRequest request) {
+  const auto call = std::make_shared<Call>();
+  call->request = std::move(request);
+  call->caller = caller;
+  call->arrived_at = Now();
+  if (const auto refusal = Check(node, *call)) {
+    co_await Refuse(node, call, *refusal);
+    co_return;
+  }
+  call->deadline =
+      call->arrived_at +
+      std::min(call->request.facts.time_left.value_or(call->route->timeout),
+               call->route->timeout);
+  // Whatever is under way at an endpoint ends with the caller.
+  caller->on_gone = [call] {
+    if (call->attempt != nullptr && call->route->repeat != RepeatRule::kOnce) {
+      Close(*call->attempt);
+    }
+  };
+  if (call->team != nullptr) {
+    const auto taken = co_await TakeFromRate(node, *call->team);
+    if (!taken) {
+      co_await Refuse(node, call,
+                      {kTooMany, "the team's rate is used up", taken.error()});
+      co_return;
+    }
+  }
+  call->service = ServiceAt(*call->route, SplitPoint(call->request));
+  if (call->route->repeat == RepeatRule::kStream) {
+    co_await ServeTurn(node, call);
+  } else {
+    co_await RunAttempts(node, call);
+  }
+}
+
+bool IsReady(const Node& node) {
+  return node.deployment != nullptr && !node.stopping &&
+         !node.endpoints.endpoints.empty();
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/caller_server.cc
@@ -0,0 +1,253 @@
+#include "celerykeel/node/caller_server.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>  // for std::optional
+#include <utility>   // for std::move
+
+#include "celerykeel/base/clock.h"      // for Now
+#include "celerykeel/node/call_path.h"  // for ServeCall
+#include "celerykeel/node/fleet.h"      // for LeaveFleet
+#include "celerykeel/node/node.h"       // for Node
+#include "platform/headers.h"           // for platform::DecodeRequest
+
+namespace celerykeel {
+
+namespace {
+
+namespace http = boost::beast::http;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr int kBadRequest = 400;
+constexpr int kTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+// The platform asks once a second and needs two misses; then it still takes a
+// moment until callers go elsewhere.
+constexpr Duration kNoticeTime = std::chrono::milliseconds(3200);
+constexpr Duration kStopStep = std::chrono::milliseconds(50);
+// Of the time until the kill, kept for the way out.
+constexpr Duration kLastMoments = std::chrono::milliseconds(700);
+
+asio::steady_timer::duration Steady(Duration duration) {
+  return std::chrono::duration_cast<asio::steady_timer::duration>(duration);
+}
+
+Tcp::endpoint ParseListen(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  ErrorCode error;
+  return {asio::ip::make_address(address.substr(0, colon), error),
+          static_cast<uint16_t>(std::atoi(address.c_str() + colon + 1))};
+}
+
+// Bodies whose end is told in two ways, or in a way not known, could carry a
+// second request past this instance. Beast refuses the first kind itself.
+bool HasAmbiguousLength(const http::request<http::string_body>& message) {
+  const auto coding = message[http::field::transfer_encoding];
+  return !coding.empty() && !boost::beast::iequals(coding, "chunked");
+}
+
+enum class ReadEnd { kRequest, kClosed, kRefused };
+
+// Reads one request. The idle time counts until its first byte, the header
+// time from then on.
+Task<ReadEnd> ReadRequest(Node& node,
+                          CallerStreamPtr caller,
+                          RequestParser& parser) {
+  const CallerLimits limits =
+      node.deployment == nullptr ? CallerLimits{} : node.deployment->limits;
+  parser.header_limit(static_cast<uint32_t>(limits.header_bytes) + 1024);
+  parser.body_limit(limits.body_bytes);
+  parser.eager(false);
+  ErrorCode error;
+  bool began = caller->buffer.size() > 0;
+  caller->stream.expires_after(
+      Steady(began ? limits.header_timeout : limits.idle_timeout));
+  while (!parser.is_header_done() && !error) {
+    co_await http::async_read_some(caller->stream, caller->buffer, parser,
+                                   Into(error));
+    if (!began) {
+      began = true;
+      caller->stream.expires_after(Steady(limits.header_timeout));
+    }
+  }
+  caller->busy = parser.is_header_done();
+  if (!error && boost::beast::iequals(parser.get()[http::field::expect],
+                                      "100-continue")) {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(caller->stream,
+                               asio::buffer(kContinue.data(), kContinue.size()),
+                               Into(error));
+  }
+  if (!error) {
+    caller->stream.expires_after(Steady(limits.header_timeout * 2));
+    co_await http::async_read(caller->stream, caller->buffer, parser,
+                              Into(error));
+  }
+  if (!error) {
+    co_return ReadEnd::kRequest;
+  }
+  caller->keep_alive = false;
+  std::optional<CallRefusal> refusal;
+  if (error == http::error::body_limit) {
+    refusal = CallRefusal{kTooLarge, "the body is too long", {}};
+  } else if (error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
+    refusal = CallRefusal{kHeadTooLarge, "the header is too long", {}};
+  } else if (error == boost::beast::error::timeout) {
+    if (!began) {
+      co_return ReadEnd::kClosed;  // idle
+    }
+    co_return ReadEnd::kClosed;
+  } else if (error != http::error::end_of_stream &&
+             error != http::error::partial_message &&
+             error.category() ==
+                 make_error_code(http::error::end_of_stream).category()) {
+    refusal = CallRefusal{kBadRequest, "the request can't be read", {}};
+  }
+  if (!refusal) {
+    co_return ReadEnd::kClosed;
+  }
+  co_await SendRefusal(caller, *refusal);
+  co_return ReadEnd::kRefused;
+}
+
+CallRequest TakeRequest(RequestParser& parser) {
+  CallRequest request;
+  auto& message = parser.get();
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.host = std::string(message[http::field::host]);
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()),
+                                 std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  platform::DecodeRequest(request);
+  return request;
+}
+
+Task<> ServeConnection(Node& node, CallerStreamPtr caller) {
+  node.callers.insert(caller);
+  while (!caller->broken && !caller->gone && caller->keep_alive) {
+    RequestParser parser;
+    const ReadEnd end = co_await ReadRequest(node, caller, parser);
+    if (end != ReadEnd::kRequest) {
+      break;
+    }
+    caller->busy = true;
+    caller->head_sent = false;
+    caller->keep_alive = parser.get().keep_alive() && !node.stopping;
+    if (HasAmbiguousLength(parser.get())) {
+      caller->keep_alive = false;
+      co_await SendRefusal(caller,
+                           {kBadRequest, "the body's length is ambiguous", {}});
+      break;
+    }
+    WatchCaller(caller);
+    ++node.calls_under_way;
+    co_await ServeCall(node, caller, TakeRequest(parser));
+    --node.calls_under_way;
+    caller->busy = false;
+    caller->on_gone = nullptr;
+    // Ends the watch, which may still wait for the caller.
+    ErrorCode ignored;
+    caller->stream.socket().cancel(ignored);
+  }
+  node.callers.erase(caller);
+  ErrorCode ignored;  // it is gone either way
+  if (!caller->broken) {
+    caller->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  caller->stream.socket().close(ignored);
+}
+
+Task<> AnswerReadiness(Node& node, Tcp::socket socket) {
+  auto caller = std::make_shared<CallerStream>(std::move(socket));
+  constexpr auto kIdle = std::chrono::seconds(30);
+  constexpr int kOk = 200;
+  while (!caller->broken) {
+    http::request_parser<http::string_body> parser;
+    caller->stream.expires_after(kIdle);
+    ErrorCode error;
+    co_await http::async_read(caller->stream, caller->buffer, parser,
+                              Into(error));
+    if (error) {
+      break;
+    }
+    caller->keep_alive = parser.get().keep_alive();
+    if (IsReady(node)) {
+      co_await SendWhole(caller, kOk, {}, "ready\n");
+    } else {
+      co_await SendRefusal(caller, {503, "not ready", {}});
+    }
+    if (!caller->keep_alive) {
+      break;
+    }
+  }
+}
+
+}  // namespace
+
+Task<> ServeCallers(Node& node) {
+  Tcp::acceptor acceptor(node.io, ParseListen(node.options.callers_address));
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket(node.io);
+    co_await acceptor.async_accept(socket, Into(error));
+    if (error) {
+      constexpr Duration kPause = std::chrono::milliseconds(20);
+      co_await Sleep(node.io, kPause);
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    Spawn(node.io, ServeConnection(node, std::make_shared<CallerStream>(
+                                             std::move(socket))));
+  }
+}
+
+Task<> ServeReadiness(Node& node) {
+  Tcp::acceptor acceptor(node.io, ParseListen(node.options.readiness_address));
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket(node.io);
+    co_await acceptor.async_accept(socket, Into(error));
+    if (!error) {
+      Spawn(node.io, AnswerReadiness(node, std::move(socket)));
+    }
+  }
+}
+
+Task<> StopGracefully(Node& node) {
+  const Duration began = Now();
+  node.stopping = true;
+  WriteLog(node.log, LogLevel::kUnusual, "stopping",
+           {{"calls", node.calls_under_way}});
+  co_await LeaveFleet(node);
+  while (Now() < began + kNoticeTime) {
+    co_await Sleep(node.io, kStopStep);
+  }
+  // Connections that still wait for a request would have it cut later.
+  for (const CallerStreamPtr& caller : node.callers) {
+    caller->keep_alive = false;
+    if (!caller->busy) {
+      ErrorCode ignored;
+      caller->stream.socket().close(ignored);
+    }
+  }
+  while (node.calls_under_way > 0 &&
+         Now() < began + node.options.stop_time - kLastMoments) {
+    co_await Sleep(node.io, kStopStep);
+  }
+  WriteLog(node.log, LogLevel::kUnusual, "stopped",
+           {{"calls", node.calls_under_way}});
+  FlushLog(node.log);
+  node.io.stop();
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/caller_stream.cc
@@ -0,0 +1,149 @@
+#include "celerykeel/node/caller_stream.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>  // for recv
+
+#include <algorithm>  // for std::any_of
+#include <array>      // for std::array
+
+#include <fmt/format.h>  // for fmt::format
+
+#include "platform/headers.h"  // for platform::EncodeRetryAfter
+
+namespace celerykeel {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kVersion11 = 11;
+// A caller that does not read for so long has given up.
+constexpr auto kWriteTimeout = std::chrono::seconds(10);
+
+bool IsHopByHop(const std::string& name) {
+  constexpr std::array<const char*, 9> kNames = {
+      "Connection", "Keep-Alive",     "Proxy-Connection",
+      "TE",         "Trailer",        "Transfer-Encoding",
+      "Upgrade",    "Content-Length", "Proxy-Authenticate"};
+  return std::any_of(kNames.begin(), kNames.end(), [&](const char* one) {
+    return boost::beast::iequals(name, one);
+  });
+}
+
+template <typename Message>
+void FillHead(Message& message,
+              const CallerStream& caller,
+              const HeaderList& headers) {
+  message.version(kVersion11);
+  for (const auto& [name, value] : headers) {
+    if (!IsHopByHop(name)) {
+      message.insert(name, value);
+    }
+  }
+  message.keep_alive(caller.keep_alive);
+}
+
+Task<> WriteAll(CallerStreamPtr caller, std::string bytes) {
+  caller->stream.expires_after(kWriteTimeout);
+  ErrorCode error;
+  co_await asio::async_write(caller->stream, asio::buffer(bytes), Into(error));
+  if (error) {
+    caller->gone = true;
+    caller->broken = true;
+  }
+}
+
+}  // namespace
+
+Task<> SendWhole(CallerStreamPtr caller,
+                 int status,
+                 HeaderList headers,
+                 std::string body) {
+  http::response<http::string_body> message;
+  message.result(static_cast<unsigned>(status));
+  FillHead(message, *caller, headers);
+  message.body() = std::move(body);
+  message.prepare_payload();
+  caller->head_sent = true;
+  caller->stream.expires_after(kWriteTimeout);
+  ErrorCode error;
+  co_await http::async_write(caller->stream, message, Into(error));
+  if (error) {
+    caller->gone = true;
+    caller->broken = true;
+  }
+}
+
+Task<> SendRefusal(CallerStreamPtr caller, CallRefusal refusal) {
+  HeaderList headers{{"Content-Type", "application/problem+json"}};
+  if (refusal.retry_after > Duration::zero()) {
+    headers.push_back(platform::EncodeRetryAfter(refusal.retry_after));
+  }
+  std::string body =
+      fmt::format(R"({{"type":"about:blank","title":"{}","status":{}}})",
+                  refusal.reason, refusal.status);
+  co_await SendWhole(caller, refusal.status, std::move(headers),
+                     std::move(body));
+}
+
+Task<> BeginStream(CallerStreamPtr caller, int status, HeaderList headers) {
+  http::response<http::empty_body> message;
+  message.result(static_cast<unsigned>(status));
+  FillHead(message, *caller, headers);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  caller->head_sent = true;
+  caller->stream.expires_after(kWriteTimeout);
+  ErrorCode error;
+  co_await http::async_write_header(caller->stream, serializer, Into(error));
+  if (error) {
+    caller->gone = true;
+    caller->broken = true;
+  }
+}
+
+Task<> SendPiece(CallerStreamPtr caller, std::string piece) {
+  std::string chunk = fmt::format("{:x}\r\n", piece.size());
+  chunk += piece;
+  chunk += "\r\n";
+  co_await WriteAll(caller, std::move(chunk));
+}
+
+Task<> EndStream(CallerStreamPtr caller) {
+  co_await WriteAll(caller, "0\r\n\r\n");
+}
+
+void BreakOff(const CallerStreamPtr& caller) {
+  caller->broken = true;
+  caller->keep_alive = false;
+  ErrorCode ignored;  // it is gone either way
+  caller->stream.socket().close(ignored);
+}
+
+void WatchCaller(const CallerStreamPtr& caller) {
+  caller->stream.socket().async_wait(
+      Tcp::socket::wait_read, [caller](const ErrorCode& error) {
+        if (error || !caller->busy || caller->gone) {
+          return;
+        }
+        char byte = 0;
+        const ssize_t count = recv(caller->stream.socket().native_handle(),
+                                   &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count > 0) {
+          return;  // the next request, sent early; it is read in its turn
+        }
+        caller->gone = true;
+        if (caller->on_gone) {
+          caller->on_gone();
+        }
+      });
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/edge_main.cc
@@ -0,0 +1,119 @@
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>   // for SIGTERM
+#include <cstdlib>   // for std::getenv
+#include <iostream>  // for std::cout
+#include <random>    // for std::random_device
+
+#include <docopt/docopt.h>  // for docopt::docopt_parse
+
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/asio.h"           // for Spawn
+#include "celerykeel/node/caller_server.h"  // for ServeCallers
+#include "celerykeel/node/feeds.h"          // for FollowDeployment
+#include "celerykeel/node/fleet.h"          // for RunFleet
+#include "celerykeel/node/node.h"           // for Node
+
+namespace celerykeel {
+
+namespace {
+
+constexpr char kUsage[] = R"(Serves callers of agent programs on one instance.
+
+Usage:
+  celerykeel-edge [--settings=FILE]
+  celerykeel-edge --help
+
+Options:
+  --settings=FILE  JSON settings; else $CELERYKEEL_NODE_FILE.
+  --help           This text.
+)";
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+Incarnation DrawIncarnation() {
+  std::random_device random;
+  return (uint64_t{random()} << 32U) | random();
+}
+
+Task<> WaitForStop(Node& node) {
+  asio::signal_set signals(node.io, SIGTERM, SIGINT);
+  ErrorCode error;
+  co_await signals.async_wait(Into(error));
+  co_await StopGracefully(node);
+}
+
+// The settings that can change while it runs are all read from the store.
+Task<> NoteReload(Node& node) {
+  asio::signal_set signals(node.io, SIGHUP);
+  while (true) {
+    ErrorCode error;
+    co_await signals.async_wait(Into(error));
+    WriteLog(node.log, LogLevel::kUnusual, "reload: nothing to change");
+  }
+}
+
+int Run(NodeOptions options) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Node node(std::move(options));
+  node.incarnation = DrawIncarnation();
+  node.fleet.self = node.options.instance;
+  node.fleet.started_at = Now();
+  node.fleet.slots.resize(node.options.store_partitions);
+  OpenLog(node.log, node.options.instance);
+  WriteLog(node.log, LogLevel::kUnusual, "started",
+           {{"incarnation", node.incarnation},
+            {"zone", node.options.zone},
+            {"callers", node.options.callers_address},
+            {"store", node.options.store_address}});
+  Spawn(node.io, WaitForStop(node));
+  Spawn(node.io, NoteReload(node));
+  Spawn(node.io, ServeReadiness(node));
+  Spawn(node.io, ServePeers(node));
+  Spawn(node.io, FollowDeployment(node));
+  Spawn(node.io, FollowEndpoints(node));
+  Spawn(node.io, RunMembership(node));
+  Spawn(node.io, RunFleet(node));
+  Spawn(node.io, ServeCallers(node));
+  node.io.run();
+  FlushLog(node.log);
+  return 0;
+}
+
+int Main(int argc, char** argv) {
+  std::string path;
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  try {
+    const auto arguments = docopt::docopt_parse(kUsage, words, true, false);
+    if (const auto& given = arguments.at("--settings"); given.isString()) {
+      path = given.asString();
+    }
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return 0;
+  } catch (const std::exception&) {
+    std::cerr << kUsage;
+    return kExitUsage;
+  }
+  if (const char* from_environment = std::getenv("CELERYKEEL_NODE_FILE");
+      path.empty() && from_environment != nullptr) {
+    path = from_environment;
+  }
+  auto options = LoadNodeOptions(path);
+  if (!options) {
+    for (const std::string& mistake : options.error().mistakes) {
+      WriteFatal("settings: " + mistake);
+    }
+    return kExitUsage;
+  }
+  return Run(std::move(*options));
+}
+
+}  // namespace
+
+}  // namespace celerykeel
+
+int main(int argc, char** argv) {
+  return celerykeel::Main(argc, argv);
+}
--- /dev/null
+++ b/src/celerykeel/node/feeds.cc
@@ -0,0 +1,198 @@
+#include "celerykeel/node/feeds.h"
+
+#include <utility>  // for std::move
+
+#include "celerykeel/base/clock.h"     // for Now
+#include "celerykeel/node/node.h"      // for Node
+#include "platform/deployment_json.h"  // for platform::DecodeDeployment
+
+namespace celerykeel {
+
+namespace {
+
+// An idle read of the configuration is answered after so long: the operators
+// write seldom, and each read is priced.
+constexpr uint64_t kLongReadMillis = 5000;
+// Endpoints write at each heartbeat, so that a read that waits would return at
+// once; this pace leaves most of the drain time for calls on their way.
+constexpr Duration kEndpointPace = std::chrono::milliseconds(400);
+constexpr Duration kPause = std::chrono::milliseconds(100);
+// The store can serve reads that are seconds old.
+constexpr Duration kReadAgain = std::chrono::milliseconds(150);
+
+void TakeDeployment(Node& node, const KeyedRecord& record) {
+  if (record.key != platform::kConfigurationKey || record.dropped) {
+    return;
+  }
+  auto decoded = platform::DecodeDeployment(record.value);
+  if (!decoded) {
+    WriteLog(node.log, LogLevel::kUnusual, "configuration unreadable",
+             {{"field", decoded.error().field}});
+    return;
+  }
+  if (node.deployment != nullptr &&
+      decoded->version <= node.deployment->version) {
+    return;
+  }
+  node.deployment = std::make_shared<const Deployment>(std::move(*decoded));
+  WriteLog(node.log, LogLevel::kUnusual, "configuration in force",
+           {{"version", node.deployment->version},
+            {"routes", static_cast<uint64_t>(node.deployment->routes.size())},
+            {"teams", static_cast<uint64_t>(node.deployment->teams.size())}});
+}
+
+Task<std::optional<uint64_t>> ReadNewestDeployment(Node& node) {
+  const NewestCall call{.topic = std::string(platform::kConfigurationTopic),
+                        .after = {}};
+  const auto done = co_await ReadNewest(node, call);
+  if (!done) {
+    co_return std::nullopt;
+  }
+  for (const KeyedRecord& record : done->records) {
+    TakeDeployment(node, record);
+  }
+  co_return done->end;
+}
+
+Task<> CatchUpWithPeers(Node& node) {
+  while (true) {
+    uint64_t newest = 0;
+    for (const auto& [instance, state] : node.peer_states) {
+      newest = std::max(newest, state.deployment_version);
+    }
+    if (node.deployment != nullptr && node.deployment->version >= newest) {
+      break;
+    }
+    [[maybe_unused]] const auto end = co_await ReadNewestDeployment(node);
+    co_await Sleep(node.io, kReadAgain);
+  }
+  node.catching_up = false;
+}
+
+void TakeEndpoint(Node& node, const KeyedRecord& record) {
+  if (record.key.empty()) {
+    return;
+  }
+  if (record.dropped) {
+    NoteRemoved(node.endpoints, record.key, Now());
+    return;
+  }
+  const auto entry = platform::DecodeEndpoint(record.key, record.value);
+  if (!entry) {
+    ++node.entries_skipped;
+    WriteLog(node.log, LogLevel::kOrdinary, "endpoint entry skipped",
+             {{"endpoint", record.key}, {"field", entry.error().field}});
+    return;
+  }
+  const auto known = node.endpoints.endpoints.find(record.key);
+  const bool changed = known == node.endpoints.endpoints.end() ||
+                       known->second.entry.leaving != entry->leaving ||
+                       known->second.entry.started_at != entry->started_at;
+  NoteEntry(node.endpoints, *entry);
+  if (changed) {
+    WriteLog(node.log, LogLevel::kOrdinary, "endpoint seen",
+             {{"endpoint", entry->id},
+              {"service", entry->service},
+              {"address", entry->address},
+              {"leaving", entry->leaving}});
+  }
+}
+
+Task<std::optional<uint64_t>> ReadAllEndpoints(Node& node) {
+  NewestCall call{.topic = std::string(platform::kEndpointTopic), .after = {}};
+  std::set<std::string> seen;
+  while (true) {
+    const auto done = co_await ReadNewest(node, call);
+    if (!done) {
+      co_return std::nullopt;
+    }
+    for (const KeyedRecord& record : done->records) {
+      TakeEndpoint(node, record);
+      seen.insert(record.key);
+    }
+    if (!done->more || done->records.empty()) {
+      // What the store no longer lists was removed unseen.
+      std::vector<std::string> gone;
+      for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+        if (!seen.contains(id)) {
+          gone.push_back(id);
+        }
+      }
+      for (const std::string& id : gone) {
+        NoteRemoved(node.endpoints, id, Now());
+      }
+      co_return done->end;
+    }
+    call.after = done->records.back().key;
+  }
+}
+
+}  // namespace
+
+void ReadDeploymentSoon(Node& node) {
+  if (!node.catching_up) {
+    node.catching_up = true;
+    Spawn(node.io, CatchUpWithPeers(node));
+  }
+}
+
+Task<> FollowDeployment(Node& node) {
+  std::optional<uint64_t> next;
+  while (true) {
+    if (!next) {
+      next = co_await ReadNewestDeployment(node);
+      if (!next || node.deployment == nullptr) {
+        next.reset();
+        co_await Sleep(node.io, kPause);
+      }
+      continue;
+    }
+    const ReadCall read{.topic = std::string(platform::kConfigurationTopic),
+                        .partition = 0,
+                        .from = *next,
+                        .wait_ms = kLongReadMillis};
+    const auto done = co_await Read(node, read);
+    if (!done) {
+      // Whatever was written meanwhile is in the newest records.
+      next.reset();
+      if (!std::holds_alternative<Expired>(done.error())) {
+        co_await Sleep(node.io, kPause);
+      }
+      continue;
+    }
+    for (const std::string& bytes : done->records) {
+      TakeDeployment(node, platform::DecodeKeyed(bytes, *next));
+      ++*next;
+    }
+  }
+}
+
+Task<> FollowEndpoints(Node& node) {
+  std::optional<uint64_t> next;
+  while (true) {
+    if (!next) {
+      next = co_await ReadAllEndpoints(node);
+      co_await Sleep(node.io, next ? kEndpointPace : kPause);
+      continue;
+    }
+    const ReadCall read{.topic = std::string(platform::kEndpointTopic),
+                        .partition = 0,
+                        .from = *next,
+                        .wait_ms = 0};
+    const auto done = co_await Read(node, read);
+    if (!done) {
+      if (std::holds_alternative<Expired>(done.error())) {
+        next.reset();
+        continue;
+      }
+    } else {
+      for (const std::string& bytes : done->records) {
+        TakeEndpoint(node, platform::DecodeKeyed(bytes, *next));
+        ++*next;
+      }
+    }
+    co_await Sleep(node.io, kEndpointPace);
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/fleet.cc
@@ -0,0 +1,294 @@
+#include "celerykeel/node/fleet.h"
+
+#include <utility>  // for std::move
+
+#include "celerykeel/base/clock.h"        // for Now
+#include "celerykeel/node/node.h"         // for Node
+#include "celerykeel/node/peer_answer.h"  // for AnswerPeer
+
+namespace celerykeel {
+
+namespace {
+
+constexpr Duration kHeartbeatEvery = std::chrono::milliseconds(400);
+constexpr Duration kDialPatience = std::chrono::milliseconds(700);
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kBeatEvery = std::chrono::seconds(1);
+constexpr Duration kFirstBeats = std::chrono::milliseconds(250);
+constexpr Duration kFirstTime = std::chrono::seconds(3);
+// A member out of touch and without a beat for so long is forgotten.
+constexpr Duration kForgetAfter = std::chrono::seconds(20);
+constexpr std::string_view kMemberTopic = "keyed.celerykeel-members";
+
+Task<> KeepLink(Node& node, PeerLinkPtr link) {
+  link->dialing = true;
+  co_await RunLink(node.io, link, kDialPatience);
+  link->dialing = false;
+  if (const auto member = node.fleet.members.find(link->instance);
+      member != node.fleet.members.end()) {
+    // A link that ends means that the process may be gone; a heartbeat over
+    // another one, or the next dial, corrects this at once.
+    member->second.heard_at.reset();
+    member->second.refused = link->refused;
+  }
+}
+
+void DialAll(Node& node) {
+  for (auto& [instance, member] : node.fleet.members) {
+    PeerLinkPtr& link = node.peers.links[instance];
+    if (link == nullptr || link->address != member.address) {
+      link = std::make_shared<PeerLink>();
+      link->instance = instance;
+      link->address = member.address;
+    }
+    if (!link->dialing && !member.leaving) {
+      Spawn(node.io, KeepLink(node, link));
+    }
+  }
+}
+
+pb::NodeFrame Heartbeat(const Node& node) {
+  pb::NodeFrame frame;
+  pb::NodeHeartbeat& beat = *frame.mutable_heartbeat();
+  beat.set_instance(node.options.instance);
+  beat.set_incarnation(node.incarnation);
+  beat.set_address(node.options.ip + ":" +
+                   std::to_string(node.options.peer_port));
+  beat.set_zone(node.options.zone);
+  beat.set_deployment_version(
+      node.deployment == nullptr ? 0 : node.deployment->version);
+  beat.set_store_reached(!node.store.lost && node.store.reached_at.has_value());
+  beat.set_leaving(node.stopping);
+  for (const auto& [number, slot] : node.slots.held) {
+    if (slot->active && !slot->lost) {
+      pb::HeldSlot& held = *beat.add_slots();
+      held.set_slot(number);
+      held.set_epoch(slot->epoch);
+    }
+  }
+  for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+    if (endpoint.in_flight > 0) {
+      pb::EndpointLoad& load = *beat.add_loads();
+      load.set_endpoint(id);
+      load.set_in_flight(endpoint.in_flight);
+    }
+  }
+  return frame;
+}
+
+void SendHeartbeats(Node& node) {
+  const pb::NodeFrame frame = Heartbeat(node);
+  for (const auto& [instance, link] : node.peers.links) {
+    if (link->socket != nullptr) {
+      SendFrame(link->socket, frame);
+    }
+  }
+}
+
+void SumLoads(Node& node) {
+  for (auto& [id, endpoint] : node.endpoints.endpoints) {
+    endpoint.in_flight_peers = 0;
+  }
+  for (const auto& [instance, state] : node.peer_states) {
+    for (const auto& [id, in_flight] : state.loads) {
+      if (const auto found = node.endpoints.endpoints.find(id);
+          found != node.endpoints.endpoints.end()) {
+        found->second.in_flight_peers += in_flight;
+      }
+    }
+  }
+}
+
+void ForgetGone(Node& node, Duration now) {
+  std::erase_if(node.fleet.members, [&](const auto& entry) {
+    const FleetMember& member = entry.second;
+    const bool in_store =
+        member.beat_at && now < *member.beat_at + kForgetAfter;
+    const bool heard = member.heard_at && now < *member.heard_at + kForgetAfter;
+    if (in_store || heard) {
+      return false;
+    }
+    node.peer_states.erase(entry.first);
+    node.peers.links.erase(entry.first);
+    return true;
+  });
+  for (auto& [instance, state] : node.peer_states) {
+    if (const auto member = node.fleet.members.find(instance);
+        member == node.fleet.members.end() || !IsInTouch(member->second, now)) {
+      state = {};
+    }
+  }
+}
+
+void TakeVacantSlots(Node& node, Duration now) {
+  if (node.stopping) {
+    return;
+  }
+  for (const uint32_t slot : SlotsToTake(node.fleet, now)) {
+    if (!node.slots.held.contains(slot)) {
+      Spawn(node.io, TakeSlot(node, slot));
+    }
+  }
+}
+
+void NoteMemberEntry(Node& node, const KeyedRecord& record, Duration now) {
+  if (record.key.empty() || record.key == node.options.instance) {
+    return;
+  }
+  if (record.dropped) {
+    if (const auto found = node.fleet.members.find(record.key);
+        found != node.fleet.members.end() && !IsInTouch(found->second, now)) {
+      found->second.leaving = true;
+    }
+    return;
+  }
+  pb::MemberEntry entry;
+  if (!entry.ParseFromString(record.value)) {
+    WriteLog(node.log, LogLevel::kUnusual, "member entry unreadable",
+             {{"member", record.key}});
+    return;
+  }
+  const bool known = node.fleet.members.contains(record.key);
+  FleetMember& member = node.fleet.members[record.key];
+  if (known && member.incarnation == entry.incarnation() &&
+      entry.beat() <= member.beat) {
+    return;
+  }
+  if (!IsInTouch(member, now)) {
+    member.instance = record.key;
+    member.incarnation = entry.incarnation();
+    member.address = entry.address();
+    member.zone = entry.zone();
+    member.leaving = entry.leaving();
+  }
+  member.beat = entry.beat();
+  member.beat_at = now;
+  for (const pb::HeldSlot& held : entry.slots()) {
+    NoteHolder(node.fleet, held.slot(), {record.key, held.epoch()});
+  }
+}
+
+Task<> WriteEntry(Node& node, uint64_t beat) {
+  pb::MemberEntry entry;
+  entry.set_incarnation(node.incarnation);
+  entry.set_address(node.options.ip + ":" +
+                    std::to_string(node.options.peer_port));
+  entry.set_zone(node.options.zone);
+  entry.set_beat(beat);
+  entry.set_leaving(node.stopping);
+  for (const auto& [number, slot] : node.slots.held) {
+    if (slot->active && !slot->lost) {
+      pb::HeldSlot& held = *entry.add_slots();
+      held.set_slot(number);
+      held.set_epoch(slot->epoch);
+    }
+  }
+  const AppendCall call{.topic = std::string(kMemberTopic),
+                        .partition = 0,
+                        .stamp = std::nullopt,
+                        .records = {platform::EncodeKeyed(
+                            node.options.instance, entry.SerializeAsString())}};
+  // A beat that is lost is made good by the next one.
+  [[maybe_unused]] const auto done = co_await Append(node, call);
+}
+
+Task<std::optional<uint64_t>> ReadAllMembers(Node& node) {
+  NewestCall call{.topic = std::string(kMemberTopic), .after = {}};
+  while (true) {
+    const auto done = co_await ReadNewest(node, call);
+    if (!done) {
+      co_return std::nullopt;
+    }
+    for (const KeyedRecord& record : done->records) {
+      NoteMemberEntry(node, record, Now());
+    }
+    if (!done->more || done->records.empty()) {
+      co_return done->end;
+    }
+    call.after = done->records.back().key;
+  }
+}
+
+Task<> ReadMembers(Node& node, std::optional<uint64_t>& next) {
+  if (!next) {
+    next = co_await ReadAllMembers(node);
+    co_return;
+  }
+  const ReadCall read{.topic = std::string(kMemberTopic),
+                      .partition = 0,
+                      .from = *next,
+                      .wait_ms = 0};
+  const auto done = co_await Read(node, read);
+  if (!done) {
+    if (std::holds_alternative<Expired>(done.error())) {
+      next.reset();
+    }
+    co_return;
+  }
+  const Duration now = Now();
+  for (const std::string& bytes : done->records) {
+    NoteMemberEntry(node, platform::DecodeKeyed(bytes, *next), now);
+    ++*next;
+  }
+}
+
+}  // namespace
+
+void AnnounceSoon(Node& node) {
+  asio::post(node.io, [&node] { SendHeartbeats(node); });
+}
+
+PeerLinkPtr LinkToHolder(const Node& node, uint32_t slot) {
+  const SlotHolder& holder = node.fleet.slots[slot];
+  const auto link = node.peers.links.find(holder.instance);
+  return link == node.peers.links.end() || link->second->socket == nullptr
+             ? nullptr
+             : link->second;
+}
+
+Task<> RunFleet(Node& node) {
+  Duration heartbeat_at{};
+  while (true) {
+    const Duration now = Now();
+    DialAll(node);
+    if (now >= heartbeat_at) {
+      heartbeat_at = now + kHeartbeatEvery;
+      SendHeartbeats(node);
+      SumLoads(node);
+      ForgetGone(node, now);
+      DropLapsed(node.endpoints, now);
+      CloseOldIdle(node.endpoint_pool, now);
+      CloseOldIdle(node.store.pool, now);
+      ExpireSlots(node);
+    }
+    TakeVacantSlots(node, now);
+    FlushLog(node.log);
+    co_await Sleep(node.io, kTick);
+  }
+}
+
+Task<> RunMembership(Node& node) {
+  std::optional<uint64_t> next;
+  uint64_t beat = 0;
+  const Duration started = Now();
+  while (true) {
+    co_await WriteEntry(node, ++beat);
+    co_await ReadMembers(node, next);
+    co_await Sleep(node.io,
+                   Now() < started + kFirstTime ? kFirstBeats : kBeatEvery);
+  }
+}
+
+Task<> LeaveFleet(Node& node) {
+  co_await ReleaseSlots(node);
+  SendHeartbeats(node);
+  const AppendCall call{
+      .topic = std::string(kMemberTopic),
+      .partition = 0,
+      .stamp = std::nullopt,
+      .records = {platform::EncodeKeyed(node.options.instance, "")}};
+  // Without it the entry stays until the members forget it.
+  [[maybe_unused]] const auto done = co_await Append(node, call);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/options.cc
@@ -0,0 +1,119 @@
+#include "celerykeel/node/options.h"
+
+#include <fstream>   // for std::ifstream
+#include <iterator>  // for std::istreambuf_iterator
+
+#include <nlohmann/json.hpp>  // for nlohmann::json
+
+namespace celerykeel {
+
+namespace {
+
+using nlohmann::json;
+
+// Gathers every mistake, so that one look at the output mends them all.
+struct FieldReader {
+  const json& settings;
+  std::vector<std::string>& mistakes;
+
+  std::string Text(const char* name) const {
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end() || !found->is_string() ||
+        found->get<std::string>().empty()) {
+      this->mistakes.push_back(std::string(name) + ": a text is missing");
+      return {};
+    }
+    return found->get<std::string>();
+  }
+
+  double Number(const char* name, double lowest, double highest) const {
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end() || !found->is_number()) {
+      this->mistakes.push_back(std::string(name) + ": a number is missing");
+      return lowest;
+    }
+    const auto value = found->get<double>();
+    if (value < lowest || value > highest) {
+      this->mistakes.push_back(std::string(name) + ": must be from " +
+                               std::to_string(lowest) + " to " +
+                               std::to_string(highest));
+      return lowest;
+    }
+    return value;
+  }
+
+  Duration Millis(const char* name) const {
+    constexpr double kLongest = 24 * 3600 * 1000.0;
+    return Duration(
+        static_cast<int64_t>(this->Number(name, 0, kLongest) * 1e6));
+  }
+
+  Duration Seconds(const char* name) const {
+    constexpr double kLongest = 24 * 3600.0;
+    return Duration(
+        static_cast<int64_t>(this->Number(name, 0, kLongest) * 1e9));
+  }
+
+  bool Flag(const char* name) const {
+    const auto found = this->settings.find(name);
+    return found != this->settings.end() && found->is_boolean() &&
+           found->get<bool>();
+  }
+};
+
+}  // namespace
+
+tl::expected<NodeOptions, OptionMistakes> ParseNodeOptions(
+    const std::string& text) {
+  const json settings = json::parse(text, nullptr, false);
+  OptionMistakes wrong;
+  if (!settings.is_object()) {
+    wrong.mistakes.emplace_back("the file is not a JSON object");
+    return tl::unexpected(wrong);
+  }
+  constexpr double kMostPort = 65535;
+  constexpr double kMostPartitions = 1024;
+  constexpr double kMostBytes = 1e9;
+  constexpr double kAnyNumber = 1e9;
+  const FieldReader read{settings, wrong.mistakes};
+  NodeOptions options;
+  options.instance = read.Text("instance");
+  options.zone = read.Text("zone");
+  options.ip = read.Text("ip");
+  options.callers_address = read.Text("callers_address");
+  options.readiness_address = read.Text("readiness_address");
+  options.peer_port =
+      static_cast<uint16_t>(read.Number("peer_port", 1, kMostPort));
+  options.first_start = read.Flag("first_start");
+  options.store_address = read.Text("store_address");
+  options.store_partitions = static_cast<uint32_t>(
+      read.Number("store_partitions", 1, kMostPartitions));
+  options.store_retention = read.Seconds("store_retention_s");
+  options.store_record_bytes =
+      static_cast<size_t>(read.Number("store_record_bytes", 1024, kMostBytes));
+  options.store_call_bytes =
+      static_cast<size_t>(read.Number("store_call_bytes", 1024, kMostBytes));
+  options.heartbeat = read.Millis("endpoint_heartbeat_ms");
+  options.drain_time = read.Millis("drain_ms");
+  options.apply_time = read.Millis("apply_ms");
+  options.stop_time = read.Seconds("stop_s");
+  options.quota_window = read.Seconds("quota_window_s");
+  options.quota_overshoot = read.Number("quota_overshoot", 0, 1);
+  options.quota_slack = read.Number("quota_slack", 0, kAnyNumber);
+  if (!wrong.mistakes.empty()) {
+    return tl::unexpected(wrong);
+  }
+  return options;
+}
+
+tl::expected<NodeOptions, OptionMistakes> LoadNodeOptions(
+    const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return tl::unexpected(OptionMistakes{{path + ": can't be read"}});
+  }
+  return ParseNodeOptions(std::string(std::istreambuf_iterator<char>(file),
+                                      std::istreambuf_iterator<char>()));
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/out_connection.cc
@@ -0,0 +1,207 @@
+#include "celerykeel/node/out_connection.h"
+
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>  // for TCP_USER_TIMEOUT
+#include <sys/socket.h>   // for recv
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/answer_reader.h"  // for AnswerReader
+
+namespace celerykeel {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr size_t kMostIdle = 16;  // connections an address
+constexpr size_t kMostBody = 64UL * 1024 * 1024;
+constexpr int kVersion11 = 11;
+// Bytes that a peer does not acknowledge for so long end the connection.
+constexpr unsigned kUnackedMillis = 2500;
+
+std::optional<Tcp::endpoint> ParseAddress(std::string_view address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  ErrorCode error;
+  const auto ip =
+      asio::ip::make_address(std::string(address.substr(0, colon)), error);
+  const int port = std::atoi(std::string(address.substr(colon + 1)).c_str());
+  constexpr int kMostPort = 65535;
+  if (error || port <= 0 || port > kMostPort) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(ip, static_cast<uint16_t>(port));
+}
+
+// Anything readable on an idle connection is its end, or bytes that belong to
+// no request.
+bool IsQuiet(OutConnection& connection) {
+  char byte = 0;
+  const ssize_t count = recv(connection.stream.socket().native_handle(), &byte,
+                             1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+OutConnectionPtr TakeIdle(OutPool& pool,
+                          const std::string& address,
+                          Duration most_idle) {
+  const auto found = pool.idle.find(address);
+  if (found == pool.idle.end()) {
+    return nullptr;
+  }
+  const Duration now = Now();
+  while (!found->second.empty()) {
+    OutConnectionPtr connection = std::move(found->second.back());
+    found->second.pop_back();
+    const Duration idle = now - connection->idle_since;
+    if (idle < std::min(most_idle, connection->idle_limit) &&
+        IsQuiet(*connection)) {
+      connection->reused = true;
+      return connection;
+    }
+    Close(*connection);
+  }
+  return nullptr;
+}
+
+asio::steady_timer::duration Steady(Duration duration) {
+  return std::chrono::duration_cast<asio::steady_timer::duration>(duration);
+}
+
+}  // namespace
+
+void Close(OutConnection& connection) {
+  ErrorCode ignored;  // it is gone either way
+  connection.stream.socket().close(ignored);
+}
+
+Task<OutConnectionPtr> Connect(asio::io_context& loop,
+                               OutPool& pool,
+                               const std::string& address,
+                               Duration most_idle,
+                               Duration patience) {
+  if (OutConnectionPtr idle = TakeIdle(pool, address, most_idle)) {
+    co_return idle;
+  }
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint) {
+    co_return nullptr;
+  }
+  auto connection = std::make_shared<OutConnection>(loop);
+  connection->stream.expires_after(Steady(patience));
+  ErrorCode error;
+  co_await connection->stream.async_connect(*endpoint, Into(error));
+  if (error) {
+    co_return nullptr;
+  }
+  ++pool.opened;
+  ErrorCode ignored;  // without these options it works less well, but works
+  connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+  setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP,
+             TCP_USER_TIMEOUT, &kUnackedMillis, sizeof(kUnackedMillis));
+  co_return connection;
+}
+
+void GiveBack(OutPool& pool,
+              const std::string& address,
+              const OutConnectionPtr& connection,
+              const AnswerHead& head) {
+  auto& idle = pool.idle[address];
+  if (!head.keep_alive || connection->buffer.size() > 0 ||
+      head.idle_limit <= Duration::zero() || idle.size() >= kMostIdle) {
+    Close(*connection);
+    return;
+  }
+  connection->stream.expires_never();
+  connection->idle_since = Now();
+  connection->idle_limit = head.idle_limit;
+  idle.push_back(connection);
+}
+
+void CloseOldIdle(OutPool& pool, Duration now) {
+  for (auto& [address, idle] : pool.idle) {
+    while (!idle.empty() &&
+           now - idle.front()->idle_since >= idle.front()->idle_limit) {
+      Close(*idle.front());
+      idle.pop_front();
+    }
+  }
+  std::erase_if(pool.idle,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+Task<std::optional<ExchangeError>> SendRequest(OutConnection& connection,
+                                               const OutRequest& request,
+                                               Duration patience) {
+  http::request<http::span_body<const char>> message;
+  message.version(kVersion11);
+  message.method_string({request.method.data(), request.method.size()});
+  message.target({request.target.data(), request.target.size()});
+  if (!request.host.empty()) {
+    message.set(
+        http::field::host,
+        boost::beast::string_view(request.host.data(), request.host.size()));
+  }
+  for (const auto& [name, value] : request.headers) {
+    if (!boost::beast::iequals(name, "Host")) {
+      message.insert(name, value);
+    }
+  }
+  message.body() = {request.body.data(), request.body.size()};
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    message.content_length(request.body.size());
+  }
+  connection.stream.expires_after(Steady(patience));
+  ErrorCode error;
+  co_await http::async_write(connection.stream, message, Into(error));
+  if (error == boost::beast::error::timeout) {
+    co_return ExchangeError::kSilent;
+  }
+  if (error) {
+    co_return ExchangeError::kClosed;
+  }
+  co_return std::nullopt;
+}
+
+Task<tl::expected<WholeAnswer, ExchangeError>> Exchange(asio::io_context& loop,
+                                                        OutPool& pool,
+                                                        std::string address,
+                                                        OutRequest request,
+                                                        Duration patience) {
+  const auto until = asio::steady_timer::clock_type::now() + Steady(patience);
+  auto connection =
+      co_await Connect(loop, pool, address, Duration::max(), patience);
+  if (connection == nullptr) {
+    co_return tl::unexpected(ExchangeError::kNotConnected);
+  }
+  if (const auto error = co_await SendRequest(*connection, request, patience)) {
+    Close(*connection);
+    co_return tl::unexpected(*error);
+  }
+  AnswerReader reader(connection);
+  WholeAnswer answer;
+  auto head = co_await reader.ReadHead(until);
+  if (!head) {
+    Close(*connection);
+    co_return tl::unexpected(head.error());
+  }
+  answer.head = std::move(*head);
+  auto body = co_await reader.ReadAll(until, kMostBody);
+  if (!body) {
+    Close(*connection);
+    co_return tl::unexpected(body.error());
+  }
+  answer.body = std::move(*body);
+  GiveBack(pool, address, connection, answer.head);
+  co_return answer;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/peer_answer.cc
@@ -0,0 +1,158 @@
+#include "celerykeel/node/peer_answer.h"
+
+#include <utility>  // for std::move
+
+#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/node/feeds.h"  // for ReadDeploymentSoon
+#include "celerykeel/node/fleet.h"  // for ServePeers
+#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/node/rates.h"  // for LendToPeer
+
+namespace celerykeel {
+
+namespace {
+
+// Slots of the member that its heartbeat no longer lists have no holder: it
+// was restarted, or gave them up.
+void VacateUnlisted(Node& node,
+                    const std::string& instance,
+                    const std::set<uint32_t>& listed) {
+  for (uint32_t slot = 0; slot < node.fleet.slots.size(); ++slot) {
+    if (node.fleet.slots[slot].instance == instance && !listed.contains(slot)) {
+      node.fleet.slots[slot].instance.clear();
+    }
+  }
+}
+
+void OnHeartbeat(Node& node, const pb::NodeHeartbeat& beat) {
+  if (beat.instance() == node.options.instance) {
+    return;
+  }
+  FleetMember& member = node.fleet.members[beat.instance()];
+  if (member.incarnation != beat.incarnation()) {
+    WriteLog(node.log, LogLevel::kUnusual, "member seen",
+             {{"member", beat.instance()},
+              {"incarnation", beat.incarnation()},
+              {"address", beat.address()}});
+  }
+  member.instance = beat.instance();
+  member.zone = beat.zone();
+  member.address = beat.address();
+  member.incarnation = beat.incarnation();
+  member.leaving = beat.leaving();
+  member.refused = false;
+  member.heard_at = Now();
+  std::set<uint32_t> listed;
+  for (const pb::HeldSlot& held : beat.slots()) {
+    NoteHolder(node.fleet, held.slot(), {beat.instance(), held.epoch()});
+    listed.insert(held.slot());
+  }
+  VacateUnlisted(node, beat.instance(), listed);
+  PeerState& state = node.peer_states[beat.instance()];
+  state.deployment_version = beat.deployment_version();
+  state.store_reached = beat.store_reached();
+  state.loads.clear();
+  for (const pb::EndpointLoad& load : beat.loads()) {
+    state.loads[load.endpoint()] = load.in_flight();
+  }
+  if (node.deployment == nullptr ||
+      beat.deployment_version() > node.deployment->version) {
+    ReadDeploymentSoon(node);
+  }
+}
+
+Task<> OnAdmission(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
+  const uint64_t call = frame.call();
+  const auto covered = [peer, call](bool may_hand_out) {
+    pb::NodeFrame answer;
+    answer.set_call(call);
+    answer.mutable_covered();
+    if (may_hand_out) {
+      SendFrame(peer, answer);
+    }
+  };
+  pb::NodeFrame answer;
+  answer.set_call(call);
+  *answer.mutable_grant() = co_await AdmitAsHolder(
+      node, std::move(*frame.mutable_admission()), covered);
+  SendFrame(peer, answer);
+}
+
+Task<> OnEnd(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
+  pb::NodeFrame answer;
+  answer.set_call(frame.call());
+  *answer.mutable_end_done() =
+      co_await EndAsHolder(node, std::move(*frame.mutable_end()));
+  SendFrame(peer, answer);
+}
+
+Task<> OnStoreCall(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
+  pb::StoreRelay& relay = *frame.mutable_store_call();
+  const platform::StoreRequest request{
+      .method = std::move(*relay.mutable_method()),
+      .target = std::move(*relay.mutable_target()),
+      .body = std::move(*relay.mutable_body())};
+  const auto response = co_await CallStoreDirect(
+      node, request, std::chrono::milliseconds(relay.timeout_ms()));
+  pb::NodeFrame answer;
+  answer.set_call(frame.call());
+  answer.mutable_store_answer()->set_status(
+      static_cast<uint32_t>(response.status));
+  answer.mutable_store_answer()->set_body(response.body);
+  SendFrame(peer, answer);
+}
+
+void OnFrame(Node& node,
+             const PeerSocketPtr& peer,
+             const pb::NodeFrame& frame) {
+  pb::NodeFrame answer;
+  answer.set_call(frame.call());
+  switch (frame.body_case()) {
+    case pb::NodeFrame::kHeartbeat:
+      OnHeartbeat(node, frame.heartbeat());
+      return;
+    case pb::NodeFrame::kAdmission:
+      Spawn(node.io, OnAdmission(node, peer, frame));
+      return;
+    case pb::NodeFrame::kEnd:
+      Spawn(node.io, OnEnd(node, peer, frame));
+      return;
+    case pb::NodeFrame::kStoreCall:
+      Spawn(node.io, OnStoreCall(node, peer, frame));
+      return;
+    case pb::NodeFrame::kLookup:
+      *answer.mutable_found() = LookUpHere(node, frame.lookup());
+      SendFrame(peer, answer);
+      return;
+    case pb::NodeFrame::kRateWish:
+      *answer.mutable_rate_grant() = LendToPeer(node, frame.rate_wish());
+      SendFrame(peer, answer);
+      return;
+    default:
+      WriteLog(node.log, LogLevel::kUnusual, "frame of an unknown kind");
+  }
+}
+
+}  // namespace
+
+Task<> ServePeer(Node& node, PeerSocketPtr peer) {
+  co_await ReadFrames(peer, [&node, peer](const pb::NodeFrame& frame) {
+    OnFrame(node, peer, frame);
+  });
+}
+
+Task<> ServePeers(Node& node) {
+  ErrorCode error;
+  const Tcp::endpoint local(asio::ip::make_address(node.options.ip, error),
+                            node.options.peer_port);
+  Tcp::acceptor acceptor(node.io, local);
+  while (true) {
+    auto peer = std::make_shared<PeerSocket>(node.io);
+    co_await acceptor.async_accept(peer->socket, Into(error));
+    if (!error) {
+      Spawn(node.io, ServePeer(node, std::move(peer)));
+    }
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/peer_link.cc
@@ -0,0 +1,201 @@
+#include "celerykeel/node/peer_link.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <netinet/tcp.h>  // for TCP_USER_TIMEOUT
+
+#include <array>    // for std::array
+#include <utility>  // for std::move
+
+namespace celerykeel {
+
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+constexpr uint32_t kMostFrameBytes = 64 * 1024 * 1024;
+constexpr size_t kMostQueued = 64UL * 1024 * 1024;
+constexpr unsigned kUnackedMillis = 1500;
+
+void StartWrite(const PeerSocketPtr& peer) {
+  if (peer->is_writing || peer->outgoing.empty() || peer->closed) {
+    return;
+  }
+  peer->is_writing = true;
+  peer->writing = std::move(peer->outgoing);
+  peer->outgoing.clear();
+  asio::async_write(peer->socket, asio::buffer(peer->writing),
+                    [peer](const ErrorCode& error, size_t) {
+                      peer->is_writing = false;
+                      if (error) {
+                        ClosePeer(peer);
+                        return;
+                      }
+                      StartWrite(peer);
+                    });
+}
+
+void LoseAll(PeerLink& link) {
+  const auto pending = std::move(link.pending);
+  link.pending.clear();
+  for (const auto& [call, waiting] : pending) {
+    if (waiting.on_lost) {
+      waiting.on_lost();
+    }
+  }
+}
+
+void OnAnswer(PeerLink& link, const pb::NodeFrame& frame) {
+  if (const auto found = link.pending.find(frame.call());
+      found != link.pending.end()) {
+    // The handler may end the call, and with it the entry.
+    const auto on_frame = found->second.on_frame;
+    on_frame(frame);
+  }
+}
+
+}  // namespace
+
+void ClosePeer(const PeerSocketPtr& peer) {
+  peer->closed = true;
+  ErrorCode ignored;  // it is gone either way
+  peer->socket.close(ignored);
+}
+
+void SendFrame(const PeerSocketPtr& peer, const pb::NodeFrame& frame) {
+  if (peer == nullptr || peer->closed) {
+    return;
+  }
+  if (peer->outgoing.size() > kMostQueued) {
+    ClosePeer(peer);  // it does not read; its calls are lost, not delayed
+    return;
+  }
+  const size_t size = frame.ByteSizeLong();
+  std::array<unsigned char, kLengthBytes> length{};
+  boost::endian::store_big_u32(length.data(), static_cast<uint32_t>(size));
+  peer->outgoing.append(reinterpret_cast<const char*>(length.data()),
+                        length.size());
+  frame.AppendToString(&peer->outgoing);
+  if (!peer->is_writing) {
+    asio::post(peer->socket.get_executor(), [peer] { StartWrite(peer); });
+  }
+}
+
+Task<> ReadFrames(PeerSocketPtr peer,
+                  std::function<void(const pb::NodeFrame&)> on_frame) {
+  ErrorCode error;
+  setsockopt(peer->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUnackedMillis, sizeof(kUnackedMillis));
+  peer->socket.set_option(Tcp::no_delay(true), error);
+  std::string bytes;
+  std::array<char, 16384> piece{};
+  size_t used = 0;
+  while (!peer->closed) {
+    const size_t count =
+        co_await peer->socket.async_read_some(asio::buffer(piece), Into(error));
+    if (error) {
+      break;
+    }
+    bytes.append(piece.data(), count);
+    while (bytes.size() - used >= kLengthBytes) {
+      const uint32_t size = boost::endian::load_big_u32(
+          reinterpret_cast<const unsigned char*>(bytes.data() + used));
+      if (size > kMostFrameBytes) {
+        ClosePeer(peer);
+        co_return;
+      }
+      if (bytes.size() - used < kLengthBytes + size) {
+        break;
+      }
+      pb::NodeFrame frame;
+      if (!frame.ParseFromArray(bytes.data() + used + kLengthBytes,
+                                static_cast<int>(size))) {
+        ClosePeer(peer);
+        co_return;
+      }
+      used += kLengthBytes + size;
+      on_frame(frame);
+    }
+    bytes.erase(0, used);
+    used = 0;
+  }
+  ClosePeer(peer);
+}
+
+bool StartCall(PeerNetwork& network,
+               PeerLink& link,
+               pb::NodeFrame frame,
+               PendingCall pending,
+               uint64_t* call) {
+  if (link.socket == nullptr || link.socket->closed) {
+    return false;
+  }
+  frame.set_call(network.next_call++);
+  if (call != nullptr) {
+    *call = frame.call();
+  }
+  link.pending[frame.call()] = std::move(pending);
+  SendFrame(link.socket, frame);
+  return true;
+}
+
+void EndCall(PeerLink& link, uint64_t call) {
+  link.pending.erase(call);
+}
+
+Task<std::optional<pb::NodeFrame>> CallPeer(asio::io_context& loop,
+                                            PeerNetwork& network,
+                                            PeerLinkPtr link,
+                                            pb::NodeFrame frame,
+                                            Duration patience) {
+  using Answer = std::optional<pb::NodeFrame>;
+  const auto answer = std::make_shared<Promise<Answer>>(loop);
+  uint64_t call = 0;
+  const PendingCall pending{
+      .on_frame = [answer](const pb::NodeFrame& got) { answer->Give(got); },
+      .on_lost = [answer] { answer->Give(std::nullopt); }};
+  if (!StartCall(network, *link, std::move(frame), pending, &call)) {
+    co_return std::nullopt;
+  }
+  auto given = co_await answer->Wait(patience);
+  EndCall(*link, call);
+  co_return given ? std::move(*given) : std::nullopt;
+}
+
+Task<> RunLink(asio::io_context& loop, PeerLinkPtr link, Duration patience) {
+  const size_t colon = link->address.rfind(':');
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(link->address.substr(0, colon), error);
+  if (colon == std::string::npos || error) {
+    co_return;
+  }
+  const auto port =
+      static_cast<uint16_t>(std::atoi(link->address.substr(colon + 1).c_str()));
+  const auto peer = std::make_shared<PeerSocket>(loop);
+  // A dial into silence is ended by closing its socket.
+  const auto limit = std::make_shared<asio::steady_timer>(
+      loop, std::chrono::duration_cast<asio::steady_timer::duration>(patience));
+  limit->async_wait([peer](const ErrorCode& cancelled) {
+    if (!cancelled) {
+      ClosePeer(peer);
+    }
+  });
+  co_await peer->socket.async_connect(Tcp::endpoint(ip, port), Into(error));
+  limit->cancel();
+  if (error || peer->closed) {
+    link->refused = error == asio::error::connection_refused ||
+                    error == asio::error::connection_reset;
+    co_return;
+  }
+  link->refused = false;
+  link->socket = peer;
+  co_await ReadFrames(
+      peer, [link](const pb::NodeFrame& frame) { OnAnswer(*link, frame); });
+  if (link->socket == peer) {
+    link->socket = nullptr;
+  }
+  LoseAll(*link);
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/slot_host.cc
@@ -0,0 +1,279 @@
+#include "celerykeel/node/slot_host.h"
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"     // for Now, WallNow
+#include "celerykeel/node/node.h"      // for Node
+#include "celerykeel/node/slot_log.h"  // for Enqueue
+
+namespace celerykeel {
+
+namespace {
+
+constexpr Duration kLookupPatience = std::chrono::milliseconds(250);
+// Clocks of instances differ, and a caller may be late with its next turn.
+constexpr WallMillis kExpiryMargin = 10000;
+constexpr Duration kProgramIdle = std::chrono::minutes(5);
+constexpr uint32_t kMostRememberedEndpoints = 20000;
+
+pb::TurnGrant Verdict(pb::TurnGrant::Verdict verdict) {
+  pb::TurnGrant grant;
+  grant.set_verdict(verdict);
+  return grant;
+}
+
+void TellCovered(HeldSlot& slot, const ProgramName& program) {
+  const auto spend = slot.ledger.programs.find(program);
+  if (spend == slot.ledger.programs.end() || !IsCovered(spend->second)) {
+    return;
+  }
+  const auto [first, last] = slot.uncovered.equal_range(program);
+  std::vector<std::function<void(bool)>> waiting;
+  for (auto entry = first; entry != last; ++entry) {
+    waiting.push_back(std::move(entry->second));
+  }
+  slot.uncovered.erase(first, last);
+  for (const auto& covered : waiting) {
+    covered(true);
+  }
+}
+
+void RaiseIfNeeded(Node& node,
+                   const HeldSlotPtr& slot,
+                   const ProgramName& program,
+                   bool urgent) {
+  const auto record = RaiseCeiling(slot->ledger, program);
+  if (!record) {
+    return;
+  }
+  Enqueue(node, slot, *record, urgent, [slot, record](bool durable) {
+    if (durable) {
+      NoteDurable(slot->ledger, *record);
+      TellCovered(*slot, record->program);
+    }
+  });
+}
+
+struct History {
+  bool known = false;  // false: not certain that there is no such turn
+  bool found = false;
+  bool foreign = false;  // it came from another slot
+  std::string text;
+};
+
+// A turn of another program lives in another slot. Only if the holders of all
+// slots were caught up and none has it, it is certain that there is none.
+Task<History> FindElsewhere(Node& node,
+                            const std::string& team,
+                            const std::string& turn) {
+  History history;
+  history.foreign = true;
+  std::set<uint32_t> searched;
+  pb::TurnLookup lookup;
+  lookup.set_team(team);
+  lookup.set_turn(turn);
+  std::vector<pb::TurnFound> answers{LookUpHere(node, lookup)};
+  std::set<std::string> holders;
+  for (const SlotHolder& holder : node.fleet.slots) {
+    holders.insert(holder.instance);
+  }
+  for (const std::string& holder : holders) {
+    const auto link = node.peers.links.find(holder);
+    if (link == node.peers.links.end()) {
+      continue;
+    }
+    pb::NodeFrame frame;
+    *frame.mutable_lookup() = lookup;
+    auto answer = co_await CallPeer(node.io, node.peers, link->second,
+                                    std::move(frame), kLookupPatience);
+    if (answer && answer->has_found()) {
+      answers.push_back(std::move(*answer->mutable_found()));
+    }
+  }
+  for (pb::TurnFound& answer : answers) {
+    searched.insert(answer.slots().begin(), answer.slots().end());
+    if (answer.found()) {
+      history.known = true;
+      history.found = true;
+      history.text = std::move(*answer.mutable_history());
+      co_return history;
+    }
+  }
+  history.known = searched.size() == node.fleet.slots.size();
+  co_return history;
+}
+
+Task<History> FindHistory(Node& node,
+                          HeldSlotPtr slot,
+                          std::string team,
+                          std::string turn) {
+  if (turn.empty()) {
+    co_return History{
+        .known = true, .found = true, .foreign = false, .text = {}};
+  }
+  if (const auto stored = FindTurn(slot->ledger, team, turn)) {
+    co_return History{.known = true,
+                      .found = true,
+                      .foreign = false,
+                      .text = ChainText(*stored)};
+  }
+  co_return co_await FindElsewhere(node, team, turn);
+}
+
+TurnRecord RecordOfEnd(const Node& node,
+                       const HeldSlot& slot,
+                       const pb::TurnEnd& end) {
+  const WallMillis now = WallNow();
+  TurnRecord record{
+      .program = {end.team(), end.program()},
+      .turn = end.turn(),
+      .previous = end.previous(),
+      .base = end.base(),
+      .input = end.input(),
+      .output = end.output(),
+      .ended_at = now,
+      .expires_at =
+          now + static_cast<WallMillis>(end.retention_ms()) + kExpiryMargin};
+  if (!record.base.empty()) {
+    record.previous.clear();
+    return record;
+  }
+  // The store forgets old records: a chain that reaches far back is written
+  // again as a whole.
+  const auto previous = FindTurn(slot.ledger, end.team(), end.previous());
+  const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(
+      node.options.store_retention);
+  if (previous != nullptr &&
+      now - previous->oldest_record > retention.count() / 2) {
+    record.base = ChainText(*previous);
+    record.previous.clear();
+  }
+  return record;
+}
+
+}  // namespace
+
+HeldSlotPtr ActiveSlot(const Node& node, uint32_t slot) {
+  const auto found = node.slots.held.find(slot);
+  return found != node.slots.held.end() && found->second->active &&
+                 !found->second->lost
+             ? found->second
+             : nullptr;
+}
+
+pb::TurnFound LookUpHere(const Node& node, const pb::TurnLookup& lookup) {
+  pb::TurnFound found;
+  for (const auto& [number, slot] : node.slots.held) {
+    if (!slot->active || slot->lost) {
+      continue;
+    }
+    found.add_slots(number);
+    if (const auto turn =
+            FindTurn(slot->ledger, lookup.team(), lookup.turn())) {
+      found.set_found(true);
+      found.set_history(ChainText(*turn));
+    }
+  }
+  return found;
+}
+
+Task<pb::TurnGrant> AdmitAsHolder(Node& node,
+                                  pb::TurnAdmission admission,
+                                  std::function<void(bool)> covered) {
+  HeldSlotPtr slot = ActiveSlot(node, admission.slot());
+  if (slot == nullptr) {
+    co_return Verdict(pb::TurnGrant::NOT_HOLDER);
+  }
+  const History history =
+      co_await FindHistory(node, slot, admission.team(), admission.previous());
+  if (slot->lost) {
+    co_return Verdict(pb::TurnGrant::NOT_HOLDER);
+  }
+  if (!history.found) {
+    co_return Verdict(history.known ? pb::TurnGrant::NO_SUCH_TURN
+                                    : pb::TurnGrant::NOT_HOLDER);
+  }
+  pb::TurnGrant grant = Verdict(pb::TurnGrant::GRANTED);
+  grant.set_history(history.text);
+  grant.set_foreign(history.foreign);
+  const ProgramName program{admission.team(), admission.program()};
+  if (const auto endpoint = slot->endpoints.find(program);
+      endpoint != slot->endpoints.end()) {
+    grant.set_endpoint(endpoint->second);
+  }
+  if (!admission.has_budget()) {
+    grant.set_covered(true);
+    co_return grant;
+  }
+  const TurnWish wish{.program = program,
+                      .turn = admission.turn(),
+                      .most_tokens = admission.most_tokens(),
+                      .budget = admission.budget()};
+  if (!AdmitTurn(slot->ledger, wish, Now())) {
+    co_return Verdict(pb::TurnGrant::BUDGET_SPENT);
+  }
+  const bool is_covered = IsCovered(slot->ledger.programs[program]);
+  grant.set_covered(is_covered);
+  if (!is_covered) {
+    slot->uncovered.emplace(program, std::move(covered));
+  }
+  RaiseIfNeeded(node, slot, program, !is_covered);
+  co_return grant;
+}
+
+Task<pb::TurnEndDone> EndAsHolder(Node& node, pb::TurnEnd end) {
+  pb::TurnEndDone done;
+  HeldSlotPtr slot = ActiveSlot(node, end.slot());
+  if (slot == nullptr) {
+    done.set_not_holder(true);
+    co_return done;
+  }
+  const ProgramName program{end.team(), end.program()};
+  if (!end.endpoint().empty() &&
+      slot->endpoints.size() < kMostRememberedEndpoints) {
+    slot->endpoints[program] = end.endpoint();
+  }
+  if (end.most_tokens() > 0) {
+    const SpendRecord spend =
+        SettleTurn(slot->ledger, program, end.turn(), end.used_tokens(),
+                   end.most_tokens(), Now());
+    Enqueue(node, slot, spend, false, [slot, spend](bool durable) {
+      if (durable) {
+        NoteDurable(slot->ledger, spend);
+        TellCovered(*slot, spend.program);
+      }
+    });
+    TellCovered(*slot, program);
+  }
+  if (!end.kept() || FindTurn(slot->ledger, end.team(), end.turn())) {
+    done.set_durable(true);
+    co_return done;
+  }
+  const auto written = std::make_shared<Promise<bool>>(node.io);
+  const TurnRecord record = RecordOfEnd(node, *slot, end);
+  Enqueue(node, slot, record, true, [slot, record, written](bool durable) {
+    if (durable) {
+      Replay(slot->ledger, record);
+    }
+    written->Give(durable);
+  });
+  constexpr Duration kLongest = std::chrono::seconds(30);
+  const auto durable = co_await written->Wait(kLongest);
+  done.set_durable(durable.value_or(false));
+  done.set_not_holder(durable.has_value() && !*durable);
+  co_return done;
+}
+
+void ExpireSlots(Node& node) {
+  const Duration now = Now();
+  const WallMillis wall = WallNow();
+  for (auto& [number, slot] : node.slots.held) {
+    Expire(slot->ledger, wall, now, kProgramIdle);
+    std::erase_if(slot->endpoints, [&slot = *slot](const auto& entry) {
+      return !slot.ledger.programs.contains(entry.first);
+    });
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/slot_log.cc
@@ -0,0 +1,266 @@
+#include "celerykeel/node/slot_log.h"
+
+#include <algorithm>  // for std::min
+#include <random>     // for std::mt19937_64
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"       // for Now
+#include "celerykeel/node/fleet.h"       // for AnnounceSoon
+#include "celerykeel/node/node.h"        // for Node
+#include "celerykeel/wire/slot_codec.h"  // for EncodeSlotRecord
+
+namespace celerykeel {
+
+namespace {
+
+constexpr std::string_view kProducer = "holder";
+constexpr Duration kGroupTime = std::chrono::milliseconds(60);
+constexpr Duration kFirstPause = std::chrono::milliseconds(30);
+constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+// The store's numbers are JSON, whole up to 2^53: the low bits are the
+// taker's own, the high ones count the takeovers.
+constexpr uint64_t kOwnBits = 30;
+
+uint64_t NextEpoch(uint64_t known, Incarnation incarnation) {
+  constexpr uint64_t kOwnMask = (1ULL << kOwnBits) - 1;
+  return (((known >> kOwnBits) + 1) << kOwnBits) | (incarnation & kOwnMask);
+}
+
+ProducerStamp Stamp(const HeldSlot& slot) {
+  return {.producer = std::string(kProducer),
+          .epoch = slot.epoch,
+          .sequence = slot.next_sequence};
+}
+
+// What one append takes of the queue.
+std::vector<QueuedRecord> TakeBatch(const Node& node,
+                                    HeldSlot& slot,
+                                    std::vector<std::string>& records) {
+  std::vector<QueuedRecord> batch;
+  size_t bytes = 0;
+  while (!slot.queue.empty()) {
+    std::string record = EncodeSlotRecord(slot.queue.front().record);
+    if (record.size() > node.options.store_record_bytes) {
+      slot.queue.front().on_end(false);  // no store call can carry it
+      slot.queue.pop_front();
+      continue;
+    }
+    bytes += record.size();
+    if (!batch.empty() && bytes > node.options.store_call_bytes / 2) {
+      break;
+    }
+    records.push_back(std::move(record));
+    batch.push_back(std::move(slot.queue.front()));
+    slot.queue.pop_front();
+  }
+  return batch;
+}
+
+bool HoldsAnother(const StoreError& error) {
+  return std::holds_alternative<Fenced>(error) ||
+         std::holds_alternative<OutOfSequence>(error);
+}
+
+// One append at a time, repeated with the same sequence until its answer is
+// known: then a lost answer neither loses nor doubles records.
+Task<> WriteQueue(Node& node, HeldSlotPtr slot) {
+  while (!slot->queue.empty() && !slot->lost) {
+    const bool urgent =
+        std::any_of(slot->queue.begin(), slot->queue.end(),
+                    [](const QueuedRecord& queued) { return queued.urgent; });
+    if (!urgent) {
+      slot->group_timer = std::make_shared<asio::steady_timer>(
+          node.io,
+          std::chrono::duration_cast<std::chrono::milliseconds>(kGroupTime));
+      ErrorCode cut_short;  // by an urgent record
+      co_await slot->group_timer->async_wait(Into(cut_short));
+    }
+    AppendCall call{.topic = std::string(kSlotTopic),
+                    .partition = slot->slot,
+                    .stamp = Stamp(*slot),
+                    .records = {}};
+    const auto batch = TakeBatch(node, *slot, call.records);
+    Duration pause = kFirstPause;
+    while (!call.records.empty()) {
+      const Duration sent_at = Now();
+      const auto done = co_await Append(node, call);
+      if (done) {
+        slot->appended_at = sent_at;
+        break;
+      }
+      if (HoldsAnother(done.error()) || slot->lost) {
+        LoseSlot(node, slot, Describe(done.error()));
+        for (const QueuedRecord& queued : batch) {
+          queued.on_end(false);
+        }
+        slot->writing = false;
+        co_return;
+      }
+      co_await Sleep(node.io, pause);
+      pause = std::min(2 * pause, kLongestPause);
+    }
+    if (!call.records.empty()) {
+      ++slot->next_sequence;
+    }
+    for (const QueuedRecord& queued : batch) {
+      queued.on_end(true);
+    }
+  }
+  slot->writing = false;
+}
+
+// Reads the slot's log up to and with the claim.
+Task<bool> CatchUp(Node& node, HeldSlotPtr slot, uint64_t claim_offset) {
+  uint64_t next = 0;
+  Duration pause = kFirstPause;
+  while (next <= claim_offset && !slot->lost) {
+    const ReadCall read{.topic = std::string(kSlotTopic),
+                        .partition = slot->slot,
+                        .from = next,
+                        .wait_ms = 0};
+    const auto done = co_await Read(node, read);
+    if (done) {
+      for (const std::string& bytes : done->records) {
+        if (const auto record = DecodeSlotRecord(bytes)) {
+          Replay(slot->ledger, *record);
+        } else {
+          WriteLog(node.log, LogLevel::kUnusual, "slot record unreadable",
+                   {{"slot", slot->slot}, {"offset", next}});
+        }
+        ++next;
+      }
+      if (!done->records.empty()) {
+        pause = kFirstPause;
+        continue;
+      }
+    } else if (const auto* expired = std::get_if<Expired>(&done.error())) {
+      next = std::max(next, expired->first);
+      continue;
+    }
+    co_await Sleep(node.io, pause);
+    pause = std::min(2 * pause, kLongestPause);
+  }
+  co_return !slot->lost;
+}
+
+}  // namespace
+
+void Enqueue(Node& node,
+             const HeldSlotPtr& slot,
+             SlotRecord record,
+             bool urgent,
+             std::function<void(bool)> on_end) {
+  if (slot->lost) {
+    on_end(false);
+    return;
+  }
+  slot->queue.push_back({std::move(record), urgent, std::move(on_end)});
+  if (urgent && slot->group_timer != nullptr) {
+    slot->group_timer->cancel();
+  }
+  if (!slot->writing) {
+    slot->writing = true;
+    Spawn(node.io, WriteQueue(node, slot));
+  }
+}
+
+void LoseSlot(Node& node, const HeldSlotPtr& slot, std::string_view reason) {
+  if (slot->lost) {
+    return;
+  }
+  slot->lost = true;
+  slot->active = false;
+  WriteLog(node.log, LogLevel::kUnusual, "slot lost",
+           {{"slot", slot->slot}, {"epoch", slot->epoch}, {"reason", reason}});
+  if (const auto found = node.slots.held.find(slot->slot);
+      found != node.slots.held.end() && found->second == slot) {
+    node.slots.held.erase(found);
+  }
+  SlotHolder& holder = node.fleet.slots[slot->slot];
+  if (holder.instance == node.fleet.self && holder.epoch == slot->epoch) {
+    holder.instance.clear();
+  }
+  const auto queue = std::move(slot->queue);
+  slot->queue.clear();
+  for (const QueuedRecord& queued : queue) {
+    queued.on_end(false);
+  }
+  const auto uncovered = std::move(slot->uncovered);
+  slot->uncovered.clear();
+  for (const auto& [program, covered] : uncovered) {
+    covered(false);
+  }
+  AnnounceSoon(node);
+}
+
+Task<> TakeSlot(Node& node, uint32_t number) {
+  if (node.slots.held.contains(number) || node.stopping) {
+    co_return;
+  }
+  const auto slot = std::make_shared<HeldSlot>();
+  node.slots.held[number] = slot;
+  slot->slot = number;
+  slot->epoch = NextEpoch(
+      std::max(node.fleet.slots[number].epoch, node.slots.epoch_floor[number]),
+      node.incarnation);
+  const Duration began = Now();
+  Duration pause = kFirstPause;
+  while (true) {
+    const AppendCall claim{.topic = std::string(kSlotTopic),
+                           .partition = number,
+                           .stamp = Stamp(*slot),
+                           .records = {EncodeSlotRecord(
+                               ClaimRecord{node.fleet.self, slot->epoch})}};
+    const Duration sent_at = Now();
+    const auto done = co_await Append(node, claim);
+    if (done) {
+      slot->claimed_at = Now();
+      slot->appended_at = sent_at;
+      slot->next_sequence = 1;
+      slot->first_ever = done->offset == 0;
+      if (!co_await CatchUp(node, slot, done->offset)) {
+        co_return;
+      }
+      break;
+    }
+    if (const auto* fenced = std::get_if<Fenced>(&done.error())) {
+      // Whoever was faster announces itself; if it does not, the next try
+      // starts above its epoch.
+      node.slots.epoch_floor[number] = fenced->epoch;
+      LoseSlot(node, slot, "another instance was faster");
+      co_return;
+    }
+    co_await Sleep(node.io, pause);
+    pause = std::min(2 * pause, kLongestPause);
+    if (slot->lost || node.stopping) {
+      LoseSlot(node, slot, "given up");
+      co_return;
+    }
+  }
+  AssumeSpent(slot->ledger, Now());
+  slot->active = true;
+  NoteHolder(node.fleet, number, {node.fleet.self, slot->epoch});
+  WriteLog(node.log, LogLevel::kUnusual, "slot taken",
+           {{"slot", number},
+            {"epoch", slot->epoch},
+            {"turns", static_cast<uint64_t>(slot->ledger.turns.size())},
+            {"programs", static_cast<uint64_t>(slot->ledger.programs.size())},
+            {"took_ms", Now() - began}});
+  AnnounceSoon(node);
+}
+
+Task<> ReleaseSlots(Node& node) {
+  std::vector<HeldSlotPtr> slots;
+  for (const auto& [number, slot] : node.slots.held) {
+    slots.push_back(slot);
+  }
+  for (const HeldSlotPtr& slot : slots) {
+    while (slot->active && !slot->lost && slot->writing) {
+      constexpr Duration kStep = std::chrono::milliseconds(5);
+      co_await Sleep(node.io, kStep);
+    }
+    LoseSlot(node, slot, "released");
+  }
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/store_client.cc
@@ -0,0 +1,168 @@
+#include "celerykeel/node/store_client.h"
+
+#include <utility>  // for std::move
+
+#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/node/node.h"   // for Node
+
+namespace celerykeel {
+
+namespace {
+
+// An append takes 4 ms and waits at most 2 s in the store before it is
+// refused; a call that is silent for longer has lost its answer.
+constexpr Duration kPatience = std::chrono::milliseconds(1200);
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+bool IsTrouble(const platform::StoreResponse& response) {
+  return response.status == 0 || response.status == kTooMany ||
+         response.status >= kUnavailable;
+}
+
+std::string_view Reason(ExchangeError error) {
+  switch (error) {
+    case ExchangeError::kNotConnected:
+      return "not connected";
+    case ExchangeError::kSilent:
+      return "silent";
+    case ExchangeError::kClosed:
+      return "connection closed";
+    case ExchangeError::kGarbled:
+      return "garbled";
+  }
+  return "unknown";
+}
+
+void NoteOutcome(Node& node, const platform::StoreResponse& response) {
+  StoreClient& store = node.store;
+  const Duration now = Now();
+  if (!IsTrouble(response)) {
+    store.reached_at = now;
+    if (store.lost) {
+      store.lost = false;
+      node.endpoints.store_back_at = now;
+      WriteLog(node.log, LogLevel::kUnusual, "store regained");
+    }
+    return;
+  }
+  store.troubled_at = now;
+  if (!store.lost) {
+    store.lost = true;
+    WriteLog(node.log, LogLevel::kUnusual, "store lost",
+             {{"status", response.status}, {"reason", response.body}});
+  }
+}
+
+Task<platform::StoreResponse> CallStoreOverPeer(
+    Node& node,
+    const platform::StoreRequest& request,
+    Duration patience) {
+  for (const auto& [instance, link] : node.peers.links) {
+    const auto seen = node.peer_states.find(instance);
+    if (link->socket == nullptr || seen == node.peer_states.end() ||
+        !seen->second.store_reached) {
+      continue;
+    }
+    pb::NodeFrame frame;
+    auto& relay = *frame.mutable_store_call();
+    relay.set_method(request.method);
+    relay.set_target(request.target);
+    relay.set_body(request.body);
+    relay.set_timeout_ms(static_cast<uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(patience)
+            .count()));
+    auto answer = co_await CallPeer(node.io, node.peers, link, std::move(frame),
+                                    patience);
+    ++node.store.relayed;
+    if (!answer || !answer->has_store_answer()) {
+      co_return platform::StoreResponse{0, "no answer over a peer"};
+    }
+    co_return platform::StoreResponse{
+        static_cast<int>(answer->store_answer().status()),
+        std::move(*answer->mutable_store_answer()->mutable_body())};
+  }
+  co_return platform::StoreResponse{0, "no way to the store"};
+}
+
+// While the direct way fails, a peer is asked first, and the direct way is
+// tried by the paced reads of Feeds.
+Task<platform::StoreResponse> CallStore(Node& node,
+                                        platform::StoreRequest request,
+                                        Duration patience) {
+  if (node.store.lost) {
+    auto relayed = co_await CallStoreOverPeer(node, request, patience);
+    if (!IsTrouble(relayed)) {
+      co_return relayed;
+    }
+  }
+  const bool was_lost = node.store.lost;
+  auto direct = co_await CallStoreDirect(node, request, patience);
+  if (IsTrouble(direct) && !was_lost) {
+    auto relayed = co_await CallStoreOverPeer(node, request, patience);
+    if (!IsTrouble(relayed)) {
+      co_return relayed;
+    }
+  }
+  co_return direct;
+}
+
+}  // namespace
+
+Task<platform::StoreResponse> CallStoreDirect(Node& node,
+                                              platform::StoreRequest request,
+                                              Duration patience) {
+  ++node.store.calls;
+  const OutRequest out{.method = request.method,
+                       .target = request.target,
+                       .host = node.options.store_address,
+                       .headers = {},
+                       .body = request.body};
+  auto answer = co_await Exchange(node.io, node.store.pool,
+                                  node.options.store_address, out, patience);
+  platform::StoreResponse response;
+  if (answer) {
+    response.status = answer->head.status;
+    response.body = std::move(answer->body);
+  } else {
+    response.body = Reason(answer.error());
+  }
+  NoteOutcome(node, response);
+  co_return response;
+}
+
+Task<tl::expected<AppendDone, StoreError>> Append(Node& node, AppendCall call) {
+  const auto response =
+      co_await CallStore(node, platform::EncodeAppend(call), kPatience);
+  co_return platform::DecodeAppend(response);
+}
+
+Task<tl::expected<ReadDone, StoreError>> Read(Node& node, ReadCall call) {
+  const auto response =
+      co_await CallStore(node, platform::EncodeRead(call),
+                         kPatience + std::chrono::milliseconds(call.wait_ms));
+  co_return platform::DecodeRead(response);
+}
+
+Task<tl::expected<NewestDone, StoreError>> ReadNewest(Node& node,
+                                                      NewestCall call) {
+  const auto response =
+      co_await CallStore(node, platform::EncodeNewest(call), kPatience);
+  co_return platform::DecodeNewest(response);
+}
+
+bool StoreIsReached(const Node& node) {
+  if (!node.store.lost) {
+    return true;
+  }
+  for (const auto& [instance, state] : node.peer_states) {
+    const auto link = node.peers.links.find(instance);
+    if (state.store_reached && link != node.peers.links.end() &&
+        link->second->socket != nullptr) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/turn_holder.cc
@@ -0,0 +1,150 @@
+#include "celerykeel/node/turn_holder.h"
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/node/fleet.h"  // for LinkToHolder
+#include "celerykeel/node/node.h"   // for Node
+
+namespace celerykeel {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(30);
+constexpr Duration kGrantPatience = std::chrono::milliseconds(600);
+constexpr Duration kEndPatience = std::chrono::milliseconds(1500);
+constexpr Duration kLaterPatience = std::chrono::seconds(8);
+
+pb::TurnAdmission AdmissionOf(const Call& call, uint32_t slot) {
+  const CallFacts& facts = call.request.facts;
+  pb::TurnAdmission admission;
+  admission.set_slot(slot);
+  admission.set_team(call.team == nullptr ? "" : call.team->name);
+  admission.set_program(facts.program);
+  admission.set_turn(facts.id);
+  admission.set_previous(call.route->retained ? facts.previous_turn : "");
+  admission.set_most_tokens(facts.most_tokens);
+  if (facts.token_budget) {
+    admission.set_budget(*facts.token_budget);
+  }
+  return admission;
+}
+
+uint32_t SlotOfCall(const Node& node, const Call& call) {
+  const CallFacts& facts = call.request.facts;
+  return SlotOfSubject(call.team == nullptr ? "" : call.team->name,
+                       facts.program.empty() ? facts.id : facts.program,
+                       static_cast<uint32_t>(node.fleet.slots.size()));
+}
+
+Task<std::optional<pb::TurnGrant>> AskPeer(
+    Node& node,
+    PeerLinkPtr link,
+    pb::TurnAdmission admission,
+    std::shared_ptr<Promise<bool>> covered) {
+  using Grant = std::optional<pb::TurnGrant>;
+  const auto granted = std::make_shared<Promise<Grant>>(node.io);
+  pb::NodeFrame frame;
+  *frame.mutable_admission() = std::move(admission);
+  const PendingCall pending{
+      .on_frame =
+          [granted, covered](const pb::NodeFrame& answer) {
+            if (answer.has_grant()) {
+              granted->Give(answer.grant());
+            } else if (answer.has_covered()) {
+              covered->Give(true);
+            }
+          },
+      .on_lost =
+          [granted, covered] {
+            granted->Give(std::nullopt);
+            covered->Give(false);
+          }};
+  uint64_t call = 0;
+  if (!StartCall(node.peers, *link, std::move(frame), pending, &call)) {
+    co_return std::nullopt;
+  }
+  auto grant = co_await granted->Wait(kGrantPatience);
+  if (!grant || !*grant || (*grant)->covered() ||
+      (*grant)->verdict() != pb::TurnGrant::GRANTED) {
+    EndCall(*link, call);
+  }
+  co_return grant ? std::move(*grant) : std::nullopt;
+}
+
+}  // namespace
+
+Task<TurnPermit> AskHolder(Node& node, CallPtr call, Duration patience) {
+  const Duration until = Now() + patience;
+  TurnPermit permit;
+  permit.slot = SlotOfCall(node, *call);
+  while (true) {
+    permit.covered = std::make_shared<Promise<bool>>(node.io);
+    std::optional<pb::TurnGrant> grant;
+    if (ActiveSlot(node, permit.slot) != nullptr) {
+      grant = co_await AdmitAsHolder(
+          node, AdmissionOf(*call, permit.slot),
+          [covered = permit.covered](bool may) { covered->Give(may); });
+    } else if (const PeerLinkPtr link = LinkToHolder(node, permit.slot)) {
+      grant = co_await AskPeer(node, link, AdmissionOf(*call, permit.slot),
+                               permit.covered);
+    }
+    if (grant && grant->verdict() != pb::TurnGrant::NOT_HOLDER) {
+      permit.grant = std::move(*grant);
+      if (permit.grant.covered()) {
+        permit.covered->Give(true);
+      }
+      co_return permit;
+    }
+    if (Now() + kStep >= until || call->caller->gone) {
+      permit.grant.set_verdict(pb::TurnGrant::NOT_HOLDER);
+      co_return permit;
+    }
+    co_await Sleep(node.io, kStep);
+  }
+}
+
+Task<bool> TellHolder(Node& node, pb::TurnEnd end, Duration patience) {
+  const Duration until = Now() + patience;
+  while (true) {
+    std::optional<pb::TurnEndDone> done;
+    if (ActiveSlot(node, end.slot()) != nullptr) {
+      done = co_await EndAsHolder(node, end);
+    } else if (const PeerLinkPtr link = LinkToHolder(node, end.slot())) {
+      pb::NodeFrame frame;
+      *frame.mutable_end() = end;
+      auto answer =
+          co_await CallPeer(node.io, node.peers, link, std::move(frame),
+                            std::min(kEndPatience, until - Now()));
+      if (answer && answer->has_end_done()) {
+        done = std::move(*answer->mutable_end_done());
+      }
+    }
+    if (done && done->durable()) {
+      co_return true;
+    }
+    if (Now() + kStep >= until) {
+      co_return false;
+    }
+    co_await Sleep(node.io, kStep);
+  }
+}
+
+namespace {
+
+Task<> TellUntilNoted(Node& node, pb::TurnEnd end) {
+  const std::string turn = end.turn();
+  if (!co_await TellHolder(node, std::move(end), kLaterPatience)) {
+    WriteLog(node.log, LogLevel::kUnusual, "turn's end not noted",
+             {{"id", turn}});
+  }
+}
+
+}  // namespace
+
+void TellHolderLater(Node& node, pb::TurnEnd end) {
+  Spawn(node.io, TellUntilNoted(node, std::move(end)));
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/turn_path.cc
@@ -0,0 +1,290 @@
+#include "celerykeel/node/turn_path.h"
+
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"         // for Now
+#include "celerykeel/core/event_stream.h"  // for EventSplitter
+#include "celerykeel/node/attempts.h"      // for StartAttempt
+#include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/turn_holder.h"   // for AskHolder
+
+namespace celerykeel {
+
+namespace {
+
+constexpr int kPaymentRequired = 402;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+// A slot has a new holder within about this time after its holder died.
+constexpr Duration kHolderPatience = std::chrono::milliseconds(1200);
+constexpr Duration kHolderRetry = std::chrono::milliseconds(500);
+constexpr Duration kStoreRetry = std::chrono::milliseconds(1000);
+// Of the time left, kept for the caller to get the end.
+constexpr Duration kEndMargin = std::chrono::milliseconds(20);
+
+/// A stream under way: what was relayed, and what it means for the holder.
+struct Relay {
+  TurnPermit permit;
+  std::string body;
+  std::string output;  // data of the relayed events, a line each
+  uint64_t tokens = 0;
+  uint32_t tokens_per_event = 1;
+  std::string endpoint;
+};
+
+asio::steady_timer::time_point Until(Duration left) {
+  return asio::steady_timer::clock_type::now() +
+         std::chrono::duration_cast<asio::steady_timer::duration>(left);
+}
+
+std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
+  switch (verdict) {
+    case pb::TurnGrant::GRANTED:
+      return std::nullopt;
+    case pb::TurnGrant::BUDGET_SPENT:
+      return CallRefusal{kPaymentRequired, "not run: the budget is spent", {}};
+    case pb::TurnGrant::NO_SUCH_TURN:
+      return CallRefusal{kNotFound, "not run: no such turn", {}};
+    case pb::TurnGrant::STORE_AWAY:
+      return CallRefusal{kUnavailable, "not run: the store is away",
+                         kStoreRetry};
+    default:
+      return CallRefusal{kUnavailable, "not run: the program has no holder now",
+                         kHolderRetry};
+  }
+}
+
+bool NeedsHolder(const Call& call) {
+  return call.route->retained || call.request.facts.token_budget.has_value();
+}
+
+pb::TurnEnd EndOf(const Call& call, const Relay& relay, bool whole) {
+  const CallFacts& facts = call.request.facts;
+  pb::TurnEnd end;
+  end.set_slot(relay.permit.slot);
+  end.set_team(call.team == nullptr ? "" : call.team->name);
+  end.set_program(facts.program);
+  end.set_turn(facts.id);
+  end.set_used_tokens(relay.tokens);
+  end.set_endpoint(relay.endpoint);
+  if (facts.token_budget) {
+    end.set_most_tokens(facts.most_tokens);
+  }
+  if (whole && call.route->retained) {
+    end.set_kept(true);
+    end.set_previous(facts.previous_turn);
+    end.set_input(call.request.body);
+    end.set_output(relay.output);
+    end.set_retention_ms(static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            call.route->retention)
+            .count()));
+    if (relay.permit.grant.foreign()) {
+      end.set_base(relay.permit.grant.history());
+    }
+  }
+  return end;
+}
+
+enum class StreamEnd {
+  kWhole,
+  kBroken,  // by the endpoint
+  kCallerGone,
+  kTimedOut,
+};
+
+bool MayHandOut(const Call& call, const Relay& relay) {
+  return !call.request.facts.token_budget || relay.permit.covered->IsGiven();
+}
+
+// Relays whole events as they come. An endpoint may stop inside an event; that
+// part is never relayed.
+Task<StreamEnd> RelayEvents(CallPtr call, Attempt& attempt, Relay& relay) {
+  EventSplitter splitter;
+  while (true) {
+    const auto some = co_await attempt.reader->ReadSome(Until(TimeLeft(*call)));
+    if (call->caller->gone) {
+      co_return StreamEnd::kCallerGone;
+    }
+    if (!some) {
+      co_return TimeLeft(*call) <= Duration::zero() ? StreamEnd::kTimedOut
+                                                    : StreamEnd::kBroken;
+    }
+    if (!*some) {
+      co_return splitter.partial.empty() ? StreamEnd::kWhole
+                                         : StreamEnd::kBroken;
+    }
+    std::string piece;
+    for (StreamEvent& event : AddBytes(splitter, **some)) {
+      piece += event.raw;
+      relay.output += event.data;
+      relay.output += '\n';
+      relay.tokens += relay.tokens_per_event;
+      ++call->events;
+      if (!event.id.empty()) {
+        call->last_event = std::move(event.id);
+      }
+    }
+    if (piece.empty()) {
+      continue;
+    }
+    if (!MayHandOut(*call, relay)) {
+      const auto covered = co_await relay.permit.covered->Wait(TimeLeft(*call));
+      if (!covered.value_or(false)) {
+        co_return TimeLeft(*call) <= Duration::zero() ? StreamEnd::kTimedOut
+                                                      : StreamEnd::kBroken;
+      }
+    }
+    if (!call->caller->head_sent) {
+      co_await BeginStream(call->caller, attempt.head.status,
+                           attempt.head.headers);
+    }
+    co_await SendPiece(call->caller, std::move(piece));
+  }
+}
+
+void LogTurn(Node& node,
+             const Call& call,
+             const Relay& relay,
+             std::string_view outcome) {
+  WriteLog(node.log, LogLevel::kOrdinary, "turn",
+           {{"id", call.request.facts.id},
+            {"program", call.request.facts.program},
+            {"slot", relay.permit.slot},
+            {"endpoint", relay.endpoint},
+            {"events", call.events},
+            {"tries", call.tries},
+            {"outcome", outcome},
+            {"after_ms", Now() - call.arrived_at}});
+}
+
+// The end of a kept turn goes out only once the turn is durable.
+Task<> FinishWhole(Node& node, CallPtr call, Relay& relay) {
+  pb::TurnEnd end = EndOf(*call, relay, true);
+  if (call->route->retained) {
+    if (!co_await TellHolder(node, std::move(end),
+                             TimeLeft(*call) - kEndMargin)) {
+      LogTurn(node, *call, relay, "not durable in time");
+      BreakOff(call->caller);
+      co_return;
+    }
+  } else if (NeedsHolder(*call)) {
+    TellHolderLater(node, std::move(end));
+  }
+  LogTurn(node, *call, relay, "whole");
+  if (!call->caller->head_sent) {
+    co_return;
+  }
+  co_await EndStream(call->caller);
+}
+
+void FinishBroken(Node& node, const Call& call, const Relay& relay) {
+  if (NeedsHolder(call)) {
+    TellHolderLater(node, EndOf(call, relay, false));
+  }
+}
+
+// A stream that may be resumed goes on at another endpoint.
+bool MayResume(const Call& call) {
+  return call.route->resumable && MayTry(call);
+}
+
+Task<> RunTurn(Node& node, CallPtr call, Relay& relay) {
+  AttemptEnd end = AttemptEnd::kNoEndpoint;
+  while (MayTry(*call)) {
+    Attempt attempt = co_await StartAttempt(node, call, relay.body);
+    if (attempt.end == AttemptEnd::kNoEndpoint) {
+      break;
+    }
+    end = attempt.end;
+    if (end == AttemptEnd::kAnswered) {
+      relay.endpoint = attempt.endpoint;
+      const bool stream = attempt.head.status >= kFirstSuccess &&
+                          attempt.head.status < kFirstRedirect &&
+                          attempt.head.is_event_stream;
+      if (!stream) {
+        if (!call->caller->head_sent &&
+            co_await RelayWhole(node, call, attempt)) {
+          LogTurn(node, *call, relay, "answered by the endpoint");
+          FinishBroken(node, *call, relay);
+          co_return;
+        }
+        end = AttemptEnd::kMayHaveRun;
+      } else {
+        const StreamEnd stream_end = co_await RelayEvents(call, attempt, relay);
+        const auto connection = std::exchange(call->attempt, nullptr);
+        if (stream_end == StreamEnd::kWhole) {
+          GiveBack(node.endpoint_pool, attempt.address, connection,
+                   attempt.head);
+          if (!call->caller->head_sent) {
+            co_await BeginStream(call->caller, attempt.head.status,
+                                 attempt.head.headers);
+          }
+          attempt.counted.reset();
+          co_await FinishWhole(node, call, relay);
+          co_return;
+        }
+        Close(*connection);
+        end = stream_end == StreamEnd::kCallerGone ? AttemptEnd::kCallerGone
+              : stream_end == StreamEnd::kTimedOut ? AttemptEnd::kTimedOut
+                                                   : AttemptEnd::kMayHaveRun;
+        if (end == AttemptEnd::kMayHaveRun) {
+          NoteFailure(node.endpoints, attempt.endpoint, Now());
+        }
+      }
+    }
+    if (end == AttemptEnd::kCallerGone || end == AttemptEnd::kTimedOut ||
+        (end == AttemptEnd::kMayHaveRun && !MayResume(*call))) {
+      break;
+    }
+  }
+  FinishBroken(node, *call, relay);
+  if (call->caller->gone) {
+    LogTurn(node, *call, relay, "caller gone");
+    co_return;
+  }
+  if (call->caller->head_sent) {
+    LogTurn(node, *call, relay, "broken off");
+    BreakOff(call->caller);
+    co_return;
+  }
+  if (end != AttemptEnd::kTimedOut && call->runs > 0) {
+    end = AttemptEnd::kMayHaveRun;
+  }
+  co_await Refuse(node, call, RefusalOf(*call, end));
+}
+
+}  // namespace
+
+Task<> ServeTurn(Node& node, CallPtr call) {
+  Relay relay;
+  if (const auto service = call->deployment->services.find(call->service);
+      service != call->deployment->services.end() && service->second.engine) {
+    relay.tokens_per_event = service->second.engine->tokens_per_event;
+  }
+  if (NeedsHolder(*call)) {
+    if (!StoreIsReached(node) && call->route->retained) {
+      co_await Refuse(node, call, *RefusalOfVerdict(pb::TurnGrant::STORE_AWAY));
+      co_return;
+    }
+    relay.permit = co_await AskHolder(
+        node, call, std::min(kHolderPatience, TimeLeft(*call) / 2));
+    if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
+      co_await Refuse(node, call, *refusal);
+      co_return;
+    }
+    call->preferred_endpoint = relay.permit.grant.endpoint();
+    relay.body = relay.permit.grant.history();
+  }
+  relay.body += call->request.body;
+  if (call->caller->gone) {
+    FinishBroken(node, *call, relay);
+    co_return;
+  }
+  co_await RunTurn(node, call, relay);
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/scheduler/decision_log.cc
+++ b/src/celerykeel/scheduler/decision_log.cc
@@ -3,7 +3,7 @@
 #include <algorithm>  // for std::any_of
 #include <utility>    // for std::move
 
-#include "celerykeel/net/clock.h"  // for WallNow
+#include "celerykeel/base/clock.h"  // for WallNow
 
 namespace celerykeel {
 
--- a/src/celerykeel/scheduler/fake_steward.h
+++ b/src/celerykeel/scheduler/fake_steward.h
@@ -10,7 +10,7 @@
 
 #include "celerykeel/core/fleet_state.h"  // for FleetState
 #include "celerykeel/feed.pb.h"           // for pb::FeedRequest
-#include "celerykeel/net/clock.h"         // for Now
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/net/messenger.h"     // for Messenger
 #include "celerykeel/wire/fleet_codec.h"  // for ToProto
 
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -3,7 +3,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/core/rendezvous.h"        // for OwnerOf
-#include "celerykeel/net/clock.h"              // for Now, WallNow
+#include "celerykeel/base/clock.h"              // for Now, WallNow
 #include "celerykeel/net/log.h"                // for Log
 #include "celerykeel/scheduler/call_reader.h"  // for ReadCall, ToProto
 #include "celerykeel/scheduler/owner_state.h"  // for Owner::State
--- a/src/celerykeel/standin/engine_loop.cc
+++ b/src/celerykeel/standin/engine_loop.cc
@@ -1,7 +1,7 @@
 #include <algorithm>  // for std::max
 #include <chrono>     // for std::chrono::milliseconds
 
-#include "celerykeel/net/clock.h"  // for Now, WallNow
+#include "celerykeel/base/clock.h"  // for Now, WallNow
 
 #include "celerykeel/standin/engine_state.h"  // for EngineState
 
--- a/src/celerykeel/steward/log_appender.cc
+++ b/src/celerykeel/steward/log_appender.cc
@@ -8,7 +8,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/net/clock.h"         // for Now
+#include "celerykeel/base/clock.h"         // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/steward/log_reader.cc
+++ b/src/celerykeel/steward/log_reader.cc
@@ -6,7 +6,7 @@
 #include <thread>              // for std::thread
 #include <utility>             // for std::move
 
-#include "celerykeel/net/clock.h"  // for Now
+#include "celerykeel/base/clock.h"  // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/steward/steward.cc
+++ b/src/celerykeel/steward/steward.cc
@@ -6,7 +6,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/net/bounded_ring.h"         // for BoundedRing
-#include "celerykeel/net/clock.h"                // for Now
+#include "celerykeel/base/clock.h"                // for Now
 #include "celerykeel/net/log.h"                  // for Log
 #include "celerykeel/steward/control.h"          // for Control, OnTick
 #include "celerykeel/steward/journal_reader.h"   // for JournalReader
--- /dev/null
+++ b/src/celerykeel/wire/slot_codec.cc
@@ -0,0 +1,82 @@
+#include "celerykeel/wire/slot_codec.h"
+
+#include "celerykeel/node.pb.h"  // for pb::SlotEntry
+
+namespace celerykeel {
+
+namespace {
+
+struct Encoder {
+  pb::SlotEntry& entry;
+
+  void operator()(const ClaimRecord& record) const {
+    this->entry.mutable_claim()->set_holder(record.holder);
+    this->entry.mutable_claim()->set_epoch(record.epoch);
+  }
+
+  void operator()(const SpendRecord& record) const {
+    pb::SlotSpend& spend = *this->entry.mutable_spend();
+    spend.set_team(record.program.team);
+    spend.set_program(record.program.id);
+    spend.set_spent(record.spent);
+    spend.set_ceiling(record.ceiling);
+    spend.set_largest(record.largest);
+    spend.set_slack_used(record.slack_used);
+  }
+
+  void operator()(const TurnRecord& record) const {
+    pb::SlotTurn& turn = *this->entry.mutable_turn();
+    turn.set_team(record.program.team);
+    turn.set_program(record.program.id);
+    turn.set_turn(record.turn);
+    turn.set_previous(record.previous);
+    turn.set_base(record.base);
+    turn.set_input(record.input);
+    turn.set_output(record.output);
+    turn.set_ended_at(record.ended_at);
+    turn.set_expires_at(record.expires_at);
+  }
+};
+
+}  // namespace
+
+std::string EncodeSlotRecord(const SlotRecord& record) {
+  pb::SlotEntry entry;
+  std::visit(Encoder{entry}, record);
+  return entry.SerializeAsString();
+}
+
+std::optional<SlotRecord> DecodeSlotRecord(std::string_view bytes) {
+  pb::SlotEntry entry;
+  if (!entry.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  switch (entry.record_case()) {
+    case pb::SlotEntry::kClaim:
+      return ClaimRecord{entry.claim().holder(), entry.claim().epoch()};
+    case pb::SlotEntry::kSpend: {
+      const pb::SlotSpend& spend = entry.spend();
+      return SpendRecord{.program = {spend.team(), spend.program()},
+                         .spent = spend.spent(),
+                         .ceiling = spend.ceiling(),
+                         .largest = spend.largest(),
+                         .slack_used = spend.slack_used()};
+    }
+    case pb::SlotEntry::kTurn: {
+      const pb::SlotTurn& turn = entry.turn();
+      return TurnRecord{.program = {turn.team(), turn.program()},
+                        .turn = turn.turn(),
+                        .previous = turn.previous(),
+                        .base = turn.base(),
+                        .input = turn.input(),
+                        .output = turn.output(),
+                        .ended_at = turn.ended_at(),
+                        .expires_at = turn.expires_at()};
+    }
+    case pb::SlotEntry::RECORD_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+}  // namespace celerykeel
