node: no lambda is made inside a co_await

Ruled out: the handlers' memory of Boost.Asio and the rate path. Change: callbacks are named before they are passed to a coroutine.

--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -63,7 +63,7 @@
 
 Task<> OnAdmission(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
   const uint64_t call = frame.call();
-  const auto covered = [peer, call](bool may_hand_out) {
+  std::function<void(bool)> covered = [peer, call](bool may_hand_out) {
     pb::NodeFrame answer;
     answer.set_call(call);
     answer.mutable_covered();
@@ -74,7 +74,7 @@
   pb::NodeFrame answer;
   answer.set_call(call);
   *answer.mutable_grant() = co_await AdmitAsHolder(
-      node, std::move(*frame.mutable_admission()), covered);
+      node, std::move(*frame.mutable_admission()), std::move(covered));
   SendFrame(peer, answer);
 }
 
@@ -136,9 +136,10 @@
 }  // namespace
 
 Task<> ServePeer(Node& node, PeerSocketPtr peer) {
-  co_await ReadFrames(peer, [&node, peer](const pb::NodeFrame& frame) {
-    OnFrame(node, peer, frame);
-  });
+  // GCC 12 destroys a lambda twice that is made inside a co_await.
+  std::function<void(const pb::NodeFrame&)> on_frame =
+      [&node, peer](const pb::NodeFrame& frame) { OnFrame(node, peer, frame); };
+  co_await ReadFrames(peer, std::move(on_frame));
 }
 
 Task<> ServePeers(Node& node) {
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -190,8 +190,10 @@
   }
   link->refused = false;
   link->socket = peer;
-  co_await ReadFrames(
-      peer, [link](const pb::NodeFrame& frame) { OnAnswer(*link, frame); });
+  // GCC 12 destroys a lambda twice that is made inside a co_await.
+  std::function<void(const pb::NodeFrame&)> on_frame =
+      [link](const pb::NodeFrame& frame) { OnAnswer(*link, frame); };
+  co_await ReadFrames(peer, std::move(on_frame));
   if (link->socket == peer) {
     link->socket = nullptr;
   }
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -83,9 +83,11 @@
     permit.covered = std::make_shared<Promise<bool>>(node.io);
     std::optional<pb::TurnGrant> grant;
     if (ActiveSlot(node, permit.slot) != nullptr) {
-      grant = co_await AdmitAsHolder(
-          node, AdmissionOf(*call, permit.slot),
-          [covered = permit.covered](bool may) { covered->Give(may); });
+      // GCC 12 destroys a lambda twice that is made inside a co_await.
+      std::function<void(bool)> on_covered =
+          [covered = permit.covered](bool may) { covered->Give(may); };
+      grant = co_await AdmitAsHolder(node, AdmissionOf(*call, permit.slot),
+                                     std::move(on_covered));
     } else if (const PeerLinkPtr link = LinkToHolder(node, permit.slot)) {
       grant = co_await AskPeer(node, link, AdmissionOf(*call, permit.slot),
                                permit.covered);
