node, core: what is replayed does not expire; coverage outlives its holder

Ruled out: the slots' logs; the records were there and were read. Change: a program without a time of use is not swept; events count when they go out; a holder lost during a run is replaced by asking the next one; a settled turn gives its ceiling back, the newest record counts.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -61,7 +61,7 @@
   uint64_t largest = 0;
   bool slack_used = false;
   std::map<std::string, uint64_t> running;  // turns and their most tokens
-  Duration used_at{};
+  std::optional<Duration> used_at;  // none while it is being replayed
 };
 
 /// @brief The state of one slot: turns on retained routes and budgets.
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -24,8 +24,9 @@
 
 void ReplaySpend(TurnLedger& ledger, const SpendRecord& record) {
   ProgramSpend& spend = ledger.programs[record.program];
-  spend.spent = std::max(spend.spent, record.spent);
-  spend.ceiling = std::max(spend.ceiling, record.ceiling);
+  // One holder writes at a time and keeps to its newest record.
+  spend.spent = record.spent;
+  spend.ceiling = record.ceiling;
   spend.asked = spend.ceiling;
   spend.largest = std::max(spend.largest, record.largest);
   spend.slack_used = spend.slack_used || record.slack_used;
@@ -106,7 +107,8 @@
 void NoteDurable(TurnLedger& ledger, const SpendRecord& record) {
   const auto found = ledger.programs.find(record.program);
   if (found != ledger.programs.end()) {
-    found->second.ceiling = std::max(found->second.ceiling, record.ceiling);
+    // A newer record on its way may have lowered it already.
+    found->second.ceiling = std::min(record.ceiling, found->second.asked);
   }
 }
 
@@ -122,7 +124,9 @@
   if (spend.running.erase(turn) > 0) {
     spend.spent += used;
   }
-  spend.asked = std::max(spend.asked, spend.spent);
+  // What the turn did not use is given back, or a takeover would count it.
+  spend.asked = spend.spent + Running(spend) + spend.largest;
+  spend.ceiling = std::min(spend.ceiling, spend.asked);
   return RecordOf(program, spend);
 }
 
@@ -154,7 +158,9 @@
     return entry.second->expires_at < wall;
   });
   std::erase_if(ledger.programs, [now, idle](const auto& entry) {
-    return entry.second.running.empty() && entry.second.used_at + idle < now;
+    const ProgramSpend& spend = entry.second;
+    return spend.running.empty() && spend.used_at &&
+           *spend.used_at + idle < now;
   });
 }
 
--- /dev/null
+++ b/src/celerykeel/core/turn_ledger_unittest.cc
@@ -0,0 +1,143 @@
+#include "celerykeel/core/turn_ledger.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>  // for std::max
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const ProgramName kProgram{"orchard", "p1"};
+constexpr uint64_t kMost = 580;
+constexpr uint64_t kBudget = 1160;
+
+TurnWish Wish(const std::string& turn) {
+  return {.program = kProgram,
+          .turn = turn,
+          .most_tokens = kMost,
+          .budget = kBudget};
+}
+
+// Admits a turn and makes its ceiling durable, as a holder does.
+bool AdmitDurably(TurnLedger& ledger,
+                  const std::string& turn,
+                  std::vector<SlotRecord>& log) {
+  if (!AdmitTurn(ledger, Wish(turn), seconds(1))) {
+    return false;
+  }
+  if (const auto record = RaiseCeiling(ledger, kProgram)) {
+    log.emplace_back(*record);
+    NoteDurable(ledger, *record);
+  }
+  CHECK(IsCovered(ledger.programs[kProgram]));
+  return true;
+}
+
+TurnLedger Successor(const std::vector<SlotRecord>& log) {
+  TurnLedger ledger;
+  for (const SlotRecord& record : log) {
+    Replay(ledger, record);
+  }
+  AssumeSpent(ledger, seconds(1));
+  return ledger;
+}
+
+TEST_CASE("a turn that does not fit is refused, and one in flight counts") {
+  TurnLedger ledger;
+  CHECK(AdmitTurn(ledger, Wish("a"), seconds(1)));
+  CHECK(AdmitTurn(ledger, Wish("b"), seconds(1)));
+  CHECK_FALSE(AdmitTurn(ledger, Wish("c"), seconds(1)));
+  CHECK(AdmitTurn(ledger, Wish("b"), seconds(1)));  // the same turn again
+  SettleTurn(ledger, kProgram, "a", 0, kMost, seconds(1));
+  CHECK(AdmitTurn(ledger, Wish("c"), seconds(1)));
+}
+
+TEST_CASE("no token goes out before a durable record covers it") {
+  TurnLedger ledger;
+  REQUIRE(AdmitTurn(ledger, Wish("a"), seconds(1)));
+  CHECK_FALSE(IsCovered(ledger.programs[kProgram]));
+  const auto record = RaiseCeiling(ledger, kProgram);
+  REQUIRE(record.has_value());
+  CHECK_FALSE(IsCovered(ledger.programs[kProgram]));
+  NoteDurable(ledger, *record);
+  CHECK(IsCovered(ledger.programs[kProgram]));
+  // The record covers one turn more, so the next one need not wait.
+  SettleTurn(ledger, kProgram, "a", 100, kMost, seconds(1));
+  REQUIRE(AdmitTurn(ledger, Wish("b"), seconds(1)));
+  CHECK(IsCovered(ledger.programs[kProgram]));
+}
+
+// Found on hsl-pressedag trouble-1: after a loss of all machines a program
+// spent its budget a second time. What is replayed has no time of use, and on
+// a machine that was up for hours the sweep took it for long unused.
+TEST_CASE("a sweep during a replay forgets no program") {
+  TurnLedger ledger;
+  Replay(ledger, SpendRecord{.program = kProgram,
+                             .spent = kBudget,
+                             .ceiling = kBudget + kMost,
+                             .largest = kMost,
+                             .slack_used = false});
+  Expire(ledger, 0, std::chrono::hours(6), minutes(5));
+  AssumeSpent(ledger, std::chrono::hours(6));
+  CHECK_FALSE(AdmitTurn(ledger, Wish("a"), std::chrono::hours(6)));
+}
+
+TEST_CASE("takeovers never let a program pass its budget and one turn") {
+  std::vector<SlotRecord> log;
+  uint64_t handed_out = 0;
+  TurnLedger ledger;
+  int turn = 0;
+  for (int takeover = 0; takeover < 5; ++takeover) {
+    while (AdmitDurably(ledger, std::to_string(++turn), log)) {
+      handed_out += kMost;  // and the holder dies before it can note this
+      if (turn % 2 == 0) {
+        break;
+      }
+      log.emplace_back(SettleTurn(ledger, kProgram, std::to_string(turn), kMost,
+                                  kMost, seconds(1)));
+    }
+    ledger = Successor(log);
+  }
+  CHECK(handed_out <= kBudget + kMost);
+}
+
+TEST_CASE("an idle program loses nothing by a takeover") {
+  std::vector<SlotRecord> log;
+  TurnLedger ledger;
+  REQUIRE(AdmitDurably(ledger, "a", log));
+  log.emplace_back(SettleTurn(ledger, kProgram, "a", 100, kMost, seconds(1)));
+  CHECK(Successor(log).programs[kProgram].spent == 100);
+}
+
+TEST_CASE("a chain's text is all before it, oldest first") {
+  TurnLedger ledger;
+  Replay(ledger, TurnRecord{.program = kProgram,
+                            .turn = "a",
+                            .previous = "",
+                            .base = "",
+                            .input = "in1",
+                            .output = "out1\n",
+                            .ended_at = 1,
+                            .expires_at = 100});
+  Replay(ledger, TurnRecord{.program = kProgram,
+                            .turn = "b",
+                            .previous = "a",
+                            .base = "",
+                            .input = "in2",
+                            .output = "out2\n",
+                            .ended_at = 2,
+                            .expires_at = 200});
+  Expire(ledger, 150, seconds(1), minutes(5));
+  CHECK(FindTurn(ledger, "orchard", "a") == nullptr);
+  const auto turn = FindTurn(ledger, "orchard", "b");
+  REQUIRE(turn != nullptr);
+  CHECK(ChainText(*turn) == "in1out1\nin2out2\n");
+  CHECK(turn->oldest_record == 1);
+  CHECK(FindTurn(ledger, "other", "b") == nullptr);
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -91,18 +91,58 @@
 
 enum class StreamEnd {
   kWhole,
-  kBroken,  // by the endpoint
+  kBroken,    // by the endpoint
+  kWithheld,  // no holder covers its tokens
   kCallerGone,
   kTimedOut,
 };
 
-bool MayHandOut(const Call& call, const Relay& relay) {
-  return !call.request.facts.token_budget || relay.permit.covered->IsGiven();
+// Waits until the tokens of the turn are covered by a durable record. If the
+// holder is lost meanwhile, the next one is asked: the run goes on, and its
+// events are kept back no longer than they must.
+Task<bool> MayHandOut(Node& node, CallPtr call, Relay& relay) {
+  while (call->request.facts.token_budget) {
+    const auto covered = relay.permit.covered;
+    const auto may = co_await covered->Wait(TimeLeft(*call));
+    if (may.value_or(false)) {
+      break;
+    }
+    if (!may || call->caller->gone) {
+      co_return false;
+    }
+    relay.permit = co_await AskHolder(node, call, TimeLeft(*call));
+    if (relay.permit.grant.verdict() != pb::TurnGrant::GRANTED) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// Counts events that go out now.
+// @return their bytes.
+std::string NoteRelayed(Call& call,
+                        Relay& relay,
+                        const std::vector<StreamEvent>& events) {
+  std::string piece;
+  for (const StreamEvent& event : events) {
+    piece += event.raw;
+    relay.output += event.data;
+    relay.output += '\n';
+    relay.tokens += relay.tokens_per_event;
+    ++call.events;
+    if (!event.id.empty()) {
+      call.last_event = event.id;
+    }
+  }
+  return piece;
 }
 
 // Relays whole events as they come. An endpoint may stop inside an event; that
 // part is never relayed.
-Task<StreamEnd> RelayEvents(CallPtr call, Attempt& attempt, Relay& relay) {
+Task<StreamEnd> RelayEvents(Node& node,
+                            CallPtr call,
+                            Attempt& attempt,
+                            Relay& relay) {
   EventSplitter splitter;
   while (true) {
     const auto some = co_await attempt.reader->ReadSome(Until(TimeLeft(*call)));
@@ -117,27 +157,15 @@
       co_return splitter.partial.empty() ? StreamEnd::kWhole
                                          : StreamEnd::kBroken;
     }
-    std::string piece;
-    for (StreamEvent& event : AddBytes(splitter, **some)) {
-      piece += event.raw;
-      relay.output += event.data;
-      relay.output += '\n';
-      relay.tokens += relay.tokens_per_event;
-      ++call->events;
-      if (!event.id.empty()) {
-        call->last_event = std::move(event.id);
-      }
-    }
-    if (piece.empty()) {
+    const std::vector<StreamEvent> events = AddBytes(splitter, **some);
+    if (events.empty()) {
       continue;
     }
-    if (!MayHandOut(*call, relay)) {
-      const auto covered = co_await relay.permit.covered->Wait(TimeLeft(*call));
-      if (!covered.value_or(false)) {
-        co_return TimeLeft(*call) <= Duration::zero() ? StreamEnd::kTimedOut
-                                                      : StreamEnd::kBroken;
-      }
+    if (!co_await MayHandOut(node, call, relay)) {
+      co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
+                                              : StreamEnd::kWithheld;
     }
+    std::string piece = NoteRelayed(*call, relay, events);
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
                            attempt.head.headers);
@@ -146,6 +174,17 @@
   }
 }
 
+AttemptEnd EndOfStream(StreamEnd end) {
+  switch (end) {
+    case StreamEnd::kCallerGone:
+      return AttemptEnd::kCallerGone;
+    case StreamEnd::kTimedOut:
+      return AttemptEnd::kTimedOut;
+    default:
+      return AttemptEnd::kMayHaveRun;
+  }
+}
+
 void LogTurn(Node& node,
              const Call& call,
              const Relay& relay,
@@ -214,7 +253,8 @@
         }
         end = AttemptEnd::kMayHaveRun;
       } else {
-        const StreamEnd stream_end = co_await RelayEvents(call, attempt, relay);
+        const StreamEnd stream_end =
+            co_await RelayEvents(node, call, attempt, relay);
         const auto connection = std::exchange(call->attempt, nullptr);
         if (stream_end == StreamEnd::kWhole) {
           GiveBack(node.endpoint_pool, attempt.address, connection,
@@ -228,12 +268,13 @@
           co_return;
         }
         Close(*connection);
-        end = stream_end == StreamEnd::kCallerGone ? AttemptEnd::kCallerGone
-              : stream_end == StreamEnd::kTimedOut ? AttemptEnd::kTimedOut
-                                                   : AttemptEnd::kMayHaveRun;
-        if (end == AttemptEnd::kMayHaveRun) {
+        end = EndOfStream(stream_end);
+        if (stream_end == StreamEnd::kBroken) {
           NoteFailure(node.endpoints, attempt.endpoint, Now());
         }
+        if (stream_end == StreamEnd::kWithheld) {
+          break;
+        }
       }
     }
     if (end == AttemptEnd::kCallerGone || end == AttemptEnd::kTimedOut ||
