node: a missing turn is certain only after an append that holds

Ruled out: the successor; it had the turns. Change: before a holder says that a turn is not there, each slot searched appends a record; one that was taken does not count as searched.

--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -68,8 +68,9 @@
 /// @brief Ends a turn; a kept one is durable when this returns.
 Task<pb::TurnEndDone> EndAsHolder(Node& node, pb::TurnEnd end);
 
-/// @brief Looks a turn up in the slots held here.
-pb::TurnFound LookUpHere(const Node& node, const pb::TurnLookup& lookup);
+/// @brief Looks a turn up in the slots held here. Those that it isn't in are
+/// listed only if the store confirms that they are still held.
+Task<pb::TurnFound> LookUpHere(Node& node, pb::TurnLookup lookup);
 
 /// @brief Drops what has expired.
 void ExpireSlots(Node& node);
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -86,6 +86,14 @@
   SendFrame(peer, answer);
 }
 
+Task<> OnLookup(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
+  pb::NodeFrame answer;
+  answer.set_call(frame.call());
+  *answer.mutable_found() =
+      co_await LookUpHere(node, std::move(*frame.mutable_lookup()));
+  SendFrame(peer, answer);
+}
+
 Task<> OnStoreCall(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
   pb::StoreRelay& relay = *frame.mutable_store_call();
   const platform::StoreRequest request{
@@ -121,8 +129,7 @@
       Spawn(node.io, OnStoreCall(node, peer, frame));
       return;
     case pb::NodeFrame::kLookup:
-      *answer.mutable_found() = LookUpHere(node, frame.lookup());
-      SendFrame(peer, answer);
+      Spawn(node.io, OnLookup(node, peer, frame));
       return;
     case pb::NodeFrame::kRateWish:
       *answer.mutable_rate_grant() = LendToPeer(node, frame.rate_wish());
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr Duration kLookupPatience = std::chrono::milliseconds(250);
+constexpr Duration kConfirmPatience = std::chrono::milliseconds(400);
+constexpr Duration kLookupPatience = std::chrono::milliseconds(500);
 // Clocks of instances differ, and a caller may be late with its next turn.
 constexpr WallMillis kExpiryMargin = 10000;
 constexpr Duration kProgramIdle = std::chrono::minutes(5);
@@ -73,7 +74,8 @@
   pb::TurnLookup lookup;
   lookup.set_team(team);
   lookup.set_turn(turn);
-  std::vector<pb::TurnFound> answers{LookUpHere(node, lookup)};
+  std::vector<pb::TurnFound> answers;
+  answers.push_back(co_await LookUpHere(node, lookup));
   std::set<std::string> holders;
   for (const SlotHolder& holder : node.fleet.slots) {
     holders.insert(holder.instance);
@@ -162,20 +164,34 @@
              : nullptr;
 }
 
-pb::TurnFound LookUpHere(const Node& node, const pb::TurnLookup& lookup) {
+// Another instance may have taken a slot unseen, and what was written since is
+// not known here. An append that holds shows that none had.
+Task<pb::TurnFound> LookUpHere(Node& node, pb::TurnLookup lookup) {
   pb::TurnFound found;
+  std::vector<std::pair<HeldSlotPtr, std::shared_ptr<Promise<bool>>>> asked;
   for (const auto& [number, slot] : node.slots.held) {
     if (!slot->active || slot->lost) {
       continue;
     }
-    found.add_slots(number);
     if (const auto turn =
             FindTurn(slot->ledger, lookup.team(), lookup.turn())) {
       found.set_found(true);
       found.set_history(ChainText(*turn));
+      co_return found;
     }
+    asked.emplace_back(slot, std::make_shared<Promise<bool>>(node.io));
   }
-  return found;
+  for (const auto& [slot, held] : asked) {
+    Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
+            [held = held](bool durable) { held->Give(durable); });
+  }
+  for (const auto& [slot, held] : asked) {
+    const auto confirmed = co_await held->Wait(kConfirmPatience);
+    if (confirmed.value_or(false)) {
+      found.add_slots(slot->slot);
+    }
+  }
+  co_return found;
 }
 
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
