node: a rate's home whose lease lapsed confirms it instead of refusing

Cause: a home that had not appended for 1.5 s answered that it is none; the first requests after a calm stretch were refused 429 inside the rate. Change: the home appends once and lends; it renews while it lends. After SIGTERM the listener closes once callers know, and each answer says so.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -64,6 +64,7 @@
 
   std::set<CallerStreamPtr> callers;  // open connections
   uint64_t calls_under_way = 0;
+  std::unique_ptr<Tcp::acceptor> callers_acceptor;  // null: takes no more
   bool stopping = false;
 };
 
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -14,6 +14,9 @@
 Task<tl::expected<void, Duration>> TakeFromRate(Node& node, DeployedTeam team);
 
 /// @brief Lends to another instance, if this one is the team's home.
-pb::RateGrant LendToPeer(Node& node, const pb::RateWish& wish);
+Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish);
+
+/// @brief Renews the leases of the homes that lend, before they end.
+void RenewHomes(Node& node);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -32,7 +32,8 @@
   bool lost = false;
   bool first_ever = false;  // nobody held it before
   Duration claimed_at{};
-  Duration appended_at{};  // when the last append that held was sent
+  Duration appended_at{};           // when the last append that held was sent
+  std::optional<Duration> lent_at;  // when a rate was last lent from here
   uint64_t next_sequence = 0;
   TurnLedger ledger;
   std::map<ProgramName, std::string> endpoints;  // that served them last
@@ -72,6 +73,10 @@
 /// listed only if the store confirms that they are still held.
 Task<pb::TurnFound> LookUpHere(Node& node, pb::TurnLookup lookup);
 
+/// @brief Appends to the slot, which shows that it is still held.
+/// @return false if another instance has taken it, or no answer came in time.
+Task<bool> ConfirmHeld(Node& node, HeldSlotPtr slot);
+
 /// @brief Drops what has expired.
 void ExpireSlots(Node& node);
 
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -195,11 +195,12 @@
 }  // namespace
 
 Task<> ServeCallers(Node& node) {
-  Tcp::acceptor acceptor(node.io, ParseListen(node.options.callers_address));
-  while (true) {
+  node.callers_acceptor = std::make_unique<Tcp::acceptor>(
+      node.io, ParseListen(node.options.callers_address));
+  while (node.callers_acceptor->is_open()) {
     ErrorCode error;
     Tcp::socket socket(node.io);
-    co_await acceptor.async_accept(socket, Into(error));
+    co_await node.callers_acceptor->async_accept(socket, Into(error));
     if (error) {
       constexpr Duration kPause = std::chrono::milliseconds(20);
       co_await Sleep(node.io, kPause);
@@ -228,11 +229,17 @@
   node.stopping = true;
   WriteLog(node.log, LogLevel::kUnusual, "stopping",
            {{"calls", node.calls_under_way}});
+  // The next answer on each connection tells its caller to go elsewhere.
+  for (const CallerStreamPtr& caller : node.callers) {
+    caller->keep_alive = false;
+  }
   co_await LeaveFleet(node);
   while (Now() < began + kNoticeTime) {
     co_await Sleep(node.io, kStopStep);
   }
-  // Connections that still wait for a request would have it cut later.
+  // Whatever came later could be cut before its answer is whole.
+  ErrorCode closed;
+  node.callers_acceptor->close(closed);
   for (const CallerStreamPtr& caller : node.callers) {
     caller->keep_alive = false;
     if (!caller->busy) {
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -4,7 +4,8 @@
 
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/node/node.h"         // for Node
-#include "celerykeel/node/peer_answer.h"  // for AnswerPeer
+#include "celerykeel/node/peer_answer.h"  // for ServePeer
+#include "celerykeel/node/rates.h"        // for RenewHomes
 
 namespace celerykeel {
 
@@ -262,6 +263,7 @@
       ExpireSlots(node);
     }
     TakeVacantSlots(node, now);
+    RenewHomes(node);
     FlushLog(node.log);
     co_await Sleep(node.io, kTick);
   }
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -94,6 +94,14 @@
   SendFrame(peer, answer);
 }
 
+Task<> OnRateWish(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
+  pb::NodeFrame answer;
+  answer.set_call(frame.call());
+  *answer.mutable_rate_grant() =
+      co_await LendToPeer(node, std::move(*frame.mutable_rate_wish()));
+  SendFrame(peer, answer);
+}
+
 Task<> OnStoreCall(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
   pb::StoreRelay& relay = *frame.mutable_store_call();
   const platform::StoreRequest request{
@@ -132,8 +140,7 @@
       Spawn(node.io, OnLookup(node, peer, frame));
       return;
     case pb::NodeFrame::kRateWish:
-      *answer.mutable_rate_grant() = LendToPeer(node, frame.rate_wish());
-      SendFrame(peer, answer);
+      Spawn(node.io, OnRateWish(node, peer, frame));
       return;
     default:
       WriteLog(node.log, LogLevel::kUnusual, "frame of an unknown kind");
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -3,9 +3,10 @@
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/fleet.h"  // for LinkToHolder
-#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/base/clock.h"     // for Now
+#include "celerykeel/node/fleet.h"     // for LinkToHolder
+#include "celerykeel/node/node.h"      // for Node
+#include "celerykeel/node/slot_log.h"  // for Enqueue
 
 namespace celerykeel {
 
@@ -19,6 +20,8 @@
 // A home lends for so long after its last word from the store; the next one
 // begins when that is over.
 constexpr Duration kHomeLease = std::chrono::milliseconds(1500);
+// A home that lent within this time renews its lease before it ends.
+constexpr Duration kLendingLasts = std::chrono::seconds(4);
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(200);
 
 RateShare ShareOf(const std::string& team) {
@@ -51,8 +54,12 @@
 }
 
 // While the store is away for all, nobody can take the slot either.
-bool MayLend(const Node& node, const HeldSlot& slot, Duration now) {
-  return now < slot.appended_at + kHomeLease || !StoreIsReached(node);
+Task<bool> MayLend(Node& node, HeldSlotPtr slot) {
+  slot->lent_at = Now();
+  if (Now() < slot->appended_at + kHomeLease || !StoreIsReached(node)) {
+    co_return true;
+  }
+  co_return co_await ConfirmHeld(node, slot);
 }
 
 LoanAnswer LendHere(Node& node, const HeldSlot& slot, const LoanWish& wish) {
@@ -85,7 +92,7 @@
   const LoanWish wish =
       AskFor(node.rates.borrower, share, needed, node.incarnation, now);
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
-    if (!MayLend(node, *slot, now)) {
+    if (!co_await MayLend(node, slot)) {
       co_return Asked{};
     }
     const LoanAnswer answer = LendHere(node, *slot, wish);
@@ -136,13 +143,13 @@
 
 }  // namespace
 
-pb::RateGrant LendToPeer(Node& node, const pb::RateWish& wish) {
+Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish) {
   pb::RateGrant grant;
   const HeldSlotPtr slot = ActiveSlot(node, HomeSlot(node, wish.team()));
   if (slot == nullptr || node.deployment == nullptr ||
-      !MayLend(node, *slot, Now())) {
+      !co_await MayLend(node, slot)) {
     grant.set_not_home(true);
-    return grant;
+    co_return grant;
   }
   if (const auto team = node.deployment->teams.find(wish.team());
       team != node.deployment->teams.end()) {
@@ -164,7 +171,19 @@
                 .wanted = wish.wanted()});
   grant.set_tokens(answer.tokens);
   grant.set_retry_after_ns(static_cast<uint64_t>(answer.retry_after.count()));
-  return grant;
+  co_return grant;
+}
+
+void RenewHomes(Node& node) {
+  const Duration now = Now();
+  for (const auto& [number, slot] : node.slots.held) {
+    if (slot->active && !slot->writing && slot->lent_at &&
+        now < *slot->lent_at + kLendingLasts &&
+        now > slot->appended_at + kHomeLease / 2) {
+      Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
+              [](bool) {});
+    }
+  }
 }
 
 Task<tl::expected<void, Duration>> TakeFromRate(Node& node, DeployedTeam team) {
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -56,6 +56,14 @@
   });
 }
 
+std::shared_ptr<Promise<bool>> StartConfirm(Node& node,
+                                            const HeldSlotPtr& slot) {
+  const auto held = std::make_shared<Promise<bool>>(node.io);
+  Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
+          [held](bool durable) { held->Give(durable); });
+  return held;
+}
+
 struct History {
   bool known = false;  // false: not certain that there is no such turn
   bool found = false;
@@ -179,11 +187,7 @@
       found.set_history(ChainText(*turn));
       co_return found;
     }
-    asked.emplace_back(slot, std::make_shared<Promise<bool>>(node.io));
-  }
-  for (const auto& [slot, held] : asked) {
-    Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
-            [held = held](bool durable) { held->Give(durable); });
+    asked.emplace_back(slot, StartConfirm(node, slot));
   }
   for (const auto& [slot, held] : asked) {
     const auto confirmed = co_await held->Wait(kConfirmPatience);
@@ -194,6 +198,12 @@
   co_return found;
 }
 
+Task<bool> ConfirmHeld(Node& node, HeldSlotPtr slot) {
+  const auto held = StartConfirm(node, slot);
+  const auto confirmed = co_await held->Wait(kConfirmPatience);
+  co_return confirmed.value_or(false);
+}
+
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
                                   pb::TurnAdmission admission,
                                   std::function<void(bool)> covered) {
