node: a home's tokens pass to its successor through the slot's log

Ruled out: the limits themselves; the teams send about a quarter of them. Change: a home lends only what its last record does not keep for the next home, at most half of its tokens and 0.4 s of the rate. No clock and no lease. A request waits up to 400 ms for a home that is being replaced.

--- a/include/celerykeel/core/rate_home.h
+++ b/include/celerykeel/core/rate_home.h
@@ -94,6 +94,7 @@
 struct LendStart {
   bool first = false;      // nobody lent from it before: it starts full
   Duration acting_from{};  // else: by then no earlier home lends; starts empty
+  double keep = 0;         // tokens that are not lent now
 };
 
 /// @brief Lends from a share.
@@ -104,6 +105,13 @@
                 const LendStart& start,
                 Duration now);
 
+/// @brief Tokens at home, brought up to now; nothing if the home knows nothing
+/// of the share.
+std::optional<double> LevelAtHome(RateHome& home,
+                                  const RateShare& share,
+                                  const RateLimits& limits,
+                                  Duration now);
+
 /// @brief Takes a borrower's word on what it still holds of a loan, or gives
 /// back. May come late, twice or out of order.
 void TakeLoanNews(RateHome& home,
--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -43,7 +43,14 @@
   WallMillis expires_at = 0;
 };
 
-using SlotRecord = std::variant<ClaimRecord, SpendRecord, TurnRecord>;
+/// @brief Tokens of a team's rate that the holder leaves for the next one.
+struct RateRecord {
+  std::string team;
+  double kept = 0;
+};
+
+using SlotRecord =
+    std::variant<ClaimRecord, SpendRecord, TurnRecord, RateRecord>;
 
 /// @brief A turn that can be continued; it keeps its chain alive.
 struct StoredTurn {
@@ -61,7 +68,7 @@
   uint64_t largest = 0;
   bool slack_used = false;
   std::map<std::string, uint64_t> running;  // turns and their most tokens
-  std::optional<Duration> used_at;  // none while it is being replayed
+  std::optional<Duration> used_at;          // none while it is being replayed
 };
 
 /// @brief The state of one slot: turns on retained routes and budgets.
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -16,7 +16,7 @@
 /// @brief Lends to another instance, if this one is the team's home.
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish);
 
-/// @brief Renews the leases of the homes that lend, before they end.
-void RenewHomes(Node& node);
+/// @brief Writes anew what the homes here leave for their successors.
+void KeepRates(Node& node);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -24,18 +24,24 @@
   std::function<void(bool)> on_end;
 };
 
+/// @brief What a holder leaves of a team's rate for the next one.
+struct KeptRate {
+  double durable = 0;
+  double asked = 0;       // in the newest record on its way
+  bool recorded = false;  // a record is durable: tokens may be lent
+  bool writing = false;
+  std::optional<Duration> lent_at;
+};
+
 /// @brief A slot that this instance holds, or is taking.
 struct HeldSlot {
   uint32_t slot = 0;
   uint64_t epoch = 0;
   bool active = false;  // claimed and caught up
   bool lost = false;
-  bool first_ever = false;  // nobody held it before
-  Duration claimed_at{};
-  Duration appended_at{};           // when the last append that held was sent
-  std::optional<Duration> lent_at;  // when a rate was last lent from here
   uint64_t next_sequence = 0;
   TurnLedger ledger;
+  std::map<std::string, KeptRate> rates;         // by team
   std::map<ProgramName, std::string> endpoints;  // that served them last
   std::deque<QueuedRecord> queue;
   bool writing = false;
@@ -73,10 +79,6 @@
 /// listed only if the store confirms that they are still held.
 Task<pb::TurnFound> LookUpHere(Node& node, pb::TurnLookup lookup);
 
-/// @brief Appends to the slot, which shows that it is still held.
-/// @return false if another instance has taken it, or no answer came in time.
-Task<bool> ConfirmHeld(Node& node, HeldSlotPtr slot);
-
 /// @brief Drops what has expired.
 void ExpireSlots(Node& node);
 
--- a/src/celerykeel/core/rate_home.cc
+++ b/src/celerykeel/core/rate_home.cc
@@ -103,7 +103,7 @@
                          : StartEmpty(limits, start.acting_from);
   }
   Advance(bucket, limits, now);
-  const double level = bucket.bucket.level;
+  const double level = std::max(bucket.bucket.level - start.keep, 0.0);
   LoanAnswer answer;
   answer.tokens =
       std::min({level, wish.wanted, std::max(wish.needed, level * kAheadPart)});
@@ -117,7 +117,7 @@
     }
     return answer;
   }
-  bucket.bucket.level = std::max(level - answer.tokens, 0.0);
+  bucket.bucket.level = std::max(bucket.bucket.level - answer.tokens, 0.0);
   // A request that came twice is lent twice; its borrower takes one of them.
   LoanOut& loan = bucket.loans[wish.id];
   loan.tokens += answer.tokens;
@@ -125,6 +125,18 @@
   return answer;
 }
 
+std::optional<double> LevelAtHome(RateHome& home,
+                                  const RateShare& share,
+                                  const RateLimits& limits,
+                                  Duration now) {
+  const auto found = home.buckets.find(share);
+  if (found == home.buckets.end()) {
+    return std::nullopt;
+  }
+  Advance(found->second, limits, now);
+  return found->second.bucket.level;
+}
+
 void TakeLoanNews(RateHome& home,
                   const LoanNews& news,
                   Incarnation borrower,
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -5,7 +5,7 @@
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/node/node.h"         // for Node
 #include "celerykeel/node/peer_answer.h"  // for ServePeer
-#include "celerykeel/node/rates.h"        // for RenewHomes
+#include "celerykeel/node/rates.h"        // for KeepRates
 
 namespace celerykeel {
 
@@ -163,7 +163,10 @@
     member.leaving = entry.leaving();
   }
   member.beat = entry.beat();
-  member.beat_at = now;
+  // An entry that is read first may be of long ago.
+  const Duration age = std::chrono::milliseconds(
+      std::max<WallMillis>(WallNow() - entry.written_at(), 0));
+  member.beat_at = now - age;
   for (const pb::HeldSlot& held : entry.slots()) {
     NoteHolder(node.fleet, held.slot(), {record.key, held.epoch()});
   }
@@ -176,6 +179,7 @@
                     std::to_string(node.options.peer_port));
   entry.set_zone(node.options.zone);
   entry.set_beat(beat);
+  entry.set_written_at(WallNow());
   entry.set_leaving(node.stopping);
   for (const auto& [number, slot] : node.slots.held) {
     if (slot->active && !slot->lost) {
@@ -263,7 +267,7 @@
       ExpireSlots(node);
     }
     TakeVacantSlots(node, now);
-    RenewHomes(node);
+    KeepRates(node);
     FlushLog(node.log);
     co_await Sleep(node.io, kTick);
   }
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -15,14 +15,20 @@
 // The part of a team's rate that is divided evenly among the instances and
 // needs no word of the home, so that one that is cut off still serves.
 constexpr double kOwnPart = 0.3;
-constexpr Duration kPatience = std::chrono::milliseconds(150);
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
+// A home that died has a successor within about this time.
+constexpr Duration kHomePatience = std::chrono::milliseconds(400);
+constexpr Duration kAskAgain = std::chrono::milliseconds(40);
 constexpr Duration kHomeSilentRetry = std::chrono::milliseconds(400);
-// A home lends for so long after its last word from the store; the next one
-// begins when that is over.
-constexpr Duration kHomeLease = std::chrono::milliseconds(1500);
-// A home that lent within this time renews its lease before it ends.
+constexpr Duration kRecordPatience = std::chrono::milliseconds(120);
+// Of the tokens at home, the part that is left for the next home, and the most
+// of it in seconds of the rate: a successor that is not known yet may lend it
+// at the same time, which has to stay within the overshoot that is allowed.
+constexpr double kKeptPart = 0.5;
+constexpr double kMostKept = 0.4;
+// The kept part is written anew once it is off by so much of the burst.
+constexpr double kDrift = 0.15;
 constexpr Duration kLendingLasts = std::chrono::seconds(4);
-constexpr Duration kLeaseMargin = std::chrono::milliseconds(200);
 
 RateShare ShareOf(const std::string& team) {
   return {team, 0};
@@ -32,6 +38,10 @@
   return {.rate = limits.rate * part, .burst = limits.burst * part};
 }
 
+RateLimits HomePart(const DeployedTeam& team) {
+  return Part(team.limits, 1 - kOwnPart);
+}
+
 double FleetSize(const Node& node) {
   return double(node.fleet.members.size() + 1);
 }
@@ -53,31 +63,105 @@
                        static_cast<uint32_t>(node.fleet.slots.size()));
 }
 
-// While the store is away for all, nobody can take the slot either.
-Task<bool> MayLend(Node& node, HeldSlotPtr slot) {
-  slot->lent_at = Now();
-  if (Now() < slot->appended_at + kHomeLease || !StoreIsReached(node)) {
-    co_return true;
+const DeployedTeam* TeamNamed(const Node& node, const std::string& name) {
+  if (node.deployment == nullptr) {
+    return nullptr;
   }
-  co_return co_await ConfirmHeld(node, slot);
+  const auto team = node.deployment->teams.find(name);
+  return team == node.deployment->teams.end() ? nullptr : &team->second;
 }
 
-LoanAnswer LendHere(Node& node, const HeldSlot& slot, const LoanWish& wish) {
-  const auto team = node.deployment->teams.find(wish.share.team);
-  if (team == node.deployment->teams.end()) {
-    return {};
-  }
-  // A bucket of an earlier term says nothing of what others lent since.
-  if (uint64_t& epoch = node.rates.home_epochs[wish.share.team];
+// Begins a home's bucket with what the home before left in the slot's log; a
+// team without a record was never lent from.
+void OpenBucket(Node& node, const HeldSlot& slot, const DeployedTeam& team) {
+  const RateShare share = ShareOf(team.name);
+  if (uint64_t& epoch = node.rates.home_epochs[team.name];
       epoch != slot.epoch) {
     epoch = slot.epoch;
-    node.rates.home.buckets.erase(wish.share);
+    node.rates.home.buckets.erase(share);
+    if (const auto kept = slot.rates.find(team.name);
+        kept != slot.rates.end() && kept->second.recorded) {
+      const double level = std::min(kept->second.durable, HomePart(team).burst);
+      TakeOver(node.rates.home,
+               {.share = share,
+                .level = level,
+                .lent = HomePart(team).burst - level},
+               Now());
+    }
   }
+}
+
+double Kept(const Node& node, const KeptRate& rate) {
+  // While the store is away for all, nobody can take the slot.
+  return StoreIsReached(node) ? std::max(rate.durable, rate.asked) : 0;
+}
+
+std::shared_ptr<Promise<bool>> WriteKept(Node& node,
+                                         const HeldSlotPtr& slot,
+                                         const std::string& team,
+                                         double kept) {
+  const auto written = std::make_shared<Promise<bool>>(node.io);
+  KeptRate& rate = slot->rates[team];
+  rate.writing = true;
+  rate.asked = kept;
+  Enqueue(node, slot, RateRecord{team, kept}, true,
+          [slot, team, kept, written](bool durable) {
+            KeptRate& now_rate = slot->rates[team];
+            now_rate.writing = false;
+            if (durable) {
+              now_rate.durable = kept;
+              now_rate.recorded = true;
+            }
+            written->Give(durable);
+          });
+  return written;
+}
+
+double KeptOf(const DeployedTeam& team, double level) {
+  return std::min(level * kKeptPart, HomePart(team).rate * kMostKept);
+}
+
+LoanAnswer LendKeeping(Node& node,
+                       const HeldSlot& slot,
+                       const DeployedTeam& team,
+                       const LoanWish& wish) {
+  const auto rate = slot.rates.find(team.name);
   const LendStart start{
-      .first = slot.first_ever,
-      .acting_from = slot.claimed_at + kHomeLease + kLeaseMargin};
-  return Lend(node.rates.home, wish, Part(team->second.limits, 1 - kOwnPart),
-              start, Now());
+      .first = true,
+      .acting_from = {},
+      .keep = rate == slot.rates.end() ? 0 : Kept(node, rate->second)};
+  return Lend(node.rates.home, wish, HomePart(team), start, Now());
+}
+
+// Lends as the home. Tokens that are kept for a successor are freed first by
+// a record that keeps fewer.
+Task<std::optional<LoanAnswer>> LendHere(Node& node,
+                                         HeldSlotPtr slot,
+                                         LoanWish wish) {
+  const DeployedTeam* team = TeamNamed(node, wish.share.team);
+  if (team == nullptr) {
+    co_return std::nullopt;
+  }
+  const DeployedTeam known = *team;
+  OpenBucket(node, *slot, known);
+  KeptRate& rate = slot->rates[known.name];
+  rate.lent_at = Now();
+  const auto level =
+      LevelAtHome(node.rates.home, wish.share, HomePart(known), Now());
+  const double at_home = level.value_or(HomePart(known).burst);
+  const bool short_of_kept =
+      at_home - Kept(node, rate) < wish.needed && at_home >= wish.needed;
+  if (!rate.recorded || short_of_kept) {
+    const double kept = short_of_kept
+                            ? std::max((at_home - wish.needed) / 4, 0.0)
+                            : KeptOf(known, at_home);
+    const auto written = WriteKept(node, slot, known.name, kept);
+    const auto durable = co_await written->Wait(kRecordPatience);
+    if (slot->lost || (!rate.recorded && !durable.value_or(false))) {
+      co_return std::nullopt;
+    }
+  }
+  co_return LendKeeping(node, *slot, known, wish);
 }
 
 struct Asked {
@@ -85,50 +169,54 @@
   Duration retry_after{};
 };
 
-Task<Asked> AskHome(Node& node, std::string team, double needed) {
-  const Duration now = Now();
-  const RateShare share = ShareOf(team);
-  const uint32_t number = HomeSlot(node, team);
-  const LoanWish wish =
-      AskFor(node.rates.borrower, share, needed, node.incarnation, now);
-  if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
-    if (!co_await MayLend(node, slot)) {
-      co_return Asked{};
-    }
-    const LoanAnswer answer = LendHere(node, *slot, wish);
-    TakeGrant(node.rates.borrower, share, wish.id.request, answer.tokens,
-              Now());
-    co_return Asked{true, answer.retry_after};
-  }
-  const PeerLinkPtr link = LinkToHolder(node, number);
-  if (link == nullptr) {
-    co_return Asked{};
-  }
+Task<Asked> AskPeerHome(Node& node, PeerLinkPtr link, LoanWish wish) {
   pb::NodeFrame frame;
   pb::RateWish& asked = *frame.mutable_rate_wish();
-  asked.set_team(team);
+  asked.set_team(wish.share.team);
   asked.set_borrower(node.incarnation);
   asked.set_request(wish.id.request);
   asked.set_needed(wish.needed);
   asked.set_wanted(wish.wanted);
-  for (const LoanNews& news : Review(node.rates.borrower, now)) {
-    if (news.share.team == team) {
+  for (const LoanNews& news : Review(node.rates.borrower, Now())) {
+    if (news.share == wish.share) {
       pb::RateUse& use = *asked.add_uses();
       use.set_request(news.request);
       use.set_tokens(news.tokens);
       use.set_closed(news.closed);
     }
   }
-  const auto answer =
-      co_await CallPeer(node.io, node.peers, link, std::move(frame), kPatience);
+  const auto answer = co_await CallPeer(node.io, node.peers, link,
+                                        std::move(frame), kAnswerPatience);
   if (!answer || !answer->has_rate_grant() || answer->rate_grant().not_home()) {
     co_return Asked{};
   }
   const pb::RateGrant& grant = answer->rate_grant();
-  TakeGrant(node.rates.borrower, share, wish.id.request, grant.tokens(), Now());
+  TakeGrant(node.rates.borrower, wish.share, wish.id.request, grant.tokens(),
+            Now());
   co_return Asked{true, Duration(grant.retry_after_ns())};
 }
 
+Task<Asked> AskHome(Node& node, std::string team, double needed) {
+  const RateShare share = ShareOf(team);
+  const uint32_t number = HomeSlot(node, team);
+  const LoanWish wish =
+      AskFor(node.rates.borrower, share, needed, node.incarnation, Now());
+  if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
+    const auto answer = co_await LendHere(node, slot, wish);
+    if (!answer) {
+      co_return Asked{};
+    }
+    TakeGrant(node.rates.borrower, share, wish.id.request, answer->tokens,
+              Now());
+    co_return Asked{true, answer->retry_after};
+  }
+  const PeerLinkPtr link = LinkToHolder(node, number);
+  if (link == nullptr) {
+    co_return Asked{};
+  }
+  co_return co_await AskPeerHome(node, link, wish);
+}
+
 Task<> AskAhead(Node& node, std::string team) {
   co_await AskHome(node, team, 0);
   node.rates.asking.erase(team);
@@ -141,47 +229,63 @@
   }
 }
 
+bool TakeAny(Node& node, const DeployedTeam& team) {
+  const Duration now = Now();
+  return UseToken(node.rates.borrower, ShareOf(team.name), now) ||
+         TakeOwn(node, team, now);
+}
+
 }  // namespace
 
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish) {
   pb::RateGrant grant;
   const HeldSlotPtr slot = ActiveSlot(node, HomeSlot(node, wish.team()));
-  if (slot == nullptr || node.deployment == nullptr ||
-      !co_await MayLend(node, slot)) {
+  const DeployedTeam* team = TeamNamed(node, wish.team());
+  if (slot == nullptr || team == nullptr) {
     grant.set_not_home(true);
     co_return grant;
   }
-  if (const auto team = node.deployment->teams.find(wish.team());
-      team != node.deployment->teams.end()) {
-    for (const pb::RateUse& use : wish.uses()) {
-      TakeLoanNews(node.rates.home,
-                   {.share = ShareOf(wish.team()),
-                    .request = use.request(),
-                    .tokens = use.tokens(),
-                    .closed = use.closed()},
-                   wish.borrower(), Part(team->second.limits, 1 - kOwnPart),
-                   Now());
-    }
+  for (const pb::RateUse& use : wish.uses()) {
+    TakeLoanNews(node.rates.home,
+                 {.share = ShareOf(wish.team()),
+                  .request = use.request(),
+                  .tokens = use.tokens(),
+                  .closed = use.closed()},
+                 wish.borrower(), HomePart(*team), Now());
+  }
+  const LoanWish asked{
+      .share = ShareOf(wish.team()),
+      .id = {.borrower = wish.borrower(), .request = wish.request()},
+      .needed = wish.needed(),
+      .wanted = wish.wanted()};
+  const auto answer = co_await LendHere(node, slot, asked);
+  if (!answer) {
+    grant.set_not_home(true);
+    co_return grant;
   }
-  const LoanAnswer answer =
-      LendHere(node, *slot,
-               {.share = ShareOf(wish.team()),
-                .id = {.borrower = wish.borrower(), .request = wish.request()},
-                .needed = wish.needed(),
-                .wanted = wish.wanted()});
-  grant.set_tokens(answer.tokens);
-  grant.set_retry_after_ns(static_cast<uint64_t>(answer.retry_after.count()));
+  grant.set_tokens(answer->tokens);
+  grant.set_retry_after_ns(static_cast<uint64_t>(answer->retry_after.count()));
   co_return grant;
 }
 
-void RenewHomes(Node& node) {
+void KeepRates(Node& node) {
   const Duration now = Now();
   for (const auto& [number, slot] : node.slots.held) {
-    if (slot->active && !slot->writing && slot->lent_at &&
-        now < *slot->lent_at + kLendingLasts &&
-        now > slot->appended_at + kHomeLease / 2) {
-      Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
-              [](bool) {});
+    if (!slot->active) {
+      continue;
+    }
+    for (auto& [name, rate] : slot->rates) {
+      const DeployedTeam* team = TeamNamed(node, name);
+      if (team == nullptr || rate.writing || !rate.recorded || !rate.lent_at ||
+          now > *rate.lent_at + kLendingLasts) {
+        continue;
+      }
+      const auto level =
+          LevelAtHome(node.rates.home, ShareOf(name), HomePart(*team), now);
+      if (level && std::abs(KeptOf(*team, *level) - rate.durable) >
+                       kDrift * HomePart(*team).burst) {
+        WriteKept(node, slot, name, KeptOf(*team, *level));
+      }
     }
   }
 }
@@ -190,17 +294,22 @@
   if (team.limits.rate <= 0) {
     co_return tl::expected<void, Duration>();
   }
-  const RateShare share = ShareOf(team.name);
-  NoteDemand(node.rates.borrower, share, Now());
-  if (TakeOwn(node, team, Now()) ||
-      UseToken(node.rates.borrower, share, Now())) {
+  NoteDemand(node.rates.borrower, ShareOf(team.name), Now());
+  if (TakeAny(node, team)) {
     AskAheadIfDue(node, team.name, Now());
     co_return tl::expected<void, Duration>();
   }
-  const Asked asked = co_await AskHome(node, team.name, 1);
-  if (UseToken(node.rates.borrower, share, Now()) ||
-      TakeOwn(node, team, Now())) {
-    co_return tl::expected<void, Duration>();
+  const Duration until = Now() + kHomePatience;
+  Asked asked;
+  while (true) {
+    asked = co_await AskHome(node, team.name, 1);
+    if (TakeAny(node, team)) {
+      co_return tl::expected<void, Duration>();
+    }
+    if (asked.answered || Now() + kAskAgain >= until) {
+      break;
+    }
+    co_await Sleep(node.io, kAskAgain);
   }
   co_return tl::unexpected(asked.answered &&
                                    asked.retry_after > Duration::zero()
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -198,12 +198,6 @@
   co_return found;
 }
 
-Task<bool> ConfirmHeld(Node& node, HeldSlotPtr slot) {
-  const auto held = StartConfirm(node, slot);
-  const auto confirmed = co_await held->Wait(kConfirmPatience);
-  co_return confirmed.value_or(false);
-}
-
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
                                   pb::TurnAdmission admission,
                                   std::function<void(bool)> covered) {
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -82,10 +82,8 @@
     const auto batch = TakeBatch(node, *slot, call.records);
     Duration pause = kFirstPause;
     while (!call.records.empty()) {
-      const Duration sent_at = Now();
       const auto done = co_await Append(node, call);
       if (done) {
-        slot->appended_at = sent_at;
         break;
       }
       if (HoldsAnother(done.error()) || slot->lost) {
@@ -109,6 +107,17 @@
   slot->writing = false;
 }
 
+void ReplayRecord(HeldSlot& slot, const SlotRecord& record) {
+  if (const auto* rate = std::get_if<RateRecord>(&record)) {
+    KeptRate& kept = slot.rates[rate->team];
+    kept.durable = rate->kept;
+    kept.asked = rate->kept;
+    kept.recorded = true;
+    return;
+  }
+  Replay(slot.ledger, record);
+}
+
 // Reads the slot's log up to and with the claim.
 Task<bool> CatchUp(Node& node, HeldSlotPtr slot, uint64_t claim_offset) {
   uint64_t next = 0;
@@ -122,7 +131,7 @@
     if (done) {
       for (const std::string& bytes : done->records) {
         if (const auto record = DecodeSlotRecord(bytes)) {
-          Replay(slot->ledger, *record);
+          ReplayRecord(*slot, *record);
         } else {
           WriteLog(node.log, LogLevel::kUnusual, "slot record unreadable",
                    {{"slot", slot->slot}, {"offset", next}});
@@ -211,13 +220,9 @@
                            .stamp = Stamp(*slot),
                            .records = {EncodeSlotRecord(
                                ClaimRecord{node.fleet.self, slot->epoch})}};
-    const Duration sent_at = Now();
     const auto done = co_await Append(node, claim);
     if (done) {
-      slot->claimed_at = Now();
-      slot->appended_at = sent_at;
       slot->next_sequence = 1;
-      slot->first_ever = done->offset == 0;
       if (!co_await CatchUp(node, slot, done->offset)) {
         co_return;
       }
--- a/src/celerykeel/wire/slot_codec.cc
+++ b/src/celerykeel/wire/slot_codec.cc
@@ -24,6 +24,11 @@
     spend.set_slack_used(record.slack_used);
   }
 
+  void operator()(const RateRecord& record) const {
+    this->entry.mutable_rate()->set_team(record.team);
+    this->entry.mutable_rate()->set_kept(record.kept);
+  }
+
   void operator()(const TurnRecord& record) const {
     pb::SlotTurn& turn = *this->entry.mutable_turn();
     turn.set_team(record.program.team);
@@ -73,6 +78,8 @@
                         .ended_at = turn.ended_at(),
                         .expires_at = turn.expires_at()};
     }
+    case pb::SlotEntry::kRate:
+      return RateRecord{entry.rate().team(), entry.rate().kept()};
     case pb::SlotEntry::RECORD_NOT_SET:
       break;
   }
