--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -6,12 +6,12 @@
   target_link_libraries(celerykeel_gen PUBLIC protobuf::libprotobuf)
 endfunction()
 
-# celerykeel_module(<name> LINK <targets>): sources of src/celerykeel/<name>
+# celerykeel_module(<name> [DIR <dir>] LINK <targets> [TESTING <sources>]): sources of src/celerykeel/<name>
 # as a library, its *_unittest.cc as one test program, and each *_main.cc as a
 # program named after the file (gate_main.cc -> celerykeel-gate,
 # standin_engine_main.cc -> standin-engine).
 function(celerykeel_module name)
-  cmake_parse_arguments(arg "" "DIR" "LINK" ${ARGN})
+  cmake_parse_arguments(arg "" "DIR" "LINK;TESTING" ${ARGN})
   set(dir ${CMAKE_SOURCE_DIR}/src/celerykeel/${name})
   if(arg_DIR)
     set(dir ${CMAKE_SOURCE_DIR}/${arg_DIR})
@@ -48,7 +48,8 @@
   endforeach()
 
   if(tests AND CELERYKEEL_PARTS STREQUAL "all")
-    add_executable(celerykeel_${name}_unittests ${tests} ${CMAKE_SOURCE_DIR}/src/celerykeel/testing/doctest_main.cc)
+    add_executable(celerykeel_${name}_unittests ${tests} ${arg_TESTING}
+      ${CMAKE_SOURCE_DIR}/src/celerykeel/testing/doctest_main.cc)
     celerykeel_warnings(celerykeel_${name}_unittests)
     target_link_libraries(celerykeel_${name}_unittests PRIVATE celerykeel_${name} doctest::doctest rapidcheck)
     add_test(NAME ${name} COMMAND celerykeel_${name}_unittests)
--- a/include/celerykeel/core/slot_table.h
+++ b/include/celerykeel/core/slot_table.h
@@ -14,8 +14,10 @@
 
 /// @brief Who holds a slot. The higher epoch is the newer holder.
 struct SlotHolder {
-  std::string instance;
+  std::string instance;  // empty: nobody, or one that is not known yet
   uint64_t epoch = 0;
+  // Another instance was found to have taken it, and has time to say so.
+  std::optional<Duration> contested_until{};
 };
 
 /// @brief What one instance knows of another.
@@ -34,7 +36,8 @@
 /// @brief The fleet as one instance sees it.
 struct KnownFleet {
   std::string self;
-  Duration started_at{};
+  // When the members' entries were first read; nothing before.
+  std::optional<Duration> members_read_at;
   std::map<std::string, FleetMember> members;  // without `self`
   std::vector<SlotHolder> slots;               // by slot; epoch 0: none known
 };
@@ -63,7 +66,10 @@
 /// @brief The same for entries in the store, which are written each second
 /// and read each second.
 inline constexpr Duration kStoreSilence = std::chrono::milliseconds(3500);
-/// @brief A fresh instance listens for so long before it takes slots.
+/// @brief A fresh instance that has read who the members are waits so long for
+/// their heartbeats before it takes slots, unless all have been heard.
 inline constexpr Duration kListenFirst = std::chrono::milliseconds(1500);
+/// @brief Time for an instance that took a slot to tell the others.
+inline constexpr Duration kContested = std::chrono::milliseconds(700);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/answer_reader.h
+++ b/include/celerykeel/node/answer_reader.h
@@ -38,6 +38,7 @@
   OutConnectionPtr connection;
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser;
   std::array<char, 16384> piece{};
+  std::optional<ExchangeError> failure;  // ends the body
 };
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/log_sink.h
+++ b/include/celerykeel/node/log_sink.h
@@ -45,6 +45,7 @@
   uint64_t sampled_out = 0;  // since the last line that says so
   uint64_t dropped = 0;
   std::string buffer;
+  bool is_silent = false;  // writes nothing
 };
 
 /// @brief Makes standard output non-blocking.
--- a/src/celerykeel/core/slot_table.cc
+++ b/src/celerykeel/core/slot_table.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/core/slot_table.h"
 
+#include <algorithm>  // for std::all_of
+
 #include <xxhash.h>  // for XXH3_64bits_withSeed
 
 #include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
@@ -26,6 +28,18 @@
   return 2 * (heard + 1) > known + 1;
 }
 
+// Whoever wrote its entry of late has been heard, or has no process.
+bool HasHeardAll(const KnownFleet& fleet, Duration now) {
+  return std::all_of(
+      fleet.members.begin(), fleet.members.end(), [now](const auto& entry) {
+        const FleetMember& member = entry.second;
+        const bool recent =
+            member.beat_at && now < *member.beat_at + kStoreSilence;
+        return !recent || member.refused || member.leaving ||
+               IsInTouch(member, now);
+      });
+}
+
 bool IsDead(const FleetMember& member, bool hears_most, Duration now) {
   if (member.leaving) {
     return true;
@@ -74,13 +88,15 @@
 
 std::vector<uint32_t> SlotsToTake(const KnownFleet& fleet, Duration now) {
   std::vector<uint32_t> slots;
-  if (now < fleet.started_at + kListenFirst) {
+  if (!fleet.members_read_at || (now < *fleet.members_read_at + kListenFirst &&
+                                 !HasHeardAll(fleet, now))) {
     return slots;
   }
   const bool hears_most = HearsMost(fleet, now);
   for (uint32_t slot = 0; slot < fleet.slots.size(); ++slot) {
     const SlotHolder& holder = fleet.slots[slot];
-    if (holder.instance == fleet.self) {
+    if (holder.instance == fleet.self ||
+        (holder.contested_until && now < *holder.contested_until)) {
       continue;
     }
     const auto member = fleet.members.find(holder.instance);
--- a/src/celerykeel/node/answer_reader.cc
+++ b/src/celerykeel/node/answer_reader.cc
@@ -49,7 +49,8 @@
     : connection(std::move(from)) {
   this->parser.body_limit(boost::none);
   this->parser.header_limit(kMostHeadBytes);
-  this->parser.eager(true);
+  // An eager parser would wait for more than what is there.
+  this->parser.eager(false);
 }
 
 Task<tl::expected<AnswerHead, ExchangeError>> AnswerReader::ReadHead(
@@ -101,6 +102,9 @@
       body.size = this->piece.size();
       co_return bytes;
     }
+    if (this->failure) {
+      co_return tl::unexpected(*this->failure);
+    }
     if (this->parser.is_done()) {
       co_return std::optional<std::string>();
     }
@@ -112,8 +116,8 @@
     if (error == http::error::need_buffer) {
       error = {};
     }
-    if (error && body.size == this->piece.size()) {
-      co_return tl::unexpected(Translate(error));
+    if (error) {
+      this->failure = Translate(error);  // after the bytes that came before it
     }
   }
 }
--- a/src/celerykeel/node/edge_main.cc
+++ b/src/celerykeel/node/edge_main.cc
@@ -3,16 +3,11 @@
 #include <csignal>   // for SIGTERM
 #include <cstdlib>   // for std::getenv
 #include <iostream>  // for std::cout
-#include <random>    // for std::random_device
 
 #include <docopt/docopt.h>  // for docopt::docopt_parse
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/node/asio.h"           // for Spawn
-#include "celerykeel/node/caller_server.h"  // for ServeCallers
-#include "celerykeel/node/feeds.h"          // for FollowDeployment
-#include "celerykeel/node/fleet.h"          // for RunFleet
-#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/caller_server.h"  // for StopGracefully
+#include "celerykeel/node/start.h"          // for StartNode
 
 namespace celerykeel {
 
@@ -32,11 +27,6 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-Incarnation DrawIncarnation() {
-  std::random_device random;
-  return (uint64_t{random()} << 32U) | random();
-}
-
 Task<> WaitForStop(Node& node) {
   asio::signal_set signals(node.io, SIGTERM, SIGINT);
   ErrorCode error;
@@ -57,25 +47,10 @@
 int Run(NodeOptions options) {
   std::signal(SIGPIPE, SIG_IGN);
   Node node(std::move(options));
-  node.incarnation = DrawIncarnation();
-  node.fleet.self = node.options.instance;
-  node.fleet.started_at = Now();
-  node.fleet.slots.resize(node.options.store_partitions);
   OpenLog(node.log, node.options.instance);
-  WriteLog(node.log, LogLevel::kUnusual, "started",
-           {{"incarnation", node.incarnation},
-            {"zone", node.options.zone},
-            {"callers", node.options.callers_address},
-            {"store", node.options.store_address}});
   Spawn(node.io, WaitForStop(node));
   Spawn(node.io, NoteReload(node));
-  Spawn(node.io, ServeReadiness(node));
-  Spawn(node.io, ServePeers(node));
-  Spawn(node.io, FollowDeployment(node));
-  Spawn(node.io, FollowEndpoints(node));
-  Spawn(node.io, RunMembership(node));
-  Spawn(node.io, RunFleet(node));
-  Spawn(node.io, ServeCallers(node));
+  StartNode(node);
   node.io.run();
   FlushLog(node.log);
   return 0;
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -208,6 +208,9 @@
       NoteMemberEntry(node, record, Now());
     }
     if (!done->more || done->records.empty()) {
+      if (!node.fleet.members_read_at) {
+        node.fleet.members_read_at = Now();
+      }
       co_return done->end;
     }
     call.after = done->records.back().key;
--- a/src/celerykeel/node/log_sink.cc
+++ b/src/celerykeel/node/log_sink.cc
@@ -75,6 +75,9 @@
               LogLevel level,
               std::string_view event,
               std::initializer_list<LogValue> fields) {
+  if (log.is_silent) {
+    return;
+  }
   const Duration now = Now();
   if (level == LogLevel::kOrdinary && !TakeOrdinary(log, now)) {
     return;
--- /dev/null
+++ b/src/celerykeel/node/node_unittest.cc
@@ -0,0 +1,207 @@
+#include <doctest/doctest.h>
+
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+HeaderList Turn(const std::string& id,
+                const std::string& program,
+                const std::string& previous,
+                int budget) {
+  HeaderList headers{
+      {"X-Attempt-Id", id},         {"Authorization", "Bearer k1"},
+      {"X-Deadline-Ms", "4000"},    {"X-Program-Id", program},
+      {"X-Token-Usage", "100,100"}, {"X-Token-Budget", std::to_string(budget)}};
+  if (!previous.empty()) {
+    headers.emplace_back("X-Previous-Turn", previous);
+  }
+  return headers;
+}
+
+HeaderList Tool(const std::string& id, const std::string& key = "k1") {
+  return {{"X-Attempt-Id", id},
+          {"Authorization", "Bearer " + key},
+          {"X-Deadline-Ms", "1000"}};
+}
+
+int RunsOfBoth(NodeFleet& fleet, const std::string& id) {
+  return RunsOf(fleet.endpoints[0], id) + RunsOf(fleet.endpoints[1], id);
+}
+
+std::string BodyAtEither(NodeFleet& fleet, const std::string& id) {
+  return BodyOf(fleet.endpoints[0], id) + BodyOf(fleet.endpoints[1], id);
+}
+
+constexpr char kOutput[] = "e1\ne2\ne3\ne4\n";
+
+TEST_CASE("turns, tools, keys and budgets over three instances") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+
+  SUBCASE("a turn goes on from its chain, at any instance") {
+    CHECK(
+        fleet
+            .Send(0, "POST", "/stream/kept/x", Turn("t1", "p", "", 9999), "in1")
+            .status == 200);
+    CHECK(fleet
+              .Send(1, "POST", "/stream/kept/x", Turn("t2", "p", "t1", 9999),
+                    "in2")
+              .status == 200);
+    CHECK(BodyAtEither(fleet, "t2") == std::string("in1") + kOutput + "in2");
+    // Another program, in another slot, goes on from the same turn.
+    CHECK(fleet
+              .Send(2, "POST", "/stream/kept/x", Turn("t3", "q9", "t2", 9999),
+                    "in3")
+              .status == 200);
+    CHECK(BodyAtEither(fleet, "t3") ==
+          std::string("in1") + kOutput + "in2" + kOutput + "in3");
+    CHECK(fleet
+              .Send(2, "POST", "/stream/kept/x", Turn("t4", "q9", "t3", 9999),
+                    "in4")
+              .status == 200);
+    CHECK(fleet
+              .Send(2, "POST", "/stream/kept/x", Turn("t5", "p", "none", 9999),
+                    "in5")
+              .status == 404);
+    CHECK(RunsOfBoth(fleet, "t5") == 0);
+  }
+
+  SUBCASE("a turn that does not fit the budget is not run") {
+    CHECK(fleet.Send(0, "POST", "/stream/plain/x", Turn("b1", "r", "", 150), "")
+              .status == 200);
+    // 80 tokens are spent, and the next turn may take 100.
+    CHECK(fleet.Send(1, "POST", "/stream/plain/x", Turn("b2", "r", "", 150), "")
+              .status == 402);
+    CHECK(RunsOfBoth(fleet, "b2") == 0);
+  }
+
+  SUBCASE("keys decide, and no endpoint sees one") {
+    CHECK(fleet.Send(0, "GET", "/look/x", Tool("k-1", "wrong"), "").status ==
+          401);
+    CHECK(RunsOfBoth(fleet, "k-1") == 0);
+    HeaderList forged = Tool("k-2");
+    forged.emplace_back("X-Tenant", "other");
+    forged.emplace_back("X-Hold", "1");
+    CHECK(fleet.Send(0, "GET", "/look/x", forged, "").status == 200);
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      if (RunsOf(endpoint, "k-2") > 0) {
+        CHECK(HeaderOf(endpoint, "k-2", "X-Tenant") == "orchard");
+        CHECK(HeaderOf(endpoint, "k-2", "Authorization").empty());
+        CHECK(HeaderOf(endpoint, "k-2", "X-Hold").empty());
+      }
+    }
+    CHECK(fleet.Send(0, "GET", "/nowhere/x", Tool("k-3"), "").status == 404);
+  }
+
+  SUBCASE("a team gets its burst over all instances, and no more") {
+    int served = 0;
+    for (size_t i = 0; i < 12; ++i) {
+      const auto answer = fleet.Send(i % 3, "GET", "/look/x",
+                                     Tool("r" + std::to_string(i), "k2"), "");
+      served += answer.status == 200 ? 1 : 0;
+      CHECK((answer.status == 200 || !answer.retry_after.empty()));
+    }
+    CHECK(served >= 2);
+    CHECK(served <= 4);
+  }
+
+  SUBCASE("a call that must not run twice is not sent again") {
+    fleet.endpoints[0].is_mute = true;
+    fleet.endpoints[1].is_mute = true;
+    CHECK(fleet.Send(0, "POST", "/pay/x", Tool("m1"), "x").status == 502);
+    CHECK(RunsOfBoth(fleet, "m1") == 1);
+  }
+
+  SUBCASE("a call that an endpoint did not run goes to another one") {
+    fleet.endpoints[0].is_full = true;
+    CHECK(fleet.Send(0, "POST", "/pay/x", Tool("f1"), "x").status == 200);
+    CHECK(RunsOf(fleet.endpoints[1], "f1") == 1);
+    fleet.endpoints[1].is_full = true;
+    const auto refused = fleet.Send(0, "POST", "/pay/x", Tool("f2"), "x");
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.retry_after.empty());
+    CHECK(RunsOfBoth(fleet, "f2") == 0);
+  }
+
+  SUBCASE("an answer to an earlier request is skipped") {
+    fleet.endpoints[0].echoes_late = true;
+    fleet.endpoints[1].echoes_late = true;
+    CHECK(fleet.Send(0, "GET", "/look/x", Tool("s1"), "").body == "done s1");
+  }
+
+  SUBCASE("a stream that may be resumed goes on at another endpoint") {
+    fleet.endpoints[0].cut_after = 2;
+    for (int i = 0; i < 6; ++i) {  // some of them begin at either endpoint
+      const std::string id = "c" + std::to_string(i);
+      const auto answer =
+          fleet.Send(0, "POST", "/stream/plain/x", Turn(id, id, "", 9999), "");
+      CHECK(answer.status == 200);
+      CHECK(answer.body ==
+            "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+            "id: 4\ndata: e4\n\n");
+    }
+  }
+}
+
+TEST_CASE("what must last survives the loss of all instances") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  CHECK(fleet.Send(0, "POST", "/stream/kept/x", Turn("t1", "p", "", 260), "in1")
+            .status == 200);
+  CHECK(
+      fleet.Send(1, "POST", "/stream/kept/x", Turn("t2", "p", "t1", 260), "in2")
+          .status == 200);
+  fleet.Kill(0);
+  fleet.Kill(1);
+  fleet.Start(0);
+  fleet.Start(1);
+  REQUIRE(fleet.WaitUntilServing());
+  // 160 tokens are spent; a turn of 100 fits 260, and then no more.
+  CHECK(
+      fleet.Send(0, "POST", "/stream/kept/x", Turn("t3", "p", "t2", 260), "in3")
+          .status == 200);
+  CHECK(BodyAtEither(fleet, "t3") ==
+        std::string("in1") + kOutput + "in2" + kOutput + "in3");
+  CHECK(
+      fleet.Send(0, "POST", "/stream/kept/x", Turn("t4", "p", "t3", 260), "in4")
+          .status == 402);
+}
+
+TEST_CASE("a store that loses answers doubles and loses nothing") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.store.mode = StoreMode::kLosesAnswers;
+  std::thread heal([&fleet] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet.store.mode = StoreMode::kServes;
+  });
+  const auto first =
+      fleet.Send(0, "POST", "/stream/kept/x", Turn("l1", "p", "", 9999), "in1");
+  heal.join();
+  if (first.status == 200) {
+    CHECK(fleet
+              .Send(0, "POST", "/stream/kept/x", Turn("l2", "p", "l1", 9999),
+                    "in2")
+              .status == 200);
+    CHECK(BodyAtEither(fleet, "l2") == std::string("in1") + kOutput + "in2");
+  }
+}
+
+TEST_CASE("a turn that can't be made durable is refused at once") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.store.mode = StoreMode::kRefuses;
+  CallerAnswer answer;
+  for (int i = 0; i < 40 && answer.status != 503; ++i) {
+    answer = fleet.Send(0, "POST", "/stream/kept/x",
+                        Turn("o" + std::to_string(i), "p", "", 99999), "in");
+  }
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.retry_after.empty());
+  // Tools need no store.
+  CHECK(fleet.Send(0, "GET", "/look/x", Tool("tool"), "").status == 200);
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -189,6 +189,9 @@
   if (holder.instance == node.fleet.self && holder.epoch == slot->epoch) {
     holder.instance.clear();
   }
+  if (!node.stopping) {
+    holder.contested_until = Now() + kContested;
+  }
   const auto queue = std::move(slot->queue);
   slot->queue.clear();
   for (const QueuedRecord& queued : queue) {
--- /dev/null
+++ b/src/celerykeel/node/start.cc
@@ -0,0 +1,39 @@
+#include "celerykeel/node/start.h"
+
+#include <random>  // for std::random_device
+
+#include "celerykeel/node/asio.h"           // for Spawn
+#include "celerykeel/node/caller_server.h"  // for ServeCallers
+#include "celerykeel/node/feeds.h"          // for FollowDeployment
+#include "celerykeel/node/fleet.h"          // for RunFleet
+
+namespace celerykeel {
+
+namespace {
+
+Incarnation DrawIncarnation() {
+  std::random_device random;
+  return (uint64_t{random()} << 32U) | random();
+}
+
+}  // namespace
+
+void StartNode(Node& node) {
+  node.incarnation = DrawIncarnation();
+  node.fleet.self = node.options.instance;
+  node.fleet.slots.resize(node.options.store_partitions);
+  WriteLog(node.log, LogLevel::kUnusual, "started",
+           {{"incarnation", node.incarnation},
+            {"zone", node.options.zone},
+            {"callers", node.options.callers_address},
+            {"store", node.options.store_address}});
+  Spawn(node.io, ServeReadiness(node));
+  Spawn(node.io, ServePeers(node));
+  Spawn(node.io, FollowDeployment(node));
+  Spawn(node.io, FollowEndpoints(node));
+  Spawn(node.io, RunMembership(node));
+  Spawn(node.io, RunFleet(node));
+  Spawn(node.io, ServeCallers(node));
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -0,0 +1,131 @@
+#include "celerykeel/testing/endpoint_standin.h"
+
+#include <boost/asio/write.hpp>
+
+#include <fmt/format.h>  // for fmt::format
+
+namespace celerykeel::testing {
+
+namespace {
+
+constexpr Duration kEventPause = std::chrono::milliseconds(3);
+
+Task<bool> Write(StandinConnectionPtr connection, std::string bytes) {
+  ErrorCode error;
+  co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                             Into(error));
+  co_return !error;
+}
+
+void NoteRun(EndpointStandin& endpoint,
+             const std::string& id,
+             const StandinRequest& request) {
+  const std::lock_guard lock(endpoint.mutex);
+  ++endpoint.runs[id];
+  endpoint.bodies[id] = request.body();
+  for (const auto& field : request) {
+    endpoint.headers[id][std::string(field.name_string())] =
+        std::string(field.value());
+  }
+}
+
+// Events number first + 1 and on, up to the last one.
+Task<bool> Stream(asio::io_context& loop,
+                  EndpointStandin& endpoint,
+                  StandinConnectionPtr connection,
+                  std::string id,
+                  int first) {
+  std::string head = fmt::format(
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
+      "Content-Type: text/event-stream\r\nKeep-Alive: timeout=10\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      id, endpoint.id);
+  bool goes_on = co_await Write(connection, std::move(head));
+  for (int event = first + 1; goes_on && event <= endpoint.events; ++event) {
+    if (endpoint.cut_after >= 0 && event > endpoint.cut_after) {
+      co_return false;
+    }
+    const std::string text = fmt::format("id: {}\ndata: e{}\n\n", event, event);
+    std::string chunk = fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+    goes_on = co_await Write(connection, std::move(chunk));
+    co_await Sleep(loop, kEventPause);
+  }
+  std::string last = "0\r\n\r\n";
+  co_return goes_on&& co_await Write(connection, std::move(last));
+}
+
+StandinResponse Plain(const EndpointStandin& endpoint,
+                      const std::string& id,
+                      std::string body) {
+  StandinResponse response(http::status::ok, 11);
+  response.set("X-Attempt-Id", id);
+  response.set("X-Server-Seal", "s." + endpoint.id);
+  response.set("Keep-Alive", "timeout=10");
+  response.body() = std::move(body);
+  return response;
+}
+
+Task<bool> Handle(asio::io_context& loop,
+                  EndpointStandin& endpoint,
+                  StandinConnectionPtr connection,
+                  StandinRequest request) {
+  const std::string id(request["X-Attempt-Id"]);
+  const std::string expected(request["X-Expect-Instance"]);
+  if (endpoint.is_full || (!expected.empty() && expected != endpoint.id)) {
+    StandinResponse refused(expected == endpoint.id
+                                ? http::status::service_unavailable
+                                : http::status::misdirected_request,
+                            11);
+    refused.set("X-Not-Executed", "1");
+    co_return co_await Respond(connection, std::move(refused));
+  }
+  NoteRun(endpoint, id, request);
+  if (endpoint.is_mute) {
+    co_return false;
+  }
+  const std::string target(request.target());
+  if (target.starts_with("/stream/")) {
+    const std::string last(request["Last-Event-ID"]);
+    co_return co_await Stream(loop, endpoint, connection, id,
+                              std::atoi(last.c_str()));
+  }
+  if (endpoint.echoes_late) {
+    StandinResponse stray = Plain(endpoint, "earlier", "stray");
+    if (!co_await Respond(connection, std::move(stray))) {
+      co_return false;
+    }
+  }
+  StandinResponse response = Plain(endpoint, id, "done " + id);
+  co_return co_await Respond(connection, std::move(response));
+}
+
+}  // namespace
+
+Task<> ServeEndpoint(asio::io_context& loop,
+                     EndpointStandin& endpoint,
+                     Tcp::endpoint address) {
+  StandinHandler handler = [&loop, &endpoint](StandinConnectionPtr connection,
+                                              StandinRequest request) {
+    return Handle(loop, endpoint, std::move(connection), std::move(request));
+  };
+  co_await ServeStandin(loop, address, std::move(handler));
+}
+
+int RunsOf(EndpointStandin& endpoint, const std::string& id) {
+  const std::lock_guard lock(endpoint.mutex);
+  return endpoint.runs[id];
+}
+
+std::string BodyOf(EndpointStandin& endpoint, const std::string& id) {
+  const std::lock_guard lock(endpoint.mutex);
+  return endpoint.bodies[id];
+}
+
+std::string HeaderOf(EndpointStandin& endpoint,
+                     const std::string& id,
+                     const std::string& name) {
+  const std::lock_guard lock(endpoint.mutex);
+  return endpoint.headers[id][name];
+}
+
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <atomic>  // for std::atomic
+#include <map>     // for std::map
+#include <mutex>   // for std::mutex
+#include <string>  // for std::string
+
+#include "celerykeel/testing/http_standin.h"  // for StandinRequest
+
+namespace celerykeel::testing {
+
+/// @brief A stand-in of a model engine or a plain service. A POST below
+/// /stream/ is answered with events, anything else with a short body.
+struct EndpointStandin {
+  std::string id;
+  std::atomic<int> events{4};            // of one stream
+  std::atomic<int> cut_after{-1};        // events, then the connection closes
+  std::atomic<bool> is_full{false};      // 503, and it says that it did not run
+  std::atomic<bool> is_mute{false};      // runs, and closes without an answer
+  std::atomic<bool> echoes_late{false};  // an answer of an earlier request
+                                         // comes before the right one
+  std::mutex mutex;                      // of what follows
+  std::map<std::string, int> runs;       // by request id
+  std::map<std::string, std::string> bodies;
+  std::map<std::string, std::map<std::string, std::string>> headers;
+};
+
+Task<> ServeEndpoint(asio::io_context& loop,
+                     EndpointStandin& endpoint,
+                     Tcp::endpoint address);
+
+/// @brief How often the endpoint ran a request.
+int RunsOf(EndpointStandin& endpoint, const std::string& id);
+
+/// @brief The body that came with a request.
+std::string BodyOf(EndpointStandin& endpoint, const std::string& id);
+
+/// @brief A header that came with a request; empty if none did.
+std::string HeaderOf(EndpointStandin& endpoint,
+                     const std::string& id,
+                     const std::string& name);
+
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/testing/node_fleet.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <memory>  // for std::unique_ptr
+#include <string>  // for std::string
+#include <thread>  // for std::thread
+#include <vector>  // for std::vector
+
+#include "celerykeel/node/start.h"                // for StartNode
+#include "celerykeel/testing/endpoint_standin.h"  // for EndpointStandin
+#include "celerykeel/testing/store_standin.h"     // for StoreStandin
+
+namespace celerykeel::testing {
+
+/// @brief What a caller got.
+struct CallerAnswer {
+  int status = 0;  // 0: the connection ended without a whole answer
+  std::string body;
+  std::string retry_after;
+};
+
+/// @brief A few instances in this process, each with a loop in a thread of its
+/// own, before stand-ins of the store and of two endpoints. Its addresses are
+/// in a part of the loopback range that is this fleet's own.
+class NodeFleet {
+ public:
+  explicit NodeFleet(int instances);
+  ~NodeFleet();
+  NodeFleet(const NodeFleet&) = delete;
+  NodeFleet& operator=(const NodeFleet&) = delete;
+
+  /// @brief Waits until every instance is ready and all slots are held.
+  bool WaitUntilServing();
+
+  /// @brief Ends an instance as a kill would: its sockets close, nothing is
+  /// handed over.
+  void Kill(size_t index);
+  /// @brief Starts it again, at the same address.
+  void Start(size_t index);
+
+  /// @brief Sends a request to an instance and waits for its answer.
+  CallerAnswer Send(size_t index,
+                    const std::string& method,
+                    const std::string& target,
+                    const HeaderList& headers,
+                    const std::string& body);
+
+  StoreStandin store;
+  EndpointStandin endpoints[2];
+
+ private:
+  struct Instance {
+    std::unique_ptr<Node> node;
+    std::thread thread;
+  };
+
+  std::string Ip(size_t host) const;
+  NodeOptions OptionsOf(size_t index) const;
+  void PutDeployment();
+  bool IsServing();
+
+  int subnet = 0;
+  asio::io_context standin_loop{1};
+  std::thread standin_thread;
+  std::vector<Instance> instances;
+};
+
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/testing/store_standin.cc
@@ -0,0 +1,182 @@
+#include "celerykeel/testing/store_standin.h"
+
+#include <openssl/evp.h>                // for EVP_EncodeBlock
+#include <boost/endian/conversion.hpp>  // for store_big_u64
+#include <nlohmann/json.hpp>            // for nlohmann::json
+
+#include "platform/store_calls.h"  // for platform::DecodeKeyed
+
+namespace celerykeel::testing {
+
+namespace {
+
+using nlohmann::json;
+
+std::map<std::string, std::string> QueryOf(const std::string& target) {
+  std::map<std::string, std::string> query;
+  size_t at = target.find('?');
+  while (at != std::string::npos) {
+    const size_t end = target.find('&', at + 1);
+    const std::string pair = target.substr(at + 1, end - at - 1);
+    query[pair.substr(0, pair.find('='))] = pair.substr(pair.find('=') + 1);
+    at = end;
+  }
+  return query;
+}
+
+std::vector<std::string> SplitRecords(std::string_view body) {
+  std::vector<std::string> records;
+  while (body.size() >= 4) {
+    const uint32_t size = boost::endian::load_big_u32(
+        reinterpret_cast<const unsigned char*>(body.data()));
+    records.emplace_back(body.substr(4, size));
+    body.remove_prefix(4 + size);
+  }
+  return records;
+}
+
+std::string BigEndian(uint64_t value, size_t bytes) {
+  unsigned char all[8];
+  boost::endian::store_big_u64(all, value);
+  return {reinterpret_cast<const char*>(all) + 8 - bytes, bytes};
+}
+
+StandinResponse Answer(unsigned status, std::string body) {
+  StandinResponse response(static_cast<http::status>(status), 11);
+  response.body() = std::move(body);
+  return response;
+}
+
+StandinResponse AppendTo(StoreStandin::Partition& partition,
+                         std::map<std::string, std::string> query,
+                         const std::string& body) {
+  uint64_t offset = partition.records.size();
+  if (query.contains("epoch")) {
+    const uint64_t epoch = std::stoull(query["epoch"]);
+    if (epoch < partition.epoch) {
+      return Answer(409,
+                    json{{"why", "fenced"}, {"epoch", partition.epoch}}.dump());
+    }
+    if (epoch > partition.epoch) {
+      partition.epoch = epoch;
+      partition.next_sequence = std::stoull(query["sequence"]);
+    }
+    const uint64_t sequence = std::stoull(query["sequence"]);
+    if (sequence + 1 == partition.next_sequence) {  // a repeat
+      return Answer(200, json{{"offset", partition.last_offset},
+                              {"end", partition.records.size()}}
+                             .dump());
+    }
+    if (sequence != partition.next_sequence) {
+      return Answer(
+          409,
+          json{{"why", "seq"}, {"sequence", partition.next_sequence}}.dump());
+    }
+    ++partition.next_sequence;
+    partition.last_offset = offset;
+  }
+  for (std::string& record : SplitRecords(body)) {
+    partition.records.push_back(std::move(record));
+  }
+  return Answer(
+      200, json{{"offset", offset}, {"end", partition.records.size()}}.dump());
+}
+
+StandinResponse ReadFrom(const StoreStandin::Partition& partition,
+                         uint64_t from) {
+  std::string body = BigEndian(partition.records.size(), 8) + BigEndian(0, 8);
+  for (uint64_t at = from; at < partition.records.size(); ++at) {
+    body += BigEndian(partition.records[at].size(), 4);
+    body += partition.records[at];
+  }
+  return Answer(200, std::move(body));
+}
+
+std::string Base64(const std::string& bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<size_t>(size));
+  return text;
+}
+
+StandinResponse Newest(const StoreStandin::Partition& partition) {
+  std::map<std::string, KeyedRecord> newest;
+  for (uint64_t at = 0; at < partition.records.size(); ++at) {
+    KeyedRecord record = platform::DecodeKeyed(partition.records[at], at);
+    newest[record.key] = record;
+  }
+  json items = json::array();
+  for (const auto& [key, record] : newest) {
+    if (!record.dropped) {
+      items.push_back({{"key", key},
+                       {"value", Base64(record.value)},
+                       {"offset", record.offset}});
+    }
+  }
+  return Answer(200, json{{"items", items},
+                          {"truncated", false},
+                          {"end", partition.records.size()}}
+                         .dump());
+}
+
+Task<bool> Handle(asio::io_context& loop,
+                  StoreStandin& store,
+                  StandinConnectionPtr connection,
+                  StandinRequest request) {
+  if (store.mode == StoreMode::kSilent) {
+    constexpr Duration kLong = std::chrono::seconds(30);
+    co_await Sleep(loop, kLong);
+    co_return false;
+  }
+  if (store.mode == StoreMode::kRefuses) {
+    StandinResponse refused = Answer(503, "");
+    co_return co_await Respond(connection, std::move(refused));
+  }
+  const std::string target(request.target());
+  auto query = QueryOf(target);
+  auto& partition = store.partitions[{
+      query["topic"], static_cast<uint32_t>(std::stoul("0" + query["part"]))}];
+  StandinResponse response = Answer(404, "");
+  if (target.find("log-append") != std::string::npos) {
+    ++store.appends;
+    response = AppendTo(partition, query, request.body());
+    if (store.mode == StoreMode::kLosesAnswers) {
+      co_return false;
+    }
+  } else if (target.find("log-newest") != std::string::npos) {
+    response = Newest(partition);
+  } else if (target.find("log-read") != std::string::npos) {
+    const uint64_t from = std::stoull(query["from"]);
+    if (query.contains("wait_ms") && from >= partition.records.size()) {
+      constexpr Duration kShortWait = std::chrono::milliseconds(50);
+      co_await Sleep(loop, kShortWait);
+    }
+    response = ReadFrom(partition, from);
+  }
+  co_return co_await Respond(connection, std::move(response));
+}
+
+}  // namespace
+
+void PutKeyed(StoreStandin& store,
+              const std::string& topic,
+              const std::string& key,
+              const std::string& value) {
+  store.partitions[{topic, 0}].records.push_back(
+      platform::EncodeKeyed(key, value));
+}
+
+Task<> ServeStore(asio::io_context& loop,
+                  StoreStandin& store,
+                  Tcp::endpoint address) {
+  StandinHandler handler = [&loop, &store](StandinConnectionPtr connection,
+                                           StandinRequest request) {
+    return Handle(loop, store, std::move(connection), std::move(request));
+  };
+  co_await ServeStandin(loop, address, std::move(handler));
+}
+
+}  // namespace celerykeel::testing
