--- a/src/celerykeel/node/answer_reader.cc
+++ b/src/celerykeel/node/answer_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>  // for std::max
 #include <charconv>   // for std::from_chars
+#include <limits>     // for std::numeric_limits
 
 namespace celerykeel {
 
@@ -47,7 +48,7 @@
 
 AnswerReader::AnswerReader(OutConnectionPtr from)
     : connection(std::move(from)) {
-  this->parser.body_limit(boost::none);
+  this->parser.body_limit(std::numeric_limits<uint64_t>::max());
   this->parser.header_limit(kMostHeadBytes);
   // An eager parser would wait for more than what is there.
   this->parser.eager(false);
