node: rates keep most for the successor; uncoverable turns are refused early

Cause: a new home began with a third of a second of the rate; slots given up while the store is away had no holder until its return; a first turn that no record could cover ran at an endpoint and ended 504. Change: 0.85 of a home's tokens pass to the successor, and what comes in above is lent, also without the store; a leaving instance keeps its slots while the store is away; a turn that can't be covered is refused before it is sent, with a third of the caller's time to come back.

--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -233,7 +233,7 @@
   for (const CallerStreamPtr& caller : node.callers) {
     caller->keep_alive = false;
   }
-  co_await LeaveFleet(node);
+  Spawn(node.io, LeaveFleet(node));
   while (Now() < began + kNoticeTime) {
     co_await Sleep(node.io, kStopStep);
   }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -288,7 +288,13 @@
   }
 }
 
+// While the store is away nobody can take the slots, so they are kept for as
+// long as this instance lasts.
 Task<> LeaveFleet(Node& node) {
+  const Duration until = Now() + node.options.stop_time / 2;
+  while (!StoreIsReached(node) && Now() < until) {
+    co_await Sleep(node.io, kTick);
+  }
   co_await ReleaseSlots(node);
   SendHeartbeats(node);
   const AppendCall call{
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -21,11 +21,9 @@
 constexpr Duration kAskAgain = std::chrono::milliseconds(40);
 constexpr Duration kHomeSilentRetry = std::chrono::milliseconds(400);
 constexpr Duration kRecordPatience = std::chrono::milliseconds(120);
-// Of the tokens at home, the part that is left for the next home, and the most
-// of it in seconds of the rate: a successor that is not known yet may lend it
-// at the same time, which has to stay within the overshoot that is allowed.
-constexpr double kKeptPart = 0.5;
-constexpr double kMostKept = 0.4;
+// Of the tokens at home, the part that is left for the next home. What comes in
+// above it is lent freely, also while the store is away.
+constexpr double kKeptPart = 0.85;
 // The kept part is written anew once it is off by so much of the burst.
 constexpr double kDrift = 0.15;
 constexpr Duration kLendingLasts = std::chrono::seconds(4);
@@ -91,9 +89,8 @@
   }
 }
 
-double Kept(const Node& node, const KeptRate& rate) {
-  // While the store is away for all, nobody can take the slot.
-  return StoreIsReached(node) ? std::max(rate.durable, rate.asked) : 0;
+double Kept(const KeptRate& rate) {
+  return std::max(rate.durable, rate.asked);
 }
 
 std::shared_ptr<Promise<bool>> WriteKept(Node& node,
@@ -117,8 +114,8 @@
   return written;
 }
 
-double KeptOf(const DeployedTeam& team, double level) {
-  return std::min(level * kKeptPart, HomePart(team).rate * kMostKept);
+double KeptOf(double level) {
+  return level * kKeptPart;
 }
 
 LoanAnswer LendKeeping(Node& node,
@@ -129,7 +126,7 @@
   const LendStart start{
       .first = true,
       .acting_from = {},
-      .keep = rate == slot.rates.end() ? 0 : Kept(node, rate->second)};
+      .keep = rate == slot.rates.end() ? 0 : Kept(rate->second)};
   return Lend(node.rates.home, wish, HomePart(team), start, Now());
 }
 
@@ -150,11 +147,11 @@
       LevelAtHome(node.rates.home, wish.share, HomePart(known), Now());
   const double at_home = level.value_or(HomePart(known).burst);
   const bool short_of_kept =
-      at_home - Kept(node, rate) < wish.needed && at_home >= wish.needed;
+      at_home - Kept(rate) < wish.needed && at_home >= wish.needed;
   if (!rate.recorded || short_of_kept) {
     const double kept = short_of_kept
                             ? std::max((at_home - wish.needed) / 4, 0.0)
-                            : KeptOf(known, at_home);
+                            : KeptOf(at_home);
     const auto written = WriteKept(node, slot, known.name, kept);
     const auto durable = co_await written->Wait(kRecordPatience);
     if (slot->lost || (!rate.recorded && !durable.value_or(false))) {
@@ -282,9 +279,9 @@
       }
       const auto level =
           LevelAtHome(node.rates.home, ShareOf(name), HomePart(*team), now);
-      if (level && std::abs(KeptOf(*team, *level) - rate.durable) >
+      if (level && std::abs(KeptOf(*level) - rate.durable) >
                        kDrift * HomePart(*team).burst) {
-        WriteKept(node, slot, name, KeptOf(*team, *level));
+        WriteKept(node, slot, name, KeptOf(*level));
       }
     }
   }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -21,7 +21,10 @@
 // A slot has a new holder within about this time after its holder died.
 constexpr Duration kHolderPatience = std::chrono::milliseconds(1200);
 constexpr Duration kHolderRetry = std::chrono::milliseconds(500);
-constexpr Duration kStoreRetry = std::chrono::milliseconds(1000);
+// Callers come back at most after a third of the time they have; the later they
+// do, the longer an outage their program outlasts.
+constexpr int kRetryPart = 3;
+constexpr Duration kRetryMargin = std::chrono::milliseconds(40);
 // Of the time left, kept for the caller to get the end.
 constexpr Duration kEndMargin = std::chrono::milliseconds(20);
 
@@ -40,7 +43,12 @@
          std::chrono::duration_cast<asio::steady_timer::duration>(left);
 }
 
-std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
+Duration StoreRetry(const Call& call) {
+  return std::max(TimeLeft(call) / kRetryPart - kRetryMargin, kHolderRetry);
+}
+
+std::optional<CallRefusal> RefusalOfVerdict(const Call& call,
+                                            pb::TurnGrant::Verdict verdict) {
   switch (verdict) {
     case pb::TurnGrant::GRANTED:
       return std::nullopt;
@@ -50,7 +58,7 @@
       return CallRefusal{kNotFound, "not run: no such turn", {}};
     case pb::TurnGrant::STORE_AWAY:
       return CallRefusal{kUnavailable, "not run: the store is away",
-                         kStoreRetry};
+                         StoreRetry(call)};
     default:
       return CallRefusal{kUnavailable, "not run: the program has no holder now",
                          kHolderRetry};
@@ -308,15 +316,24 @@
   }
   if (NeedsHolder(*call)) {
     if (!StoreIsReached(node) && call->route->retained) {
-      co_await Refuse(node, call, *RefusalOfVerdict(pb::TurnGrant::STORE_AWAY));
+      co_await Refuse(node, call,
+                      *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
       co_return;
     }
     relay.permit = co_await AskHolder(
         node, call, std::min(kHolderPatience, TimeLeft(*call) / 2));
-    if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
+    if (const auto refusal =
+            RefusalOfVerdict(*call, relay.permit.grant.verdict())) {
       co_await Refuse(node, call, *refusal);
       co_return;
     }
+    // Its tokens could not be handed out before the store is back.
+    if (!relay.permit.grant.covered() && !StoreIsReached(node)) {
+      FinishBroken(node, *call, relay);
+      co_await Refuse(node, call,
+                      *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
+      co_return;
+    }
     call->preferred_endpoint = relay.permit.grant.endpoint();
     relay.body = relay.permit.grant.history();
   }
