core: a team short of tokens finishes programs before it begins new ones

Three tenths of the rate lay divided among instances that had no use for them. Change: the home admits a first turn only if the tokens of the next 2 s cover what programs under way still need; the part divided evenly is a tenth.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -8,6 +8,7 @@
 
 #include "celerykeel/core/deployment.h"      // for Deployment
 #include "celerykeel/core/endpoint_table.h"  // for EndpointTable
+#include "celerykeel/core/newcomer_gate.h"   // for NewcomerGate
 #include "celerykeel/core/rate_borrower.h"   // for RateBorrower
 #include "celerykeel/core/rate_home.h"       // for RateHome
 #include "celerykeel/core/slot_table.h"      // for KnownFleet
@@ -37,6 +38,9 @@
   // This instance's own part of each team's rate, for when no home answers.
   std::map<std::string, TokenBucket> own;
   std::set<std::string> asking;  // teams with a wish ahead under way
+  std::map<std::string, NewcomerGate> newcomers;  // as the home, by team
+  std::map<std::string, Duration> scarce_until;   // by team, as homes said
+  std::map<ProgramName, Duration> under_way;      // programs served of late
 };
 
 /// @brief All state of one instance. One thread, the loop's, uses it.
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -11,7 +11,15 @@
 struct Node;
 
 /// @brief Takes one request out of a team's rate, or says when to come back.
-Task<tl::expected<void, Duration>> TakeFromRate(Node& node, DeployedTeam team);
+/// @param program that the request is part of; empty if of none.
+/// @param may_begin it may be the first of its program.
+Task<tl::expected<void, Duration>> TakeFromRate(Node& node,
+                                                DeployedTeam team,
+                                                std::string program,
+                                                bool may_begin);
+
+/// @brief Forgets programs that were not served of late.
+void ForgetPrograms(Node& node);
 
 /// @brief Lends to another instance, if this one is the team's home.
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish);
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -102,6 +102,8 @@
                 std::string_view outcome) {
   WriteLog(node.log, LogLevel::kOrdinary, "attempt",
            {{"id", call.request.facts.id},
+            {"team", call.team == nullptr ? "" : call.team->name},
+            {"program", call.request.facts.program},
             {"endpoint", attempt.endpoint},
             {"try", call.tries},
             {"status", attempt.head.status},
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -98,7 +98,10 @@
     }
   };
   if (call->team != nullptr) {
-    const auto taken = co_await TakeFromRate(node, *call->team);
+    const auto taken =
+        co_await TakeFromRate(node, *call->team, call->request.facts.program,
+                              call->route->repeat == RepeatRule::kStream &&
+                                  call->request.facts.previous_turn.empty());
     if (!taken) {
       co_await Refuse(node, call,
                       {kTooMany, "the team's rate is used up", taken.error()});
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -39,6 +39,13 @@
            {{"version", node.deployment->version},
             {"routes", static_cast<uint64_t>(node.deployment->routes.size())},
             {"teams", static_cast<uint64_t>(node.deployment->teams.size())}});
+  for (const auto& [name, team] : node.deployment->teams) {
+    WriteLog(node.log, LogLevel::kOrdinary, "team in force",
+             {{"team", name},
+              {"rate", static_cast<uint64_t>(team.limits.rate)},
+              {"burst", static_cast<uint64_t>(team.limits.burst)},
+              {"keys", static_cast<uint64_t>(team.keys.size())}});
+  }
 }
 
 Task<std::optional<uint64_t>> ReadNewestDeployment(Node& node) {
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -268,6 +268,7 @@
       CloseOldIdle(node.endpoint_pool, now);
       CloseOldIdle(node.store.pool, now);
       ExpireSlots(node);
+      ForgetPrograms(node);
     }
     TakeVacantSlots(node, now);
     KeepRates(node);
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -14,7 +14,7 @@
 
 // The part of a team's rate that is divided evenly among the instances and
 // needs no word of the home, so that one that is cut off still serves.
-constexpr double kOwnPart = 0.3;
+constexpr double kOwnPart = 0.1;
 constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
 // A home that died has a successor within about this time.
 constexpr Duration kHomePatience = std::chrono::milliseconds(400);
@@ -26,6 +26,10 @@
 constexpr double kKeptPart = 0.85;
 // The kept part is written anew once it is off by so much of the burst.
 constexpr double kDrift = 0.15;
+// A home's word that a team is short of tokens holds for so long.
+constexpr Duration kScarceFor = std::chrono::milliseconds(600);
+constexpr Duration kNewcomerRetry = std::chrono::milliseconds(900);
+constexpr Duration kUnderWayFor = std::chrono::seconds(10);
 constexpr Duration kLendingLasts = std::chrono::seconds(4);
 
 RateShare ShareOf(const std::string& team) {
@@ -166,7 +170,54 @@
   Duration retry_after{};
 };
 
-Task<Asked> AskPeerHome(Node& node, PeerLinkPtr link, LoanWish wish) {
+// What a home decides on a wish of any instance, this one among them.
+Task<pb::RateGrant> Decide(Node& node,
+                           HeldSlotPtr slot,
+                           LoanWish wish,
+                           bool newcomer) {
+  pb::RateGrant grant;
+  const DeployedTeam* team = TeamNamed(node, wish.share.team);
+  if (team == nullptr) {
+    grant.set_not_home(true);
+    co_return grant;
+  }
+  const RateLimits limits = HomePart(*team);
+  NewcomerGate& gate = node.rates.newcomers[team->name];
+  OpenBucket(node, *slot, *team);
+  const auto level = LevelAtHome(node.rates.home, wish.share, limits, Now());
+  const double at_home = level.value_or(limits.burst);
+  grant.set_scarce(IsScarce(at_home, limits));
+  if (newcomer && !AdmitNewcomer(gate, at_home, limits, Now())) {
+    grant.set_retry_after_ns(static_cast<uint64_t>(kNewcomerRetry.count()));
+    co_return grant;
+  }
+  const auto answer = co_await LendHere(node, slot, wish);
+  if (!answer) {
+    grant.set_not_home(true);
+    co_return grant;
+  }
+  NoteTokensUsed(node.rates.newcomers[wish.share.team], answer->tokens, Now());
+  grant.set_tokens(answer->tokens);
+  grant.set_retry_after_ns(static_cast<uint64_t>(answer->retry_after.count()));
+  co_return grant;
+}
+
+Asked TakeAnswer(Node& node, const LoanWish& wish, const pb::RateGrant& grant) {
+  if (grant.not_home()) {
+    return {};
+  }
+  TakeGrant(node.rates.borrower, wish.share, wish.id.request, grant.tokens(),
+            Now());
+  if (grant.scarce()) {
+    node.rates.scarce_until[wish.share.team] = Now() + kScarceFor;
+  }
+  return {true, Duration(grant.retry_after_ns())};
+}
+
+Task<Asked> AskPeerHome(Node& node,
+                        PeerLinkPtr link,
+                        LoanWish wish,
+                        bool newcomer) {
   pb::NodeFrame frame;
   pb::RateWish& asked = *frame.mutable_rate_wish();
   asked.set_team(wish.share.team);
@@ -174,6 +225,7 @@
   asked.set_request(wish.id.request);
   asked.set_needed(wish.needed);
   asked.set_wanted(wish.wanted);
+  asked.set_newcomer(newcomer);
   for (const LoanNews& news : Review(node.rates.borrower, Now())) {
     if (news.share == wish.share) {
       pb::RateUse& use = *asked.add_uses();
@@ -184,38 +236,32 @@
   }
   const auto answer = co_await CallPeer(node.io, node.peers, link,
                                         std::move(frame), kAnswerPatience);
-  if (!answer || !answer->has_rate_grant() || answer->rate_grant().not_home()) {
+  if (!answer || !answer->has_rate_grant()) {
     co_return Asked{};
   }
-  const pb::RateGrant& grant = answer->rate_grant();
-  TakeGrant(node.rates.borrower, wish.share, wish.id.request, grant.tokens(),
-            Now());
-  co_return Asked{true, Duration(grant.retry_after_ns())};
+  co_return TakeAnswer(node, wish, answer->rate_grant());
 }
 
-Task<Asked> AskHome(Node& node, std::string team, double needed) {
-  const RateShare share = ShareOf(team);
+Task<Asked> AskHome(Node& node,
+                    std::string team,
+                    double needed,
+                    bool newcomer) {
   const uint32_t number = HomeSlot(node, team);
-  const LoanWish wish =
-      AskFor(node.rates.borrower, share, needed, node.incarnation, Now());
+  const LoanWish wish = AskFor(node.rates.borrower, ShareOf(team), needed,
+                               node.incarnation, Now());
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
-    const auto answer = co_await LendHere(node, slot, wish);
-    if (!answer) {
-      co_return Asked{};
-    }
-    TakeGrant(node.rates.borrower, share, wish.id.request, answer->tokens,
-              Now());
-    co_return Asked{true, answer->retry_after};
+    const pb::RateGrant grant = co_await Decide(node, slot, wish, newcomer);
+    co_return TakeAnswer(node, wish, grant);
   }
   const PeerLinkPtr link = LinkToHolder(node, number);
   if (link == nullptr) {
     co_return Asked{};
   }
-  co_return co_await AskPeerHome(node, link, wish);
+  co_return co_await AskPeerHome(node, link, wish, newcomer);
 }
 
 Task<> AskAhead(Node& node, std::string team) {
-  co_await AskHome(node, team, 0);
+  co_await AskHome(node, team, 0, false);
   node.rates.asking.erase(team);
 }
 
@@ -255,14 +301,7 @@
       .id = {.borrower = wish.borrower(), .request = wish.request()},
       .needed = wish.needed(),
       .wanted = wish.wanted()};
-  const auto answer = co_await LendHere(node, slot, asked);
-  if (!answer) {
-    grant.set_not_home(true);
-    co_return grant;
-  }
-  grant.set_tokens(answer->tokens);
-  grant.set_retry_after_ns(static_cast<uint64_t>(answer->retry_after.count()));
-  co_return grant;
+  co_return co_await Decide(node, slot, asked, wish.newcomer());
 }
 
 void KeepRates(Node& node) {
@@ -287,20 +326,40 @@
   }
 }
 
-Task<tl::expected<void, Duration>> TakeFromRate(Node& node, DeployedTeam team) {
+void ForgetPrograms(Node& node) {
+  const Duration now = Now();
+  std::erase_if(node.rates.under_way, [now](const auto& entry) {
+    return entry.second + kUnderWayFor < now;
+  });
+}
+
+Task<tl::expected<void, Duration>> TakeFromRate(Node& node,
+                                                DeployedTeam team,
+                                                std::string program,
+                                                bool may_begin) {
   if (team.limits.rate <= 0) {
     co_return tl::expected<void, Duration>();
   }
   NoteDemand(node.rates.borrower, ShareOf(team.name), Now());
-  if (TakeAny(node, team)) {
+  const ProgramName name{team.name, program};
+  const auto scarce = node.rates.scarce_until.find(team.name);
+  const bool is_scarce =
+      scarce != node.rates.scarce_until.end() && Now() < scarce->second;
+  const bool newcomer = may_begin && !program.empty() && is_scarce &&
+                        !node.rates.under_way.contains(name);
+  if (!newcomer && TakeAny(node, team)) {
+    node.rates.under_way[name] = Now();
     AskAheadIfDue(node, team.name, Now());
     co_return tl::expected<void, Duration>();
   }
   const Duration until = Now() + kHomePatience;
   Asked asked;
   while (true) {
-    asked = co_await AskHome(node, team.name, 1);
-    if (TakeAny(node, team)) {
+    asked = co_await AskHome(node, team.name, 1, newcomer);
+    const bool turned_away =
+        newcomer && asked.answered && asked.retry_after > Duration::zero();
+    if (!turned_away && TakeAny(node, team)) {
+      node.rates.under_way[name] = Now();
       co_return tl::expected<void, Duration>();
     }
     if (asked.answered || Now() + kAskAgain >= until) {
