--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -224,8 +224,8 @@
 }
 
 Task<bool> RelayWhole(Node& node, CallPtr call, Attempt& attempt) {
-  const auto body = co_await attempt.reader->ReadAll(Until(TimeLeft(*call)),
-                                                     kMostAnswerBytes);
+  auto body = co_await attempt.reader->ReadAll(Until(TimeLeft(*call)),
+                                               kMostAnswerBytes);
   const auto connection = call->attempt;
   call->attempt = nullptr;
   if (!body) {
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -23,7 +23,6 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr int kBadRequest = 400;
-constexpr int kTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 // The platform asks once a second and needs two misses; then it still takes a
@@ -99,11 +98,6 @@
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
     refusal = CallRefusal{kHeadTooLarge, "the header is too long", {}};
-  } else if (error == boost::beast::error::timeout) {
-    if (!began) {
-      co_return ReadEnd::kClosed;  // idle
-    }
-    co_return ReadEnd::kClosed;
   } else if (error != http::error::end_of_stream &&
              error != http::error::partial_message &&
              error.category() ==
--- a/src/celerykeel/node/edge_main.cc
+++ b/src/celerykeel/node/edge_main.cc
@@ -24,7 +24,6 @@
   --help           This text.
 )";
 
-constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
 Task<> WaitForStop(Node& node) {
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -282,7 +282,8 @@
   uint64_t beat = 0;
   const Duration started = Now();
   while (true) {
-    co_await WriteEntry(node, ++beat);
+    beat += 1;
+    co_await WriteEntry(node, beat);
     co_await ReadMembers(node, next);
     co_await Sleep(node.io,
                    Now() < started + kFirstTime ? kFirstBeats : kBeatEvery);
--- a/src/celerykeel/node/log_sink.cc
+++ b/src/celerykeel/node/log_sink.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr size_t kFlushAt = 16 * 1024;
-constexpr size_t kMostBuffered = 256 * 1024;
+constexpr size_t kFlushAt = 16UL * 1024;
+constexpr size_t kMostBuffered = 256UL * 1024;
 
 std::string Quoted(std::string_view text) {
   return nlohmann::json(text).dump(-1, ' ', false,
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -101,7 +101,7 @@
                                          const HeldSlotPtr& slot,
                                          const std::string& team,
                                          double kept) {
-  const auto written = std::make_shared<Promise<bool>>(node.io);
+  auto written = std::make_shared<Promise<bool>>(node.io);
   KeptRate& rate = slot->rates[team];
   rate.writing = true;
   rate.asked = kept;
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -58,7 +58,7 @@
 
 std::shared_ptr<Promise<bool>> StartConfirm(Node& node,
                                             const HeldSlotPtr& slot) {
-  const auto held = std::make_shared<Promise<bool>>(node.io);
+  auto held = std::make_shared<Promise<bool>>(node.io);
   Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
           [held](bool durable) { held->Give(durable); });
   return held;
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -259,6 +259,7 @@
 
 Task<> ReleaseSlots(Node& node) {
   std::vector<HeldSlotPtr> slots;
+  slots.reserve(node.slots.held.size());
   for (const auto& [number, slot] : node.slots.held) {
     slots.push_back(slot);
   }
