--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -8,6 +8,7 @@
 #include <thread>      // for std::this_thread
 #include <utility>     // for std::move
 
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/core/ticket_check.h"  // for CheckTicket
 #include "celerykeel/ctl/exchange.h"       // for Exchange
 #include "celerykeel/ctl/explain.h"        // for FetchMemory, ShowExplain
@@ -15,7 +16,6 @@
 #include "celerykeel/ctl/key_make.h"       // for MakeKey
 #include "celerykeel/ctl/submit.h"         // for SubmitTicket
 #include "celerykeel/ctl/views.h"          // for ShowStatus
-#include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/wire/ticket_json.h"   // for ParseTicketJson
 
 namespace celerykeel {
--- a/src/celerykeel/gate/call_relay.cc
+++ b/src/celerykeel/gate/call_relay.cc
@@ -3,8 +3,8 @@
 #include <algorithm>  // for std::min, std::clamp
 #include <utility>    // for std::move
 
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/core/rendezvous.h"    // for OwnerOf
-#include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/wire/problem_json.h"  // for Refuse
 
 namespace celerykeel {
--- a/src/celerykeel/gate/fakes_unittest.cc
+++ b/src/celerykeel/gate/fakes_unittest.cc
@@ -3,8 +3,8 @@
 #include <thread>   // for std::this_thread::sleep_for
 #include <utility>  // for std::move
 
+#include "celerykeel/base/clock.h"       // for Now
 #include "celerykeel/core/key_digest.h"  // for KeyDigest
-#include "celerykeel/base/clock.h"        // for Now
 
 namespace celerykeel::testing {
 
--- a/src/celerykeel/gate/gate_main.cc
+++ b/src/celerykeel/gate/gate_main.cc
@@ -4,12 +4,12 @@
 
 #include <prometheus/registry.h>  // for prometheus::Registry
 
+#include "celerykeel/base/clock.h"           // for Now
 #include "celerykeel/gate/gate_metrics.h"    // for GateMetrics
 #include "celerykeel/gate/gate_options.h"    // for ReadGateOptions
 #include "celerykeel/gate/gate_server.h"     // for GateServer
 #include "celerykeel/gate/owner_link.h"      // for OwnerLink
 #include "celerykeel/gate/rate_service.h"    // for RateService
-#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/net/feed_client.h"      // for FeedClient
 #include "celerykeel/net/log.h"              // for Log
 #include "celerykeel/net/operator_server.h"  // for OperatorServer
--- a/src/celerykeel/gate/gate_server.cc
+++ b/src/celerykeel/gate/gate_server.cc
@@ -11,13 +11,13 @@
 
 #include <fmt/format.h>  // for fmt::format
 
+#include "celerykeel/base/clock.h"           // for Now
 #include "celerykeel/gate/call_relay.h"      // for CallRelay
 #include "celerykeel/gate/caller_http.h"     // for Answer, CheckHeaders
 #include "celerykeel/gate/caller_request.h"  // for ReadProgramHeaders
 #include "celerykeel/gate/credentials.h"     // for Authenticate
 #include "celerykeel/gate/program_json.h"    // for ProgramJson
 #include "celerykeel/gate/route_match.h"     // for FindRoute
-#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/net/http_server.h"      // for HttpServer
 #include "celerykeel/wire/problem_json.h"    // for ProblemJson
 
--- a/src/celerykeel/gate/rate_service.cc
+++ b/src/celerykeel/gate/rate_service.cc
@@ -4,8 +4,8 @@
 #include <unordered_map>  // for std::unordered_map
 #include <utility>        // for std::move
 
+#include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/wire/rate_codec.h"   // for EncodeRateLetter
 
 namespace celerykeel {
--- a/src/celerykeel/gate/rate_service_unittest.cc
+++ b/src/celerykeel/gate/rate_service_unittest.cc
@@ -2,8 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "celerykeel/base/clock.h"                  // for Now
 #include "celerykeel/gate/gate_fixture_unittest.h"  // for GateFixture
-#include "celerykeel/base/clock.h"                   // for Now
 
 namespace celerykeel {
 namespace {
--- a/src/celerykeel/load/http_call.cc
+++ b/src/celerykeel/load/http_call.cc
@@ -5,7 +5,7 @@
 
 #include <string_view>  // for std::string_view
 
-#include "celerykeel/base/clock.h"       // for Now
+#include "celerykeel/base/clock.h"      // for Now
 #include "celerykeel/net/http_guard.h"  // for SplitAddress
 
 namespace celerykeel {
--- a/src/celerykeel/load/latency_run.cc
+++ b/src/celerykeel/load/latency_run.cc
@@ -7,9 +7,9 @@
 #include <thread>  // for std::thread, std::this_thread
 #include <vector>  // for std::vector
 
+#include "celerykeel/base/clock.h"      // for Now
 #include "celerykeel/load/arrivals.h"   // for PoissonArrivals
 #include "celerykeel/load/http_call.h"  // for RunLoadCall
-#include "celerykeel/base/clock.h"       // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/net/feed_client.cc
+++ b/src/celerykeel/net/feed_client.cc
@@ -8,9 +8,9 @@
 #include <utility>   // for std::move
 #include <variant>   // for std::variant
 
+#include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/fold.h"         // for Fold
 #include "celerykeel/feed.pb.h"           // for pb::FeedRequest
-#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/wire/fleet_codec.h"  // for DecodeFleetRecord
 
 namespace celerykeel {
--- a/src/celerykeel/net/http_server.cc
+++ b/src/celerykeel/net/http_server.cc
@@ -9,7 +9,7 @@
 #include <thread>   // for std::thread
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/net/socket_stream.h"  // for SocketStream
 
 namespace celerykeel {
--- a/src/celerykeel/net/messenger.cc
+++ b/src/celerykeel/net/messenger.cc
@@ -13,8 +13,8 @@
 
 #include <zmq.hpp>  // for zmq::context_t, zmq::socket_t, zmq::poll
 
+#include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/base/clock.h"         // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/scheduler/fake_steward.h
+++ b/src/celerykeel/scheduler/fake_steward.h
@@ -8,9 +8,9 @@
 
 #include <doctest/doctest.h>  // for REQUIRE
 
+#include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/fleet_state.h"  // for FleetState
 #include "celerykeel/feed.pb.h"           // for pb::FeedRequest
-#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/net/messenger.h"     // for Messenger
 #include "celerykeel/wire/fleet_codec.h"  // for ToProto
 
--- a/src/celerykeel/scheduler/owner.cc
+++ b/src/celerykeel/scheduler/owner.cc
@@ -2,8 +2,8 @@
 
 #include <utility>  // for std::move
 
+#include "celerykeel/base/clock.h"             // for Now, WallNow
 #include "celerykeel/core/rendezvous.h"        // for OwnerOf
-#include "celerykeel/base/clock.h"              // for Now, WallNow
 #include "celerykeel/net/log.h"                // for Log
 #include "celerykeel/scheduler/call_reader.h"  // for ReadCall, ToProto
 #include "celerykeel/scheduler/owner_state.h"  // for Owner::State
--- a/src/celerykeel/scheduler/owner_actions.cc
+++ b/src/celerykeel/scheduler/owner_actions.cc
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>  // for fmt::format
 
-#include "celerykeel/base/clock.h"              // for Now
+#include "celerykeel/base/clock.h"             // for Now
 #include "celerykeel/scheduler/call_reader.h"  // for ToProto
 #include "celerykeel/scheduler/owner_state.h"  // for Owner::State
 #include "celerykeel/wire/chat_json.h"         // for RenderChatEvents
--- a/src/celerykeel/scheduler/owner_ownership.cc
+++ b/src/celerykeel/scheduler/owner_ownership.cc
@@ -1,7 +1,7 @@
 #include <utility>  // for std::move
 
+#include "celerykeel/base/clock.h"             // for Now
 #include "celerykeel/core/rendezvous.h"        // for OwnerOf
-#include "celerykeel/base/clock.h"              // for Now
 #include "celerykeel/net/log.h"                // for Log
 #include "celerykeel/scheduler/owner_state.h"  // for Owner::State
 #include "celerykeel/wire/journal_codec.h"     // for DecodeJournalRecord
--- a/src/celerykeel/scheduler/owner_placement.cc
+++ b/src/celerykeel/scheduler/owner_placement.cc
@@ -1,5 +1,5 @@
+#include "celerykeel/base/clock.h"             // for Now
 #include "celerykeel/core/placement.h"         // for NoteSent, NoteEnded
-#include "celerykeel/base/clock.h"              // for Now
 #include "celerykeel/scheduler/owner_state.h"  // for Owner::State
 
 namespace celerykeel {
--- a/src/celerykeel/standin/engine_cache_routes.cc
+++ b/src/celerykeel/standin/engine_cache_routes.cc
@@ -8,7 +8,7 @@
 #include <fmt/format.h>       // for fmt::format
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
-#include "celerykeel/base/clock.h"             // for Now
+#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/standin/engine_state.h"  // for EngineState
 
 namespace celerykeel {
--- a/src/celerykeel/standin/engine_completions.cc
+++ b/src/celerykeel/standin/engine_completions.cc
@@ -10,7 +10,7 @@
 #include <fmt/format.h>  // for fmt::format
 #include <xxhash.h>      // for XXH3_64bits
 
-#include "celerykeel/base/clock.h"             // for Now
+#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/standin/chat.h"          // for ParseChat
 #include "celerykeel/standin/credentials.h"   // for HasCredential
 #include "celerykeel/standin/engine_state.h"  // for EngineState
--- a/src/celerykeel/standin/engine_reports.cc
+++ b/src/celerykeel/standin/engine_reports.cc
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
-#include "celerykeel/base/clock.h"             // for Now
+#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/standin/engine_state.h"  // for EngineState
 
 namespace celerykeel {
--- a/src/celerykeel/standin/link_server.cc
+++ b/src/celerykeel/standin/link_server.cc
@@ -11,7 +11,7 @@
 #include <chrono>     // for std::chrono::ceil
 #include <thread>     // for std::thread
 
-#include "celerykeel/base/clock.h"               // for Now
+#include "celerykeel/base/clock.h"              // for Now
 #include "celerykeel/net/http_guard.h"          // for SplitAddress
 #include "celerykeel/standin/http_host.h"       // for HttpHost
 #include "celerykeel/standin/link_forwarder.h"  // for LinkForwarder
--- a/src/celerykeel/standin/platform_server.cc
+++ b/src/celerykeel/standin/platform_server.cc
@@ -11,7 +11,7 @@
 
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
-#include "celerykeel/base/clock.h"                // for Now, WallNow
+#include "celerykeel/base/clock.h"               // for Now, WallNow
 #include "celerykeel/platform.pb.h"              // for pb::LogAppendRequest
 #include "celerykeel/standin/http_host.h"        // for HttpHost
 #include "celerykeel/standin/instance_list.h"    // for InstanceList
--- a/src/celerykeel/steward/log_appender.cc
+++ b/src/celerykeel/steward/log_appender.cc
@@ -7,8 +7,8 @@
 #include <thread>     // for std::thread
 #include <utility>    // for std::move
 
+#include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/net/bounded_ring.h"  // for BoundedRing
-#include "celerykeel/base/clock.h"         // for Now
 
 namespace celerykeel {
 
--- a/src/celerykeel/steward/steward.cc
+++ b/src/celerykeel/steward/steward.cc
@@ -5,8 +5,8 @@
 #include <thread>   // for std::thread
 #include <utility>  // for std::move
 
+#include "celerykeel/base/clock.h"               // for Now
 #include "celerykeel/net/bounded_ring.h"         // for BoundedRing
-#include "celerykeel/base/clock.h"                // for Now
 #include "celerykeel/net/log.h"                  // for Log
 #include "celerykeel/steward/control.h"          // for Control, OnTick
 #include "celerykeel/steward/journal_reader.h"   // for JournalReader
--- a/src/celerykeel/steward/steward_unittest.cc
+++ b/src/celerykeel/steward/steward_unittest.cc
@@ -5,8 +5,8 @@
 #include <functional>  // for std::function
 #include <thread>      // for std::this_thread
 
+#include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/net/bounded_ring.h"      // for BoundedRing
-#include "celerykeel/base/clock.h"             // for Now
 #include "celerykeel/net/feed_client.h"       // for FeedClient
 #include "celerykeel/testing/fake_log.h"      // for FakeLog
 #include "celerykeel/testing/free_address.h"  // for FreeAddress
