core: three turns are reserved ahead of a program

Ruled out: tools and peers; both worked. A new program's first turn still needs the store. Change: the ceiling covers three turns more, at most the budget.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -66,6 +66,7 @@
   uint64_t ceiling = 0;  // durable
   uint64_t asked = 0;    // ceiling in a record that is on its way
   uint64_t largest = 0;
+  uint64_t budget = 0;  // as the last turn named it
   bool slack_used = false;
   std::map<std::string, uint64_t> running;  // turns and their most tokens
   std::optional<Duration> used_at;          // none while it is being replayed
@@ -106,8 +107,8 @@
 /// ceiling, so that tokens may be handed out.
 bool IsCovered(const ProgramSpend& spend);
 
-/// @brief The record that raises the ceiling over what runs and one turn
-/// more; nothing if it is there or on its way.
+/// @brief The record that raises the ceiling over what runs and the turns
+/// reserved ahead; nothing if it is there or on its way.
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
                                         const ProgramName& program);
 
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -14,6 +14,16 @@
   return tokens;
 }
 
+// Turns reserved ahead carry a program through an outage of the store. After a
+// takeover they count as spent, so there are few.
+constexpr uint64_t kTurnsAhead = 3;
+
+uint64_t WantedCeiling(const ProgramSpend& spend) {
+  const uint64_t used = spend.spent + Running(spend);
+  return std::max(std::min(used + kTurnsAhead * spend.largest, spend.budget),
+                  used);
+}
+
 SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend) {
   return {.program = program,
           .spent = spend.spent,
@@ -78,6 +88,7 @@
                                           Duration now) {
   ProgramSpend& spend = ledger.programs[wish.program];
   spend.used_at = now;
+  spend.budget = wish.budget;
   if (spend.running.contains(wish.turn)) {
     return {};
   }
@@ -96,7 +107,7 @@
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
                                         const ProgramName& program) {
   ProgramSpend& spend = ledger.programs[program];
-  const uint64_t wanted = spend.spent + Running(spend) + spend.largest;
+  const uint64_t wanted = WantedCeiling(spend);
   if (wanted <= spend.asked) {
     return std::nullopt;
   }
@@ -125,7 +136,7 @@
     spend.spent += used;
   }
   // What the turn did not use is given back, or a takeover would count it.
-  spend.asked = spend.spent + Running(spend) + spend.largest;
+  spend.asked = WantedCeiling(spend);
   spend.ceiling = std::min(spend.ceiling, spend.asked);
   return RecordOf(program, spend);
 }
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -65,6 +65,7 @@
       {{"id", call->request.facts.id},
        {"program", call->request.facts.program},
        {"route", call->route == nullptr ? "" : call->route->name},
+       {"team", call->team == nullptr ? "" : call->team->name},
        {"status", refusal.status},
        {"reason", refusal.reason},
        {"tries", call->tries},
