node: endpoints outlive the loop; a test's kill drops queued records

Queued records refer to their slot, and leaked in the same test. Change: the table is declared before the loop; NodeFleet::Kill drops queues.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -47,13 +47,15 @@
 struct Node {
   explicit Node(NodeOptions from) : options(std::move(from)) {}
 
+  // Before the loop: calls that end with it count themselves out here.
+  EndpointTable endpoints;
+
   asio::io_context io{1};
   NodeOptions options;
   Incarnation incarnation = 0;
   LogSink log;
 
   std::shared_ptr<const Deployment> deployment;  // null until one is known
-  EndpointTable endpoints;
   OutPool endpoint_pool;
   StoreClient store;
 
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -111,6 +111,14 @@
   }
   instance.node->io.stop();
   instance.thread.join();
+  // A queued record refers to its slot; a process that ends needs no care.
+  for (const auto& [number, slot] : instance.node->slots.held) {
+    slot->queue.clear();
+    slot->uncovered.clear();
+  }
+  for (const CallerStreamPtr& caller : instance.node->callers) {
+    caller->on_gone = nullptr;
+  }
   instance.node.reset();
 }
 
