node: loans' news reach their home

Cause: a wish reviewed the loans of all teams but told one home about one of them; the rest was marked as told and lost, also where the home was this instance. The home counted used tokens as lent for 1.1 s, and refilled so much less. Loans that nobody used expired and were lost to the team. Ruled out: newcomers' gate (teams far from scarce were refused too). The home's side moved to rate_lending, where a wish opens the bucket once.

--- a/include/celerykeel/core/rate_borrower.h
+++ b/include/celerykeel/core/rate_borrower.h
@@ -67,8 +67,14 @@
                                const RateShare& share,
                                Duration now);
 
-/// @brief Drops what has expired, closes what demand does not need, and says
-/// what is left of the other loans, so that the home counts their use.
+/// @brief Drops what has expired, closes what demand does not need or would
+/// expire soon, and says what is left of the other loans, so that the home
+/// counts their use. Each change is reported once: pass it on to the home.
+std::vector<LoanNews> ReviewShare(RateBorrower& borrower,
+                                  const RateShare& share,
+                                  Duration now);
+
+/// @brief The same for all shares, each as often as is worth a message.
 std::vector<LoanNews> Review(RateBorrower& borrower, Duration now);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -3,7 +3,6 @@
 #include <tl/expected.hpp>  // for tl::expected
 
 #include "celerykeel/core/deployment.h"  // for DeployedTeam
-#include "celerykeel/node.pb.h"          // for pb::RateWish
 #include "celerykeel/node/asio.h"        // for Task
 
 namespace celerykeel {
@@ -21,10 +20,7 @@
 /// @brief Forgets programs that were not served of late.
 void ForgetPrograms(Node& node);
 
-/// @brief Lends to another instance, if this one is the team's home.
-Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish);
-
-/// @brief Writes anew what the homes here leave for their successors.
-void KeepRates(Node& node);
+/// @brief Tells homes what became of their loans, so that they may lend again.
+void ReportLoans(Node& node);
 
 }  // namespace celerykeel
--- a/src/celerykeel/core/rate_borrower.cc
+++ b/src/celerykeel/core/rate_borrower.cc
@@ -13,6 +13,10 @@
 constexpr Duration kAhead = milliseconds(200);       // of demand, held ready
 constexpr Duration kAnswerTime = milliseconds(100);  // then a wish is lost
 constexpr Duration kReportEvery = milliseconds(50);
+// Older loans go back to the home in time: what expires is lost to the team.
+constexpr Duration kGiveBackAfter = milliseconds(600);
+// Requests per second from which a token in hand is soon used.
+constexpr double kBusyDemand = 2;
 constexpr double kRounding = 1e-9;
 constexpr double kNoDemand = 0.01;  // requests per second
 
@@ -44,16 +48,23 @@
   return tokens;
 }
 
+// Less than a whole token in hand serves nobody.
 double Ahead(const ShareHeld& held, Duration now) {
-  return DemandNow(held, now) * Seconds(kAhead);
+  const double demand = DemandNow(held, now);
+  return demand < kBusyDemand ? 0 : std::max(demand * Seconds(kAhead), 1.0);
 }
 
 // Says what changed since the last report; a loan that is used up is closed.
 void ReportUse(const RateShare& share,
                ShareHeld& held,
+               Duration now,
                std::vector<LoanNews>& news) {
+  held.reported_at = now;
   for (auto& [request, loan] : held.loans) {
-    if (loan.granted && loan.tokens != loan.reported) {
+    if (IsLive(loan, now) && now >= loan.asked_at + kGiveBackAfter) {
+      news.push_back({share, request, loan.tokens, true});
+      loan.tokens = 0;
+    } else if (loan.granted && loan.tokens != loan.reported) {
       loan.reported = loan.tokens;
       const bool used_up = loan.tokens < kRounding;
       news.push_back({share, request, used_up ? 0 : loan.tokens, used_up});
@@ -165,19 +176,34 @@
   return news;
 }
 
+std::vector<LoanNews> ReviewShare(RateBorrower& borrower,
+                                  const RateShare& share,
+                                  Duration now) {
+  std::vector<LoanNews> news;
+  const auto found = borrower.shares.find(share);
+  if (found == borrower.shares.end()) {
+    return news;
+  }
+  ShareHeld& held = found->second;
+  std::erase_if(held.loans, [now](const auto& entry) {
+    return now >= entry.second.asked_at + kLoanValidity;
+  });
+  ReportUse(share, held, now, news);
+  if (HeldOf(held, now) > 2 * Ahead(held, now) + 1) {
+    for (LoanNews& closed : GiveBack(borrower, share, now)) {
+      news.push_back(std::move(closed));
+    }
+  }
+  return news;
+}
+
 std::vector<LoanNews> Review(RateBorrower& borrower, Duration now) {
   std::vector<LoanNews> news;
   for (auto& [share, held] : borrower.shares) {
-    std::erase_if(held.loans, [now](const auto& entry) {
-      return now >= entry.second.asked_at + kLoanValidity;
-    });
-    if (HeldOf(held, now) > 2 * Ahead(held, now) + 1) {
-      for (LoanNews& closed : GiveBack(borrower, share, now)) {
-        news.push_back(std::move(closed));
+    if (now - held.reported_at >= kReportEvery) {
+      for (LoanNews& item : ReviewShare(borrower, share, now)) {
+        news.push_back(std::move(item));
       }
-    } else if (now - held.reported_at >= kReportEvery) {
-      held.reported_at = now;
-      ReportUse(share, held, news);
     }
   }
   std::erase_if(borrower.shares, [now](const auto& entry) {
--- /dev/null
+++ b/src/celerykeel/core/rate_borrower_unittest.cc
@@ -0,0 +1,129 @@
+#include "celerykeel/core/rate_borrower.h"
+
+#include <doctest/doctest.h>
+
+#include <cstddef>  // for size_t
+#include <vector>   // for std::vector
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const RateShare kOrchard{"orchard", 0};
+const RateShare kKiln{"kiln", 0};
+
+RateBorrower WithLoan(const RateShare& share, double tokens, Duration now) {
+  RateBorrower borrower;
+  const LoanWish wish = AskFor(borrower, share, tokens, 1, now);
+  TakeGrant(borrower, share, wish.id.request, tokens, now);
+  return borrower;
+}
+
+TEST_CASE("a loan that is not used goes back before it expires") {
+  const Duration start = seconds(10);
+  RateBorrower borrower = WithLoan(kOrchard, 1, start);
+  CHECK(ReviewShare(borrower, kOrchard, start + milliseconds(300)).empty());
+  const auto news = ReviewShare(borrower, kOrchard, start + milliseconds(650));
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].closed);
+  CHECK(news[0].tokens == 1);
+  CHECK(Held(borrower, kOrchard, start + milliseconds(650)) == 0);
+}
+
+// News of a team's loans went to the home of another one, and were lost.
+TEST_CASE("a review of one share leaves the news of others to come") {
+  const Duration start = seconds(10);
+  RateBorrower borrower = WithLoan(kOrchard, 1, start);
+  const LoanWish wish = AskFor(borrower, kKiln, 1, 1, start);
+  TakeGrant(borrower, kKiln, wish.id.request, 1, start);
+  REQUIRE(UseToken(borrower, kOrchard, start));
+  REQUIRE(UseToken(borrower, kKiln, start));
+  const auto of_kiln = ReviewShare(borrower, kKiln, start + milliseconds(60));
+  REQUIRE(of_kiln.size() == 1);
+  CHECK(of_kiln[0].share == kKiln);
+  const auto rest = Review(borrower, start + milliseconds(60));
+  REQUIRE(rest.size() == 1);
+  CHECK(rest[0].share == kOrchard);
+}
+
+/// A team's requests, spread over instances that borrow from one home.
+struct SpreadTeam {
+  RateLimits limits{.rate = 58, .burst = 58};
+  bool reports = true;  // what became of loans is told to the home
+  RateHome home;
+  std::vector<RateBorrower> borrowers;
+  int served = 0;
+  int refused = 0;
+};
+
+void Report(SpreadTeam& team, size_t instance, Duration now) {
+  for (const LoanNews& news : Review(team.borrowers[instance], now)) {
+    if (team.reports) {
+      TakeLoanNews(team.home, news, instance + 1, team.limits, now);
+    }
+  }
+}
+
+void Ask(SpreadTeam& team, size_t instance, double needed, Duration now) {
+  RateBorrower& borrower = team.borrowers[instance];
+  Report(team, instance, now);
+  const LoanWish wish = AskFor(borrower, kOrchard, needed, instance + 1, now);
+  const LendStart start{.first = true, .acting_from = {}, .keep = 0};
+  const LoanAnswer answer = Lend(team.home, wish, team.limits, start, now);
+  TakeGrant(borrower, kOrchard, wish.id.request, answer.tokens, now);
+}
+
+void Request(SpreadTeam& team, size_t instance, Duration now) {
+  RateBorrower& borrower = team.borrowers[instance];
+  NoteDemand(borrower, kOrchard, now);
+  if (!UseToken(borrower, kOrchard, now)) {
+    Ask(team, instance, 1, now);
+    if (!UseToken(borrower, kOrchard, now)) {
+      ++team.refused;
+      return;
+    }
+  }
+  ++team.served;
+  if (ShouldAskAhead(borrower, kOrchard, now)) {
+    Ask(team, instance, 0, now);
+  }
+}
+
+// Each two seconds a burst of 50 requests in half a second, and eight a second
+// between: inside a rate of 58 with a burst of 58 at any moment.
+void PlayBursts(SpreadTeam& team) {
+  constexpr int kInstances = 13;
+  constexpr int kMillis = 20000;
+  team.borrowers.resize(kInstances);
+  int number = 0;
+  for (int at = 0; at < kMillis; ++at) {
+    const Duration now = seconds(50) + milliseconds(at);
+    const bool in_burst = at % 2000 < 500;
+    if (at % (in_burst ? 10 : 125) == 0) {
+      // Callers are spread unevenly, as by a hash.
+      Request(team, static_cast<size_t>(number * number % kInstances), now);
+      ++number;
+    }
+    if (at % 300 == 0) {
+      for (size_t i = 0; i < team.borrowers.size(); ++i) {
+        Report(team, i, now);
+      }
+    }
+  }
+}
+
+TEST_CASE("bursts inside the rate, spread over instances, are all served") {
+  SpreadTeam team;
+  PlayBursts(team);
+  CHECK(team.refused == 0);
+
+  SpreadTeam silent;
+  silent.reports = false;
+  PlayBursts(silent);
+  CHECK(silent.refused > 0);
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -2,11 +2,11 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/feeds.h"  // for ReadDeploymentSoon
-#include "celerykeel/node/fleet.h"  // for ServePeers
-#include "celerykeel/node/node.h"   // for Node
-#include "celerykeel/node/rates.h"  // for LendToPeer
+#include "celerykeel/base/clock.h"         // for Now
+#include "celerykeel/node/feeds.h"         // for ReadDeploymentSoon
+#include "celerykeel/node/fleet.h"         // for ServePeers
+#include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/rate_lending.h"  // for LendToPeer, TakeRateNews
 
 namespace celerykeel {
 
@@ -142,6 +142,9 @@
     case pb::NodeFrame::kRateWish:
       Spawn(node.io, OnRateWish(node, peer, frame));
       return;
+    case pb::NodeFrame::kRateNews:
+      TakeRateNews(node, frame.rate_news());
+      return;
     default:
       WriteLog(node.log, LogLevel::kUnusual, "frame of an unknown kind");
   }
--- /dev/null
+++ b/src/celerykeel/node/rate_lending.cc
@@ -0,0 +1,197 @@
+#include "celerykeel/node/rate_lending.h"
+
+#include <algorithm>  // for std::max
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"     // for Now
+#include "celerykeel/node/node.h"      // for Node
+#include "celerykeel/node/slot_log.h"  // for Enqueue
+
+namespace celerykeel {
+
+namespace {
+
+constexpr Duration kRecordPatience = std::chrono::milliseconds(120);
+// Of the tokens at home, the part that is left for the next home. What comes in
+// above it is lent freely, also while the store is away.
+constexpr double kKeptPart = 0.85;
+// The kept part is written anew once it is off by so much of the burst.
+constexpr double kDrift = 0.15;
+constexpr Duration kNewcomerRetry = std::chrono::milliseconds(900);
+constexpr Duration kLendingLasts = std::chrono::seconds(4);
+
+// Begins a home's bucket with what the home before left in the slot's log; a
+// team without a record was never lent from.
+void OpenBucket(Node& node, const HeldSlot& slot, const DeployedTeam& team) {
+  const RateShare share = ShareOf(team.name);
+  if (uint64_t& epoch = node.rates.home_epochs[team.name];
+      epoch != slot.epoch) {
+    epoch = slot.epoch;
+    node.rates.home.buckets.erase(share);
+    if (const auto kept = slot.rates.find(team.name);
+        kept != slot.rates.end() && kept->second.recorded) {
+      const double level = std::min(kept->second.durable, HomePart(team).burst);
+      TakeOver(node.rates.home,
+               {.share = share,
+                .level = level,
+                .lent = HomePart(team).burst - level},
+               Now());
+    }
+  }
+}
+
+double Kept(const KeptRate& rate) {
+  return std::max(rate.durable, rate.asked);
+}
+
+std::shared_ptr<Promise<bool>> WriteKept(Node& node,
+                                         const HeldSlotPtr& slot,
+                                         const std::string& team,
+                                         double kept) {
+  auto written = std::make_shared<Promise<bool>>(node.io);
+  KeptRate& rate = slot->rates[team];
+  rate.writing = true;
+  rate.asked = kept;
+  Enqueue(node, slot, RateRecord{team, kept}, true,
+          [slot, team, kept, written](bool durable) {
+            KeptRate& now_rate = slot->rates[team];
+            now_rate.writing = false;
+            if (durable) {
+              now_rate.durable = kept;
+              now_rate.recorded = true;
+            }
+            written->Give(durable);
+          });
+  return written;
+}
+
+double KeptOf(double level) {
+  return level * kKeptPart;
+}
+
+// Frees tokens that are kept for a successor by a record that keeps fewer.
+// @return false if nothing may be lent: no record of this home is durable.
+Task<bool> MakeLendable(Node& node,
+                        HeldSlotPtr slot,
+                        std::string team,
+                        double at_home,
+                        double needed) {
+  KeptRate& rate = slot->rates[team];
+  rate.lent_at = Now();
+  const bool short_of_kept = at_home - Kept(rate) < needed && at_home >= needed;
+  if (rate.recorded && !short_of_kept) {
+    co_return true;
+  }
+  const double kept =
+      short_of_kept ? std::max((at_home - needed) / 4, 0.0) : KeptOf(at_home);
+  const auto written = WriteKept(node, slot, team, kept);
+  const auto durable = co_await written->Wait(kRecordPatience);
+  co_return !slot->lost && (rate.recorded || durable.value_or(false));
+}
+
+}  // namespace
+
+uint32_t HomeSlot(const Node& node, const std::string& team) {
+  return SlotOfSubject(team, "rate",
+                       static_cast<uint32_t>(node.fleet.slots.size()));
+}
+
+const DeployedTeam* TeamNamed(const Node& node, const std::string& name) {
+  if (node.deployment == nullptr) {
+    return nullptr;
+  }
+  const auto team = node.deployment->teams.find(name);
+  return team == node.deployment->teams.end() ? nullptr : &team->second;
+}
+
+RateLimits HomePart(const DeployedTeam& team) {
+  return PartOf(team.limits, 1 - kOwnPart);
+}
+
+Task<pb::RateGrant> LendAsHome(Node& node,
+                               HeldSlotPtr slot,
+                               LoanWish wish,
+                               bool newcomer) {
+  pb::RateGrant grant;
+  const DeployedTeam* team = TeamNamed(node, wish.share.team);
+  if (team == nullptr) {
+    grant.set_not_home(true);
+    co_return grant;
+  }
+  const std::string name = team->name;
+  const RateLimits limits = HomePart(*team);
+  OpenBucket(node, *slot, *team);
+  const double at_home = LevelAtHome(node.rates.home, wish.share, limits, Now())
+                             .value_or(limits.burst);
+  grant.set_scarce(IsScarce(at_home, limits));
+  if (newcomer &&
+      !AdmitNewcomer(node.rates.newcomers[name], at_home, limits, Now())) {
+    grant.set_retry_after_ns(static_cast<uint64_t>(kNewcomerRetry.count()));
+    co_return grant;
+  }
+  if (!co_await MakeLendable(node, slot, name, at_home, wish.needed)) {
+    grant.set_not_home(true);
+    co_return grant;
+  }
+  const LendStart start{
+      .first = true, .acting_from = {}, .keep = Kept(slot->rates[name])};
+  const LoanAnswer answer = Lend(node.rates.home, wish, limits, start, Now());
+  NoteTokensUsed(node.rates.newcomers[name], answer.tokens, Now());
+  grant.set_tokens(answer.tokens);
+  grant.set_retry_after_ns(static_cast<uint64_t>(answer.retry_after.count()));
+  co_return grant;
+}
+
+Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish) {
+  const HeldSlotPtr slot = ActiveSlot(node, HomeSlot(node, wish.team()));
+  if (slot == nullptr) {
+    pb::RateGrant grant;
+    grant.set_not_home(true);
+    co_return grant;
+  }
+  const LoanWish asked{
+      .share = ShareOf(wish.team()),
+      .id = {.borrower = wish.borrower(), .request = wish.request()},
+      .needed = wish.needed(),
+      .wanted = wish.wanted()};
+  co_return co_await LendAsHome(node, slot, asked, wish.newcomer());
+}
+
+void TakeRateNews(Node& node, const pb::RateNews& news) {
+  for (const pb::RateUse& use : news.uses()) {
+    // News to a home that isn't one any more are of no use: its successor
+    // counts all that was lent as used.
+    if (const DeployedTeam* team = TeamNamed(node, use.team())) {
+      TakeLoanNews(node.rates.home,
+                   {.share = ShareOf(use.team()),
+                    .request = use.request(),
+                    .tokens = use.tokens(),
+                    .closed = use.closed()},
+                   news.borrower(), HomePart(*team), Now());
+    }
+  }
+}
+
+void KeepRates(Node& node) {
+  const Duration now = Now();
+  for (const auto& [number, slot] : node.slots.held) {
+    if (!slot->active) {
+      continue;
+    }
+    for (auto& [name, rate] : slot->rates) {
+      const DeployedTeam* team = TeamNamed(node, name);
+      if (team == nullptr || rate.writing || !rate.recorded || !rate.lent_at ||
+          now > *rate.lent_at + kLendingLasts) {
+        continue;
+      }
+      const auto level =
+          LevelAtHome(node.rates.home, ShareOf(name), HomePart(*team), now);
+      if (level && std::abs(KeptOf(*level) - rate.durable) >
+                       kDrift * HomePart(*team).burst) {
+        WriteKept(node, slot, name, KeptOf(*level));
+      }
+    }
+  }
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -1,48 +1,27 @@
 #include "celerykeel/node/rates.h"
 
 #include <algorithm>  // for std::max
+#include <map>        // for std::map
 #include <utility>    // for std::move
+#include <vector>     // for std::vector
 
-#include "celerykeel/base/clock.h"     // for Now
-#include "celerykeel/node/fleet.h"     // for LinkToHolder
-#include "celerykeel/node/node.h"      // for Node
-#include "celerykeel/node/slot_log.h"  // for Enqueue
+#include "celerykeel/base/clock.h"         // for Now
+#include "celerykeel/node/fleet.h"         // for LinkToHolder
+#include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/rate_lending.h"  // for LendAsHome
 
 namespace celerykeel {
 
 namespace {
 
-// The part of a team's rate that is divided evenly among the instances and
-// needs no word of the home, so that one that is cut off still serves.
-constexpr double kOwnPart = 0.1;
 constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
 // A home that died has a successor within about this time.
 constexpr Duration kHomePatience = std::chrono::milliseconds(400);
 constexpr Duration kAskAgain = std::chrono::milliseconds(40);
 constexpr Duration kHomeSilentRetry = std::chrono::milliseconds(400);
-constexpr Duration kRecordPatience = std::chrono::milliseconds(120);
-// Of the tokens at home, the part that is left for the next home. What comes in
-// above it is lent freely, also while the store is away.
-constexpr double kKeptPart = 0.85;
-// The kept part is written anew once it is off by so much of the burst.
-constexpr double kDrift = 0.15;
 // A home's word that a team is short of tokens holds for so long.
 constexpr Duration kScarceFor = std::chrono::milliseconds(600);
-constexpr Duration kNewcomerRetry = std::chrono::milliseconds(900);
 constexpr Duration kUnderWayFor = std::chrono::seconds(10);
-constexpr Duration kLendingLasts = std::chrono::seconds(4);
-
-RateShare ShareOf(const std::string& team) {
-  return {team, 0};
-}
-
-RateLimits Part(const RateLimits& limits, double part) {
-  return {.rate = limits.rate * part, .burst = limits.burst * part};
-}
-
-RateLimits HomePart(const DeployedTeam& team) {
-  return Part(team.limits, 1 - kOwnPart);
-}
 
 double FleetSize(const Node& node) {
   return double(node.fleet.members.size() + 1);
@@ -50,7 +29,7 @@
 
 // Starts empty: an earlier start of this instance may have used its part.
 bool TakeOwn(Node& node, const DeployedTeam& team, Duration now) {
-  const RateLimits own = Part(team.limits, kOwnPart / FleetSize(node));
+  const RateLimits own = PartOf(team.limits, kOwnPart / FleetSize(node));
   const auto [found, fresh] = node.rates.own.try_emplace(team.name);
   if (fresh) {
     found->second.updated_at = now;
@@ -60,148 +39,11 @@
   return Take(found->second, 1, own.rate).has_value();
 }
 
-uint32_t HomeSlot(const Node& node, const std::string& team) {
-  return SlotOfSubject(team, "rate",
-                       static_cast<uint32_t>(node.fleet.slots.size()));
-}
-
-const DeployedTeam* TeamNamed(const Node& node, const std::string& name) {
-  if (node.deployment == nullptr) {
-    return nullptr;
-  }
-  const auto team = node.deployment->teams.find(name);
-  return team == node.deployment->teams.end() ? nullptr : &team->second;
-}
-
-// Begins a home's bucket with what the home before left in the slot's log; a
-// team without a record was never lent from.
-void OpenBucket(Node& node, const HeldSlot& slot, const DeployedTeam& team) {
-  const RateShare share = ShareOf(team.name);
-  if (uint64_t& epoch = node.rates.home_epochs[team.name];
-      epoch != slot.epoch) {
-    epoch = slot.epoch;
-    node.rates.home.buckets.erase(share);
-    if (const auto kept = slot.rates.find(team.name);
-        kept != slot.rates.end() && kept->second.recorded) {
-      const double level = std::min(kept->second.durable, HomePart(team).burst);
-      TakeOver(node.rates.home,
-               {.share = share,
-                .level = level,
-                .lent = HomePart(team).burst - level},
-               Now());
-    }
-  }
-}
-
-double Kept(const KeptRate& rate) {
-  return std::max(rate.durable, rate.asked);
-}
-
-std::shared_ptr<Promise<bool>> WriteKept(Node& node,
-                                         const HeldSlotPtr& slot,
-                                         const std::string& team,
-                                         double kept) {
-  auto written = std::make_shared<Promise<bool>>(node.io);
-  KeptRate& rate = slot->rates[team];
-  rate.writing = true;
-  rate.asked = kept;
-  Enqueue(node, slot, RateRecord{team, kept}, true,
-          [slot, team, kept, written](bool durable) {
-            KeptRate& now_rate = slot->rates[team];
-            now_rate.writing = false;
-            if (durable) {
-              now_rate.durable = kept;
-              now_rate.recorded = true;
-            }
-            written->Give(durable);
-          });
-  return written;
-}
-
-double KeptOf(double level) {
-  return level * kKeptPart;
-}
-
-LoanAnswer LendKeeping(Node& node,
-                       const HeldSlot& slot,
-                       const DeployedTeam& team,
-                       const LoanWish& wish) {
-  const auto rate = slot.rates.find(team.name);
-  const LendStart start{
-      .first = true,
-      .acting_from = {},
-      .keep = rate == slot.rates.end() ? 0 : Kept(rate->second)};
-  return Lend(node.rates.home, wish, HomePart(team), start, Now());
-}
-
-// Lends as the home. Tokens that are kept for a successor are freed first by
-// a record that keeps fewer.
-Task<std::optional<LoanAnswer>> LendHere(Node& node,
-                                         HeldSlotPtr slot,
-                                         LoanWish wish) {
-  const DeployedTeam* team = TeamNamed(node, wish.share.team);
-  if (team == nullptr) {
-    co_return std::nullopt;
-  }
-  const DeployedTeam known = *team;
-  OpenBucket(node, *slot, known);
-  KeptRate& rate = slot->rates[known.name];
-  rate.lent_at = Now();
-  const auto level =
-      LevelAtHome(node.rates.home, wish.share, HomePart(known), Now());
-  const double at_home = level.value_or(HomePart(known).burst);
-  const bool short_of_kept =
-      at_home - Kept(rate) < wish.needed && at_home >= wish.needed;
-  if (!rate.recorded || short_of_kept) {
-    const double kept = short_of_kept
-                            ? std::max((at_home - wish.needed) / 4, 0.0)
-                            : KeptOf(at_home);
-    const auto written = WriteKept(node, slot, known.name, kept);
-    const auto durable = co_await written->Wait(kRecordPatience);
-    if (slot->lost || (!rate.recorded && !durable.value_or(false))) {
-      co_return std::nullopt;
-    }
-  }
-  co_return LendKeeping(node, *slot, known, wish);
-}
-
 struct Asked {
   bool answered = false;
   Duration retry_after{};
 };
 
-// What a home decides on a wish of any instance, this one among them.
-Task<pb::RateGrant> Decide(Node& node,
-                           HeldSlotPtr slot,
-                           LoanWish wish,
-                           bool newcomer) {
-  pb::RateGrant grant;
-  const DeployedTeam* team = TeamNamed(node, wish.share.team);
-  if (team == nullptr) {
-    grant.set_not_home(true);
-    co_return grant;
-  }
-  const RateLimits limits = HomePart(*team);
-  NewcomerGate& gate = node.rates.newcomers[team->name];
-  OpenBucket(node, *slot, *team);
-  const auto level = LevelAtHome(node.rates.home, wish.share, limits, Now());
-  const double at_home = level.value_or(limits.burst);
-  grant.set_scarce(IsScarce(at_home, limits));
-  if (newcomer && !AdmitNewcomer(gate, at_home, limits, Now())) {
-    grant.set_retry_after_ns(static_cast<uint64_t>(kNewcomerRetry.count()));
-    co_return grant;
-  }
-  const auto answer = co_await LendHere(node, slot, wish);
-  if (!answer) {
-    grant.set_not_home(true);
-    co_return grant;
-  }
-  NoteTokensUsed(node.rates.newcomers[wish.share.team], answer->tokens, Now());
-  grant.set_tokens(answer->tokens);
-  grant.set_retry_after_ns(static_cast<uint64_t>(answer->retry_after.count()));
-  co_return grant;
-}
-
 Asked TakeAnswer(Node& node, const LoanWish& wish, const pb::RateGrant& grant) {
   if (grant.not_home()) {
     return {};
@@ -214,6 +56,33 @@
   return {true, Duration(grant.retry_after_ns())};
 }
 
+pb::RateNews AsNews(const Node& node, const std::vector<LoanNews>& items) {
+  pb::RateNews news;
+  news.set_borrower(node.incarnation);
+  for (const LoanNews& item : items) {
+    pb::RateUse& use = *news.add_uses();
+    use.set_team(item.share.team);
+    use.set_request(item.request);
+    use.set_tokens(item.tokens);
+    use.set_closed(item.closed);
+  }
+  return news;
+}
+
+// What doesn't arrive counts as lent until it expires at the home.
+void SendNews(Node& node, uint32_t home, const std::vector<LoanNews>& items) {
+  if (items.empty()) {
+    return;
+  }
+  if (ActiveSlot(node, home) != nullptr) {
+    TakeRateNews(node, AsNews(node, items));
+  } else if (const PeerLinkPtr link = LinkToHolder(node, home)) {
+    pb::NodeFrame frame;
+    *frame.mutable_rate_news() = AsNews(node, items);
+    SendFrame(link->socket, frame);
+  }
+}
+
 Task<Asked> AskPeerHome(Node& node,
                         PeerLinkPtr link,
                         LoanWish wish,
@@ -226,14 +95,6 @@
   asked.set_needed(wish.needed);
   asked.set_wanted(wish.wanted);
   asked.set_newcomer(newcomer);
-  for (const LoanNews& news : Review(node.rates.borrower, Now())) {
-    if (news.share == wish.share) {
-      pb::RateUse& use = *asked.add_uses();
-      use.set_request(news.request);
-      use.set_tokens(news.tokens);
-      use.set_closed(news.closed);
-    }
-  }
   const auto answer = co_await CallPeer(node.io, node.peers, link,
                                         std::move(frame), kAnswerPatience);
   if (!answer || !answer->has_rate_grant()) {
@@ -247,10 +108,12 @@
                     double needed,
                     bool newcomer) {
   const uint32_t number = HomeSlot(node, team);
+  SendNews(node, number,
+           ReviewShare(node.rates.borrower, ShareOf(team), Now()));
   const LoanWish wish = AskFor(node.rates.borrower, ShareOf(team), needed,
                                node.incarnation, Now());
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
-    const pb::RateGrant grant = co_await Decide(node, slot, wish, newcomer);
+    const pb::RateGrant grant = co_await LendAsHome(node, slot, wish, newcomer);
     co_return TakeAnswer(node, wish, grant);
   }
   const PeerLinkPtr link = LinkToHolder(node, number);
@@ -280,49 +143,13 @@
 
 }  // namespace
 
-Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish) {
-  pb::RateGrant grant;
-  const HeldSlotPtr slot = ActiveSlot(node, HomeSlot(node, wish.team()));
-  const DeployedTeam* team = TeamNamed(node, wish.team());
-  if (slot == nullptr || team == nullptr) {
-    grant.set_not_home(true);
-    co_return grant;
+void ReportLoans(Node& node) {
+  std::map<uint32_t, std::vector<LoanNews>> by_home;
+  for (LoanNews& item : Review(node.rates.borrower, Now())) {
+    by_home[HomeSlot(node, item.share.team)].push_back(std::move(item));
   }
-  for (const pb::RateUse& use : wish.uses()) {
-    TakeLoanNews(node.rates.home,
-                 {.share = ShareOf(wish.team()),
-                  .request = use.request(),
-                  .tokens = use.tokens(),
-                  .closed = use.closed()},
-                 wish.borrower(), HomePart(*team), Now());
-  }
-  const LoanWish asked{
-      .share = ShareOf(wish.team()),
-      .id = {.borrower = wish.borrower(), .request = wish.request()},
-      .needed = wish.needed(),
-      .wanted = wish.wanted()};
-  co_return co_await Decide(node, slot, asked, wish.newcomer());
-}
-
-void KeepRates(Node& node) {
-  const Duration now = Now();
-  for (const auto& [number, slot] : node.slots.held) {
-    if (!slot->active) {
-      continue;
-    }
-    for (auto& [name, rate] : slot->rates) {
-      const DeployedTeam* team = TeamNamed(node, name);
-      if (team == nullptr || rate.writing || !rate.recorded || !rate.lent_at ||
-          now > *rate.lent_at + kLendingLasts) {
-        continue;
-      }
-      const auto level =
-          LevelAtHome(node.rates.home, ShareOf(name), HomePart(*team), now);
-      if (level && std::abs(KeptOf(*level) - rate.durable) >
-                       kDrift * HomePart(*team).burst) {
-        WriteKept(node, slot, name, KeptOf(*level));
-      }
-    }
+  for (const auto& [home, items] : by_home) {
+    SendNews(node, home, items);
   }
 }
 
