node: a turn that needs the store waits a while before it is refused

Cause: a program ends with the third refusal of a turn, so an outage of the store of five to seven seconds ended most programs that began in it. Ruled out: handing out tokens without a durable reservation (a loss of power would break budgets); running first and holding the end (spends budget). Change: such a turn waits for a third of the time it has, then it is refused with the time to come back as before.

--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -25,6 +25,10 @@
 // do, the longer an outage their program outlasts.
 constexpr int kRetryPart = 3;
 constexpr Duration kRetryMargin = std::chrono::milliseconds(40);
+// A turn that needs the store waits for it this part of the time left before it
+// is refused, as outages last seconds and a program ends with its third refusal.
+constexpr int kStoreWaitPart = 3;
+constexpr Duration kStoreStep = std::chrono::milliseconds(50);
 // Of the time left, kept for the caller to get the end.
 constexpr Duration kEndMargin = std::chrono::milliseconds(20);
 
@@ -306,6 +310,29 @@
   co_await Refuse(node, call, RefusalOf(*call, end));
 }
 
+// @return false if the store is still away after `patience`.
+Task<bool> AwaitStore(Node& node, CallPtr call, Duration patience) {
+  const Duration until = Now() + patience;
+  while (!StoreIsReached(node)) {
+    if (Now() + kStoreStep > until || call->caller->gone) {
+      co_return false;
+    }
+    co_await Sleep(node.io, kStoreStep);
+  }
+  co_return true;
+}
+
+// Tokens without a durable reservation can't be handed out, so a turn that has
+// none is not sent to an endpoint while the store is away.
+Task<bool> AwaitCover(Node& node, CallPtr call, const TurnPermit& permit) {
+  if (permit.grant.covered() || StoreIsReached(node)) {
+    co_return true;
+  }
+  const auto covered =
+      co_await permit.covered->Wait(TimeLeft(*call) / kStoreWaitPart);
+  co_return covered.value_or(false);
+}
+
 }  // namespace
 
 Task<> ServeTurn(Node& node, CallPtr call) {
@@ -315,7 +342,8 @@
     relay.tokens_per_event = service->second.engine->tokens_per_event;
   }
   if (NeedsHolder(*call)) {
-    if (!StoreIsReached(node) && call->route->retained) {
+    if (call->route->retained &&
+        !co_await AwaitStore(node, call, TimeLeft(*call) / kStoreWaitPart)) {
       co_await Refuse(node, call,
                       *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
       co_return;
@@ -327,8 +355,7 @@
       co_await Refuse(node, call, *refusal);
       co_return;
     }
-    // Its tokens could not be handed out before the store is back.
-    if (!relay.permit.grant.covered() && !StoreIsReached(node)) {
+    if (!co_await AwaitCover(node, call, relay.permit)) {
       FinishBroken(node, *call, relay);
       co_await Refuse(node, call,
                       *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
