node: the store's return is noticed sooner

Cause: a call that met a silent store kept its caller for up to 1.2 s after the return, and an answer to a call from before the outage passed for the return. Change: probes each 300 ms overlap; the first answer to a call that began after the last failed one shows the return and gives older calls up.

--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -8,6 +8,7 @@
 #include <map>          // for std::map
 #include <memory>       // for std::shared_ptr
 #include <optional>     // for std::optional
+#include <set>          // for std::set
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 
@@ -27,13 +28,16 @@
   boost::beast::flat_buffer buffer;
   Duration idle_since{};
   Duration idle_limit{};  // the peer closes it after so long
+  Duration sent_at{};     // when its last exchange began
   bool reused = false;
+  bool given_up = false;  // by CloseBusy
 };
 using OutConnectionPtr = std::shared_ptr<OutConnection>;
 
-/// @brief Idle connections by address.
+/// @brief Idle connections by address, and those of exchanges under way.
 struct OutPool {
   std::map<std::string, std::deque<OutConnectionPtr>, std::less<>> idle;
+  std::set<OutConnectionPtr> busy;
   uint64_t opened = 0;
 };
 
@@ -60,11 +64,9 @@
   kSilent,        // sent, and no answer in time
   kClosed,        // sent, and the connection ended before the answer
   kGarbled,       // bytes that are no answer
+  kGivenUp,       // ended by CloseBusy
 };
 
-/// @brief Reads one answer, head first, then its body piece by piece.
-class AnswerReader;
-
 /// @brief Takes an idle connection that is at most `freshest` idle, or opens
 /// one.
 Task<OutConnectionPtr> Connect(asio::io_context& loop,
@@ -80,6 +82,9 @@
               const OutConnectionPtr& connection,
               const AnswerHead& head);
 
+/// @brief Gives up exchanges that began before `moment`.
+void CloseBusy(OutPool& pool, Duration moment);
+
 /// @brief Closes idle connections that their peers will close soon.
 void CloseOldIdle(OutPool& pool, Duration now);
 
--- a/include/celerykeel/node/store_client.h
+++ b/include/celerykeel/node/store_client.h
@@ -20,6 +20,7 @@
   OutPool pool;
   std::optional<Duration> reached_at;   // last answer on the direct way
   std::optional<Duration> troubled_at;  // last failure on the direct way
+  Duration failed_call_at{};            // when the newest failed call began
   bool lost = false;                    // the direct way fails just now
   uint64_t calls = 0;
   uint64_t relayed = 0;  // calls that a peer made for this instance
@@ -40,4 +41,12 @@
 /// @brief True if a call would likely succeed now, on any way.
 bool StoreIsReached(const Node& node);
 
+/// @brief Waits until the store is reached.
+/// @return false if it is still away after `patience`.
+Task<bool> AwaitStore(Node& node, Duration patience);
+
+/// @brief Probes the store while it is away, so that all who wait for it go on
+/// soon after its return.
+Task<> ProbeStore(Node& node);
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -17,6 +17,9 @@
 // once; this pace leaves most of the drain time for calls on their way.
 constexpr Duration kEndpointPace = std::chrono::milliseconds(400);
 constexpr Duration kPause = std::chrono::milliseconds(100);
+// While the store is away, probes tell of its return; a read is tried from time
+// to time all the same.
+constexpr Duration kTryAnyway = std::chrono::seconds(1);
 // The store can serve reads that are seconds old.
 constexpr Duration kReadAgain = std::chrono::milliseconds(150);
 
@@ -146,6 +149,7 @@
 Task<> FollowDeployment(Node& node) {
   std::optional<uint64_t> next;
   while (true) {
+    co_await AwaitStore(node, kTryAnyway);
     if (!next) {
       next = co_await ReadNewestDeployment(node);
       if (!next || node.deployment == nullptr) {
@@ -177,6 +181,7 @@
 Task<> FollowEndpoints(Node& node) {
   std::optional<uint64_t> next;
   while (true) {
+    co_await AwaitStore(node, kTryAnyway);
     if (!next) {
       next = co_await ReadAllEndpoints(node);
       co_await Sleep(node.io, next ? kEndpointPace : kPause);
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -125,6 +125,15 @@
   idle.push_back(connection);
 }
 
+void CloseBusy(OutPool& pool, Duration moment) {
+  for (const OutConnectionPtr& connection : pool.busy) {
+    if (connection->sent_at < moment) {
+      connection->given_up = true;
+      Close(*connection);
+    }
+  }
+}
+
 void CloseOldIdle(OutPool& pool, Duration now) {
   for (auto& [address, idle] : pool.idle) {
     while (!idle.empty() &&
@@ -171,36 +180,56 @@
   co_return std::nullopt;
 }
 
-Task<tl::expected<WholeAnswer, ExchangeError>> Exchange(asio::io_context& loop,
-                                                        OutPool& pool,
-                                                        std::string address,
-                                                        OutRequest request,
-                                                        Duration patience) {
-  const auto until = asio::steady_timer::clock_type::now() + Steady(patience);
-  auto connection =
-      co_await Connect(loop, pool, address, Duration::max(), patience);
-  if (connection == nullptr) {
-    co_return tl::unexpected(ExchangeError::kNotConnected);
-  }
+namespace {
+
+Task<tl::expected<WholeAnswer, ExchangeError>> ExchangeOver(
+    OutConnectionPtr connection,
+    const OutRequest& request,
+    Duration patience,
+    asio::steady_timer::time_point until) {
   if (const auto error = co_await SendRequest(*connection, request, patience)) {
-    Close(*connection);
     co_return tl::unexpected(*error);
   }
   AnswerReader reader(connection);
   WholeAnswer answer;
   auto head = co_await reader.ReadHead(until);
   if (!head) {
-    Close(*connection);
     co_return tl::unexpected(head.error());
   }
   answer.head = std::move(*head);
   auto body = co_await reader.ReadAll(until, kMostBody);
   if (!body) {
-    Close(*connection);
     co_return tl::unexpected(body.error());
   }
   answer.body = std::move(*body);
-  GiveBack(pool, address, connection, answer.head);
+  co_return answer;
+}
+
+}  // namespace
+
+Task<tl::expected<WholeAnswer, ExchangeError>> Exchange(asio::io_context& loop,
+                                                        OutPool& pool,
+                                                        std::string address,
+                                                        OutRequest request,
+                                                        Duration patience) {
+  const auto until = asio::steady_timer::clock_type::now() + Steady(patience);
+  auto connection =
+      co_await Connect(loop, pool, address, Duration::max(), patience);
+  if (connection == nullptr) {
+    co_return tl::unexpected(ExchangeError::kNotConnected);
+  }
+  connection->sent_at = Now();
+  pool.busy.insert(connection);
+  auto answer = co_await ExchangeOver(connection, request, patience, until);
+  pool.busy.erase(connection);
+  if (answer) {
+    GiveBack(pool, address, connection, answer->head);
+  } else {
+    Close(*connection);
+    if (connection->given_up) {
+      co_return tl::unexpected(ExchangeError::kGivenUp);
+    }
+  }
   co_return answer;
 }
 
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -6,6 +6,7 @@
 #include "celerykeel/node/caller_server.h"  // for ServeCallers
 #include "celerykeel/node/feeds.h"          // for FollowDeployment
 #include "celerykeel/node/fleet.h"          // for RunFleet
+#include "celerykeel/node/store_client.h"   // for ProbeStore
 
 namespace celerykeel {
 
@@ -32,6 +33,7 @@
   Spawn(node.io, FollowDeployment(node));
   Spawn(node.io, FollowEndpoints(node));
   Spawn(node.io, RunMembership(node));
+  Spawn(node.io, ProbeStore(node));
   Spawn(node.io, RunFleet(node));
   Spawn(node.io, ServeCallers(node));
 }
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -1,9 +1,11 @@
 #include "celerykeel/node/store_client.h"
 
-#include <utility>  // for std::move
+#include <algorithm>  // for std::max
+#include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/base/clock.h"     // for Now
+#include "celerykeel/node/node.h"      // for Node
+#include "platform/deployment_json.h"  // for platform::kConfigurationTopic
 
 namespace celerykeel {
 
@@ -12,6 +14,11 @@
 // An append takes 4 ms and waits at most 2 s in the store before it is
 // refused; a call that is silent for longer has lost its answer.
 constexpr Duration kPatience = std::chrono::milliseconds(1200);
+constexpr Duration kProbePace = std::chrono::milliseconds(300);
+constexpr Duration kWaitStep = std::chrono::milliseconds(30);
+// An answer that takes longer is unusual: a call that began by so much before
+// one that was answered is taken for lost.
+constexpr Duration kUsualAnswer = std::chrono::milliseconds(60);
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
@@ -30,23 +37,33 @@
       return "connection closed";
     case ExchangeError::kGarbled:
       return "garbled";
+    case ExchangeError::kGivenUp:
+      return "given up";
   }
   return "unknown";
 }
 
-void NoteOutcome(Node& node, const platform::StoreResponse& response) {
+// A call that began before the last failed one may have been answered before
+// the store went away, so its answer does not show that the store is back.
+void NoteOutcome(Node& node,
+                 const platform::StoreResponse& response,
+                 Duration began) {
   StoreClient& store = node.store;
   const Duration now = Now();
   if (!IsTrouble(response)) {
     store.reached_at = now;
-    if (store.lost) {
+    if (store.lost && began > store.failed_call_at) {
       store.lost = false;
       node.endpoints.store_back_at = now;
-      WriteLog(node.log, LogLevel::kUnusual, "store regained");
+      // Calls that the store never answers would only end with their patience.
+      CloseBusy(store.pool, began - kUsualAnswer);
+      WriteLog(node.log, LogLevel::kUnusual, "store regained",
+               {{"after_ms", now - store.troubled_at.value_or(now)}});
     }
     return;
   }
   store.troubled_at = now;
+  store.failed_call_at = std::max(store.failed_call_at, began);
   if (!store.lost) {
     store.lost = true;
     WriteLog(node.log, LogLevel::kUnusual, "store lost",
@@ -113,6 +130,7 @@
                                               platform::StoreRequest request,
                                               Duration patience) {
   ++node.store.calls;
+  const Duration began = Now();
   const OutRequest out{.method = request.method,
                        .target = request.target,
                        .host = node.options.store_address,
@@ -126,8 +144,11 @@
     response.body = std::move(answer->body);
   } else {
     response.body = Reason(answer.error());
+    if (answer.error() == ExchangeError::kGivenUp) {
+      co_return response;  // says nothing of the store
+    }
   }
-  NoteOutcome(node, response);
+  NoteOutcome(node, response, began);
   co_return response;
 }
 
@@ -165,4 +186,39 @@
   return false;
 }
 
+Task<bool> AwaitStore(Node& node, Duration patience) {
+  const Duration until = Now() + patience;
+  while (!StoreIsReached(node)) {
+    if (Now() + kWaitStep > until) {
+      co_return false;
+    }
+    co_await Sleep(node.io, kWaitStep);
+  }
+  co_return true;
+}
+
+namespace {
+
+Task<> ProbeOnce(Node& node) {
+  // Any answer will do; there is no record to carry at this offset.
+  constexpr uint64_t kBeyondEnd = 1ULL << 40;
+  const ReadCall read{.topic = std::string(platform::kConfigurationTopic),
+                      .partition = 0,
+                      .from = kBeyondEnd,
+                      .wait_ms = 0};
+  co_await CallStoreDirect(node, platform::EncodeRead(read), kPatience);
+}
+
+}  // namespace
+
+// Probes overlap: one that meets silence does not keep the next one back.
+Task<> ProbeStore(Node& node) {
+  while (true) {
+    co_await Sleep(node.io, kProbePace);
+    if (node.store.lost) {
+      Spawn(node.io, ProbeOnce(node));
+    }
+  }
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/core/event_stream.h"  // for EventSplitter
 #include "celerykeel/node/attempts.h"      // for StartAttempt
 #include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/store_client.h"  // for AwaitStore
 #include "celerykeel/node/turn_holder.h"   // for AskHolder
 
 namespace celerykeel {
@@ -26,9 +27,9 @@
 constexpr int kRetryPart = 3;
 constexpr Duration kRetryMargin = std::chrono::milliseconds(40);
 // A turn that needs the store waits for it this part of the time left before it
-// is refused, as outages last seconds and a program ends with its third refusal.
+// is refused, as outages last seconds and a program ends with its third
+// refusal.
 constexpr int kStoreWaitPart = 3;
-constexpr Duration kStoreStep = std::chrono::milliseconds(50);
 // Of the time left, kept for the caller to get the end.
 constexpr Duration kEndMargin = std::chrono::milliseconds(20);
 
@@ -310,18 +311,6 @@
   co_await Refuse(node, call, RefusalOf(*call, end));
 }
 
-// @return false if the store is still away after `patience`.
-Task<bool> AwaitStore(Node& node, CallPtr call, Duration patience) {
-  const Duration until = Now() + patience;
-  while (!StoreIsReached(node)) {
-    if (Now() + kStoreStep > until || call->caller->gone) {
-      co_return false;
-    }
-    co_await Sleep(node.io, kStoreStep);
-  }
-  co_return true;
-}
-
 // Tokens without a durable reservation can't be handed out, so a turn that has
 // none is not sent to an endpoint while the store is away.
 Task<bool> AwaitCover(Node& node, CallPtr call, const TurnPermit& permit) {
@@ -343,7 +332,7 @@
   }
   if (NeedsHolder(*call)) {
     if (call->route->retained &&
-        !co_await AwaitStore(node, call, TimeLeft(*call) / kStoreWaitPart)) {
+        !co_await AwaitStore(node, TimeLeft(*call) / kStoreWaitPart)) {
       co_await Refuse(node, call,
                       *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
       co_return;
