node: metrics, and a story of a request from its logs

Counters and histograms by prometheus-cpp on metrics_address; celerykeelctl story reads logs of several instances; lines bear the wall clock as well. Settings that were read and not used are gone.

--- a/include/celerykeel/ctl/options.h
+++ b/include/celerykeel/ctl/options.h
@@ -17,6 +17,7 @@
   kAudit,
   kExplain,
   kKeyMake,
+  kStory,
 };
 
 enum class ExplainKind { kProgram, kTeam, kEndpoint };
@@ -25,7 +26,7 @@
 struct CtlOptions {
   CtlCommand command = CtlCommand::kStatus;
   ExplainKind explain = ExplainKind::kProgram;
-  std::string subject;      // of explain
+  std::string subject;      // of explain and story
   std::string ticket_file;  // read by check and submit, written by key make
   TicketNumber number = 0;  // of show and key make
   std::string feed;         // host:port; empty: check without a fleet
--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -26,12 +26,14 @@
   Duration deadline{};  // the answer is due
   std::string service;
   std::string preferred_endpoint;
-  std::set<std::string> tried;  // endpoints
-  OutConnectionPtr attempt;     // the connection in use
-  uint32_t tries = 0;           // endpoints chosen
-  uint32_t runs = 0;            // of these, those that may have run it
-  std::string last_event;       // relayed
-  uint64_t events = 0;          // relayed
+  std::set<std::string> tried;         // endpoints
+  OutConnectionPtr attempt;            // the connection in use
+  uint32_t tries = 0;                  // endpoints chosen
+  uint32_t runs = 0;                   // of these, those that may have run it
+  std::string last_event;              // relayed
+  uint64_t events = 0;                 // relayed
+  std::optional<Duration> sent_after;  // its arrival, first try
+  std::optional<Duration> first_event_after;  // its arrival
 };
 using CallPtr = std::shared_ptr<Call>;
 
--- a/include/celerykeel/node/caller_server.h
+++ b/include/celerykeel/node/caller_server.h
@@ -9,9 +9,12 @@
 /// @brief Accepts callers and serves their connections.
 Task<> ServeCallers(Node& node);
 
-/// @brief Answers whether this instance takes callers, and its metrics.
+/// @brief Answers whether this instance takes callers.
 Task<> ServeReadiness(Node& node);
 
+/// @brief Answers with the metrics, if the settings name an address for them.
+Task<> ServeMetrics(Node& node);
+
 /// @brief Stops taking callers, finishes what is under way, and ends the loop.
 Task<> StopGracefully(Node& node);
 
--- a/include/celerykeel/node/log_sink.h
+++ b/include/celerykeel/node/log_sink.h
@@ -35,7 +35,7 @@
   std::string json;
 };
 
-/// @brief Structured lines on standard output, one JSON object each. Writing
+/// @brief Structured lines, one JSON object each. Writing
 /// never blocks: what the reader does not take in time is dropped and counted.
 struct LogSink {
   std::string instance;
@@ -44,23 +44,28 @@
   Duration refilled_at{};
   uint64_t sampled_out = 0;  // since the last line that says so
   uint64_t dropped = 0;
+  uint64_t all_sampled_out = 0;  // since the start
+  uint64_t all_dropped = 0;
   std::string buffer;
-  bool is_silent = false;  // writes nothing
+  int descriptor = 1;  // standard output, but for tests
 };
 
-/// @brief Makes standard output non-blocking.
+/// @brief Begins a log on standard output, which becomes non-blocking.
 void OpenLog(LogSink& log, std::string_view instance);
 
 /// @brief Adds a line.
 ///
 ///     WriteLog(log, LogLevel::kUnusual, "slot taken", {{"slot", slot}});
-///     // {"ms":1207,"instance":"a","event":"slot taken","slot":3}
+///     // {"at":1796368127000,"ms":1207,"instance":"a","event":"slot taken",
+///     //  "slot":3}
+///
+/// `at` is Unix milliseconds, `ms` milliseconds since the machine's start.
 void WriteLog(LogSink& log,
               LogLevel level,
               std::string_view event,
               std::initializer_list<LogValue> fields = {});
 
-/// @brief Hands the buffer to standard output, as far as it takes it.
+/// @brief Hands the buffer over, as far as the reader takes it.
 void FlushLog(LogSink& log);
 
 /// @brief One line on standard output before the process ends.
--- /dev/null
+++ b/include/celerykeel/node/metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <prometheus/counter.h>    // for prometheus::Counter
+#include <prometheus/family.h>     // for prometheus::Family
+#include <prometheus/gauge.h>      // for prometheus::Gauge
+#include <prometheus/histogram.h>  // for prometheus::Histogram
+#include <prometheus/registry.h>   // for prometheus::Registry
+
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+
+#include "celerykeel/core/time.h"  // for Duration
+
+namespace celerykeel {
+
+struct Node;
+
+/// @brief Counters and histograms of one instance; docs/OPERATIONS.md tells
+/// what to do about each. Names begin with celerykeel_.
+struct NodeMetrics {
+  NodeMetrics();
+
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& refusals;  // by status and reason
+  prometheus::Family<prometheus::Counter>& attempts;  // by outcome
+  prometheus::Family<prometheus::Counter>& turns;     // by outcome
+  prometheus::Histogram& before_send_seconds;
+  prometheus::Histogram& first_event_seconds;
+  prometheus::Histogram& append_seconds;
+  prometheus::Family<prometheus::Gauge>& levels;  // by name, set when asked
+};
+
+/// @brief Counts one more of a kind that `label` names.
+void Count(prometheus::Family<prometheus::Counter>& family,
+           const std::string& label,
+           std::string_view value);
+
+/// @brief Counts a refusal of this instance's own.
+void CountRefusal(NodeMetrics& metrics, int status, std::string_view reason);
+
+void Observe(prometheus::Histogram& histogram, Duration duration);
+
+/// @brief All metrics in the text format, with levels of this moment.
+std::string RenderMetrics(Node& node);
+
+}  // namespace celerykeel
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -15,6 +15,7 @@
 #include "celerykeel/node/asio.h"            // for asio::io_context
 #include "celerykeel/node/caller_stream.h"   // for CallerStream
 #include "celerykeel/node/log_sink.h"        // for LogSink
+#include "celerykeel/node/metrics.h"         // for NodeMetrics
 #include "celerykeel/node/options.h"         // for NodeOptions
 #include "celerykeel/node/out_connection.h"  // for OutPool
 #include "celerykeel/node/peer_link.h"       // for PeerNetwork
@@ -54,6 +55,7 @@
   NodeOptions options;
   Incarnation incarnation = 0;
   LogSink log;
+  NodeMetrics metrics;
 
   std::shared_ptr<const Deployment> deployment;  // null until one is known
   OutPool endpoint_pool;
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -18,20 +18,14 @@
   std::string ip;
   std::string callers_address;    // IP:PORT
   std::string readiness_address;  // IP:PORT
+  std::string metrics_address;    // IP:PORT; empty: no metrics
   uint16_t peer_port = 0;         // for other instances
-  bool first_start = false;       // the whole fleet starts for the first time
   std::string store_address;      // IP:PORT
   uint32_t store_partitions = 8;
   Duration store_retention{};
   size_t store_record_bytes = 262144;
   size_t store_call_bytes = 2097152;
-  Duration heartbeat{};        // of endpoints, in the store
-  Duration drain_time{};       // an endpoint that leaves serves so much longer
-  Duration apply_time{};       // a new configuration is in force by then
-  Duration stop_time{};        // between the order to stop and the kill
-  Duration quota_window{};     // over which a team's rate is judged
-  double quota_overshoot = 0;  // allowed, as a part
-  double quota_slack = 0;      // allowed besides, requests
+  Duration stop_time{};  // between the order to stop and the kill
 };
 
 /// @brief All that is wrong with a settings file.
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -3,6 +3,7 @@
 #include <algorithm>   // for std::min
 #include <filesystem>  // for std::filesystem::path
 #include <fstream>     // for std::ifstream, std::ofstream
+#include <iostream>    // for std::cin
 #include <iterator>    // for std::istreambuf_iterator
 #include <optional>    // for std::optional
 #include <thread>      // for std::this_thread
@@ -16,6 +17,7 @@
 #include "celerykeel/ctl/key_make.h"       // for MakeKey
 #include "celerykeel/ctl/submit.h"         // for SubmitTicket
 #include "celerykeel/ctl/views.h"          // for ShowStatus
+#include "celerykeel/wire/log_story.h"     // for FindStory
 #include "celerykeel/wire/ticket_json.h"   // for ParseTicketJson
 
 namespace celerykeel {
@@ -199,6 +201,20 @@
   return ShowKey(minted, options);
 }
 
+Report RunStory(const CtlOptions& options) {
+  const LogStory story = FindStory(std::cin, options.subject);
+  Report report;
+  report.exit_status = story.steps.empty() ? kExitFailed : kExitDone;
+  report.text = RenderStory(story);
+  report.data["id"] = story.id;
+  report.data["conclusion"] = story.conclusion;
+  report.data["steps"] = nlohmann::ordered_json::array();
+  for (const LogLine& line : story.steps) {
+    report.data["steps"].push_back(nlohmann::ordered_json(line.fields));
+  }
+  return report;
+}
+
 }  // namespace
 
 Report RunCommand(const CtlOptions& options) {
@@ -208,6 +224,8 @@
       return RunTicketFile(options);
     case CtlCommand::kKeyMake:
       return RunKeyMake(options);
+    case CtlCommand::kStory:
+      return RunStory(options);
     default:
       return RunWithFleet(
           options, [](const Session& session) { return session.Show(); });
--- a/src/celerykeel/ctl/options.cc
+++ b/src/celerykeel/ctl/options.cc
@@ -18,9 +18,13 @@
   celerykeelctl audit [options]
   celerykeelctl explain (program|team|endpoint) <id> [options]
   celerykeelctl key make [options]
+  celerykeelctl story <id> [options]
   celerykeelctl -h | --help
   celerykeelctl --version
 
+`story` reads logs of instances on standard input and tells what became of a
+request, by its id.
+
 Options:
   --feed=ADDRESS     Feed of any steward, IP:port. `ticket check` without it
                      checks the file alone.
@@ -60,6 +64,7 @@
   return HasWord(reader, "audit")     ? CtlCommand::kAudit
          : HasWord(reader, "explain") ? CtlCommand::kExplain
          : HasWord(reader, "key")     ? CtlCommand::kKeyMake
+         : HasWord(reader, "story")   ? CtlCommand::kStory
                                       : CtlCommand::kStatus;
 }
 
@@ -78,7 +83,8 @@
 }
 
 bool NeedsFleet(CtlCommand command) {
-  return command != CtlCommand::kKeyMake && command != CtlCommand::kTicketCheck;
+  return command != CtlCommand::kKeyMake &&
+         command != CtlCommand::kTicketCheck && command != CtlCommand::kStory;
 }
 
 }  // namespace
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -100,6 +100,7 @@
                 const Call& call,
                 const Attempt& attempt,
                 std::string_view outcome) {
+  Count(node.metrics.attempts, "outcome", outcome);
   WriteLog(node.log, LogLevel::kOrdinary, "attempt",
            {{"id", call.request.facts.id},
             {"team", call.team == nullptr ? "" : call.team->name},
@@ -108,6 +109,7 @@
             {"try", call.tries},
             {"status", attempt.head.status},
             {"outcome", outcome},
+            {"sent_ms", call.sent_after.value_or(Duration::zero())},
             {"after_ms", Now() - call.arrived_at}});
 }
 
@@ -176,6 +178,10 @@
                        .headers = platform::EncodeAttempt(
                            call->request, FactsFor(*call, endpoint)),
                        .body = body};
+  if (!call->sent_after) {
+    call->sent_after = Now() - call->arrived_at;
+    Observe(node.metrics.before_send_seconds, *call->sent_after);
+  }
   ++call->runs;  // until it is known that it did not run
   const auto until = Until(HeadPatience(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -60,6 +60,7 @@
 }
 
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal) {
+  CountRefusal(node.metrics, refusal.status, refusal.reason);
   WriteLog(
       node.log, LogLevel::kOrdinary, "refused",
       {{"id", call->request.facts.id},
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -6,8 +6,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <optional>  // for std::optional
-#include <utility>   // for std::move
+#include <functional>  // for std::function
+#include <optional>    // for std::optional
+#include <utility>     // for std::move
 
 #include "celerykeel/base/clock.h"      // for Now
 #include "celerykeel/node/call_path.h"  // for ServeCall
@@ -161,10 +162,18 @@
   caller->stream.socket().close(ignored);
 }
 
-Task<> AnswerReadiness(Node& node, Tcp::socket socket) {
+/// What an operators' address answers to any request.
+struct StatusAnswer {
+  bool is_ok = true;
+  std::string body;
+};
+using StatusSource = std::function<StatusAnswer()>;
+
+Task<> AnswerStatus(Tcp::socket socket, StatusSource source) {
   auto caller = std::make_shared<CallerStream>(std::move(socket));
   constexpr auto kIdle = std::chrono::seconds(30);
   constexpr int kOk = 200;
+  constexpr int kUnavailable = 503;
   while (!caller->broken) {
     http::request_parser<http::string_body> parser;
     caller->stream.expires_after(kIdle);
@@ -175,17 +184,28 @@
       break;
     }
     caller->keep_alive = parser.get().keep_alive();
-    if (IsReady(node)) {
-      co_await SendWhole(caller, kOk, {}, "ready\n");
-    } else {
-      co_await SendRefusal(caller, {503, "not ready", {}});
-    }
+    StatusAnswer answer = source();
+    HeaderList headers{{"Content-Type", "text/plain; version=0.0.4"}};
+    co_await SendWhole(caller, answer.is_ok ? kOk : kUnavailable,
+                       std::move(headers), std::move(answer.body));
     if (!caller->keep_alive) {
       break;
     }
   }
 }
 
+Task<> ServeStatus(Node& node, std::string address, StatusSource source) {
+  Tcp::acceptor acceptor(node.io, ParseListen(address));
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket(node.io);
+    co_await acceptor.async_accept(socket, Into(error));
+    if (!error) {
+      Spawn(node.io, AnswerStatus(std::move(socket), source));
+    }
+  }
+}
+
 }  // namespace
 
 Task<> ServeCallers(Node& node) {
@@ -207,15 +227,21 @@
 }
 
 Task<> ServeReadiness(Node& node) {
-  Tcp::acceptor acceptor(node.io, ParseListen(node.options.readiness_address));
-  while (true) {
-    ErrorCode error;
-    Tcp::socket socket(node.io);
-    co_await acceptor.async_accept(socket, Into(error));
-    if (!error) {
-      Spawn(node.io, AnswerReadiness(node, std::move(socket)));
-    }
+  StatusSource source = [&node] {
+    return IsReady(node) ? StatusAnswer{true, "ready\n"}
+                         : StatusAnswer{false, "not ready\n"};
+  };
+  co_await ServeStatus(node, node.options.readiness_address, std::move(source));
+}
+
+Task<> ServeMetrics(Node& node) {
+  if (node.options.metrics_address.empty()) {
+    co_return;
   }
+  StatusSource source = [&node] {
+    return StatusAnswer{true, RenderMetrics(node)};
+  };
+  co_await ServeStatus(node, node.options.metrics_address, std::move(source));
 }
 
 Task<> StopGracefully(Node& node) {
--- a/src/celerykeel/node/log_sink.cc
+++ b/src/celerykeel/node/log_sink.cc
@@ -8,7 +8,7 @@
 #include <fmt/format.h>       // for fmt::format_to
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
-#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/base/clock.h"  // for Now, WallNow
 
 namespace celerykeel {
 
@@ -36,6 +36,7 @@
   log.refilled_at = now;
   if (log.ordinary_left < 1) {
     ++log.sampled_out;
+    ++log.all_sampled_out;
     return false;
   }
   log.ordinary_left -= 1;
@@ -65,9 +66,9 @@
   log.instance = instance;
   log.refilled_at = Now();
   log.ordinary_left = log.ordinary_per_second;
-  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  const int flags = fcntl(log.descriptor, F_GETFL);
   if (flags >= 0) {
-    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    fcntl(log.descriptor, F_SETFL, flags | O_NONBLOCK);
   }
 }
 
@@ -75,20 +76,18 @@
               LogLevel level,
               std::string_view event,
               std::initializer_list<LogValue> fields) {
-  if (log.is_silent) {
-    return;
-  }
   const Duration now = Now();
   if (level == LogLevel::kOrdinary && !TakeOrdinary(log, now)) {
     return;
   }
   if (log.buffer.size() > kMostBuffered) {
     ++log.dropped;
+    ++log.all_dropped;
     return;
   }
   auto out = std::back_inserter(log.buffer);
-  fmt::format_to(out, R"({{"ms":{},"instance":"{}","event":"{}")", Millis(now),
-                 log.instance, event);
+  fmt::format_to(out, R"({{"at":{},"ms":{},"instance":"{}","event":"{}")",
+                 WallNow(), Millis(now), log.instance, event);
   for (const LogValue& field : fields) {
     fmt::format_to(out, R"(,"{}":{})", field.name, field.json);
   }
@@ -107,7 +106,7 @@
 void FlushLog(LogSink& log) {
   size_t done = 0;
   while (done < log.buffer.size()) {
-    const ssize_t count = write(STDOUT_FILENO, log.buffer.data() + done,
+    const ssize_t count = write(log.descriptor, log.buffer.data() + done,
                                 log.buffer.size() - done);
     if (count <= 0) {
       break;  // the reader is slow: the rest waits for the next flush
--- /dev/null
+++ b/src/celerykeel/node/metrics.cc
@@ -0,0 +1,141 @@
+#include "celerykeel/node/metrics.h"
+
+#include <prometheus/text_serializer.h>  // for prometheus::TextSerializer
+
+#include <algorithm>  // for std::count_if
+
+#include "celerykeel/base/clock.h"  // for Now
+#include "celerykeel/node/node.h"   // for Node
+
+namespace celerykeel {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using Boundaries = Histogram::BucketBoundaries;
+
+Family<Counter>& Counters(prometheus::Registry& registry,
+                          const std::string& name,
+                          const std::string& help) {
+  return prometheus::BuildCounter()
+      .Name("celerykeel_" + name + "_total")
+      .Help(help)
+      .Register(registry);
+}
+
+Histogram& Seconds(prometheus::Registry& registry,
+                   const std::string& name,
+                   const std::string& help,
+                   const Boundaries& boundaries) {
+  return prometheus::BuildHistogram()
+      .Name("celerykeel_" + name + "_seconds")
+      .Help(help)
+      .Register(registry)
+      .Add({}, boundaries);
+}
+
+Boundaries ShortTimes() {
+  return {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2};
+}
+
+Boundaries CallTimes() {
+  return {0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4};
+}
+
+void SetLevel(NodeMetrics& metrics, const std::string& name, double value) {
+  metrics.levels.Add({{"of", name}}).Set(value);
+}
+
+size_t MembersInTouch(const Node& node, Duration now) {
+  return static_cast<size_t>(std::count_if(
+      node.fleet.members.begin(), node.fleet.members.end(),
+      [now](const auto& entry) { return IsInTouch(entry.second, now); }));
+}
+
+size_t SlotsWithoutHolder(const Node& node) {
+  return static_cast<size_t>(std::count_if(
+      node.fleet.slots.begin(), node.fleet.slots.end(),
+      [](const SlotHolder& holder) { return holder.instance.empty(); }));
+}
+
+}  // namespace
+
+NodeMetrics::NodeMetrics()
+    : refusals(Counters(this->registry,
+                        "refusals",
+                        "Requests that this instance refused itself.")),
+      attempts(Counters(this->registry,
+                        "attempts",
+                        "Requests sent to endpoints, by how it went.")),
+      turns(Counters(this->registry, "turns", "Streams, by how they ended.")),
+      before_send_seconds(
+          Seconds(this->registry,
+                  "before_send",
+                  "From a read request to its first sending to an endpoint.",
+                  ShortTimes())),
+      first_event_seconds(
+          Seconds(this->registry,
+                  "first_event",
+                  "From a read request to the first event sent to its caller.",
+                  CallTimes())),
+      append_seconds(Seconds(this->registry,
+                             "append",
+                             "From a slot's append to its acknowledgement.",
+                             ShortTimes())),
+      levels(prometheus::BuildGauge()
+                 .Name("celerykeel_level")
+                 .Help("State of the moment, by what it is of.")
+                 .Register(this->registry)) {}
+
+void Count(Family<Counter>& family,
+           const std::string& label,
+           std::string_view value) {
+  family.Add({{label, std::string(value)}}).Increment();
+}
+
+void CountRefusal(NodeMetrics& metrics, int status, std::string_view reason) {
+  metrics.refusals
+      .Add(
+          {{"status", std::to_string(status)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void Observe(Histogram& histogram, Duration duration) {
+  histogram.Observe(std::chrono::duration<double>(duration).count());
+}
+
+std::string RenderMetrics(Node& node) {
+  NodeMetrics& metrics = node.metrics;
+  const Duration now = Now();
+  SetLevel(metrics, "ready", IsReady(node) ? 1 : 0);
+  SetLevel(metrics, "store_reached", node.store.lost ? 0 : 1);
+  SetLevel(metrics, "store_reached_over_peers", StoreIsReached(node) ? 1 : 0);
+  SetLevel(metrics, "store_calls", static_cast<double>(node.store.calls));
+  SetLevel(metrics, "configuration_version",
+           node.deployment == nullptr
+               ? 0
+               : static_cast<double>(node.deployment->version));
+  SetLevel(metrics, "members_in_touch",
+           static_cast<double>(MembersInTouch(node, now)));
+  SetLevel(metrics, "slots_held", static_cast<double>(node.slots.held.size()));
+  SetLevel(metrics, "slots_without_holder",
+           static_cast<double>(SlotsWithoutHolder(node)));
+  SetLevel(metrics, "endpoints",
+           static_cast<double>(node.endpoints.endpoints.size()));
+  SetLevel(metrics, "entries_skipped",
+           static_cast<double>(node.entries_skipped));
+  SetLevel(metrics, "calls_under_way",
+           static_cast<double>(node.calls_under_way));
+  SetLevel(metrics, "endpoint_connections_opened",
+           static_cast<double>(node.endpoint_pool.opened));
+  SetLevel(metrics, "log_lines_sampled_out",
+           static_cast<double>(node.log.all_sampled_out));
+  SetLevel(metrics, "log_lines_dropped",
+           static_cast<double>(node.log.all_dropped));
+  return prometheus::TextSerializer().Serialize(metrics.registry.Collect());
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -26,6 +26,10 @@
     return found->get<std::string>();
   }
 
+  std::string OptionalText(const char* name) const {
+    return this->settings.contains(name) ? this->Text(name) : std::string();
+  }
+
   double Number(const char* name, double lowest, double highest) const {
     const auto found = this->settings.find(name);
     if (found == this->settings.end() || !found->is_number()) {
@@ -42,23 +46,11 @@
     return value;
   }
 
-  Duration Millis(const char* name) const {
-    constexpr double kLongest = 24 * 3600 * 1000.0;
-    return Duration(
-        static_cast<int64_t>(this->Number(name, 0, kLongest) * 1e6));
-  }
-
   Duration Seconds(const char* name) const {
     constexpr double kLongest = 24 * 3600.0;
     return Duration(
         static_cast<int64_t>(this->Number(name, 0, kLongest) * 1e9));
   }
-
-  bool Flag(const char* name) const {
-    const auto found = this->settings.find(name);
-    return found != this->settings.end() && found->is_boolean() &&
-           found->get<bool>();
-  }
 };
 
 }  // namespace
@@ -74,7 +66,6 @@
   constexpr double kMostPort = 65535;
   constexpr double kMostPartitions = 1024;
   constexpr double kMostBytes = 1e9;
-  constexpr double kAnyNumber = 1e9;
   const FieldReader read{settings, wrong.mistakes};
   NodeOptions options;
   options.instance = read.Text("instance");
@@ -82,9 +73,9 @@
   options.ip = read.Text("ip");
   options.callers_address = read.Text("callers_address");
   options.readiness_address = read.Text("readiness_address");
+  options.metrics_address = read.OptionalText("metrics_address");
   options.peer_port =
       static_cast<uint16_t>(read.Number("peer_port", 1, kMostPort));
-  options.first_start = read.Flag("first_start");
   options.store_address = read.Text("store_address");
   options.store_partitions = static_cast<uint32_t>(
       read.Number("store_partitions", 1, kMostPartitions));
@@ -93,13 +84,7 @@
       static_cast<size_t>(read.Number("store_record_bytes", 1024, kMostBytes));
   options.store_call_bytes =
       static_cast<size_t>(read.Number("store_call_bytes", 1024, kMostBytes));
-  options.heartbeat = read.Millis("endpoint_heartbeat_ms");
-  options.drain_time = read.Millis("drain_ms");
-  options.apply_time = read.Millis("apply_ms");
   options.stop_time = read.Seconds("stop_s");
-  options.quota_window = read.Seconds("quota_window_s");
-  options.quota_overshoot = read.Number("quota_overshoot", 0, 1);
-  options.quota_slack = read.Number("quota_slack", 0, kAnyNumber);
   if (!wrong.mistakes.empty()) {
     return tl::unexpected(wrong);
   }
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -81,6 +81,7 @@
                     .records = {}};
     const auto batch = TakeBatch(node, *slot, call.records);
     Duration pause = kFirstPause;
+    const Duration began = Now();
     while (!call.records.empty()) {
       const auto done = co_await Append(node, call);
       if (done) {
@@ -98,6 +99,7 @@
       pause = std::min(2 * pause, kLongestPause);
     }
     if (!call.records.empty()) {
+      Observe(node.metrics.append_seconds, Now() - began);
       ++slot->next_sequence;
     }
     for (const QueuedRecord& queued : batch) {
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -29,6 +29,7 @@
             {"callers", node.options.callers_address},
             {"store", node.options.store_address}});
   Spawn(node.io, ServeReadiness(node));
+  Spawn(node.io, ServeMetrics(node));
   Spawn(node.io, ServePeers(node));
   Spawn(node.io, FollowDeployment(node));
   Spawn(node.io, FollowEndpoints(node));
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -184,6 +184,10 @@
                            attempt.head.headers);
     }
     co_await SendPiece(call->caller, std::move(piece));
+    if (!call->first_event_after) {
+      call->first_event_after = Now() - call->arrived_at;
+      Observe(node.metrics.first_event_seconds, *call->first_event_after);
+    }
   }
 }
 
@@ -202,15 +206,18 @@
              const Call& call,
              const Relay& relay,
              std::string_view outcome) {
-  WriteLog(node.log, LogLevel::kOrdinary, "turn",
-           {{"id", call.request.facts.id},
-            {"program", call.request.facts.program},
-            {"slot", relay.permit.slot},
-            {"endpoint", relay.endpoint},
-            {"events", call.events},
-            {"tries", call.tries},
-            {"outcome", outcome},
-            {"after_ms", Now() - call.arrived_at}});
+  Count(node.metrics.turns, "outcome", outcome);
+  WriteLog(
+      node.log, LogLevel::kOrdinary, "turn",
+      {{"id", call.request.facts.id},
+       {"program", call.request.facts.program},
+       {"slot", relay.permit.slot},
+       {"endpoint", relay.endpoint},
+       {"events", call.events},
+       {"tries", call.tries},
+       {"outcome", outcome},
+       {"first_event_ms", call.first_event_after.value_or(Duration::zero())},
+       {"after_ms", Now() - call.arrived_at}});
 }
 
 // The end of a kept turn goes out only once the turn is durable.
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -18,6 +18,7 @@
 constexpr uint16_t kPeerPort = 8103;
 constexpr uint16_t kStorePort = 8104;
 constexpr uint16_t kEndpointPort = 8105;
+constexpr uint16_t kMetricsPort = 8106;
 constexpr size_t kStoreHost = 200;
 constexpr size_t kEndpointHost = 201;
 constexpr Duration kCallPatience = std::chrono::seconds(8);
@@ -32,6 +33,17 @@
 
 std::atomic<int> next_fleet{0};
 
+bool WaitFor(const std::function<bool()>& condition) {
+  constexpr int kMostTries = 400;  // 20 s
+  for (int i = 0; i < kMostTries; ++i) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
 }  // namespace
 
 NodeFleet::NodeFleet(int count)
@@ -50,6 +62,7 @@
   this->standin_thread = std::thread([this] { this->standin_loop.run(); });
   this->instances.resize(static_cast<size_t>(count));
   for (size_t i = 0; i < this->instances.size(); ++i) {
+    this->instances[i].log = std::tmpfile();
     this->Start(i);
   }
 }
@@ -57,6 +70,7 @@
 NodeFleet::~NodeFleet() {
   for (size_t i = 0; i < this->instances.size(); ++i) {
     this->Kill(i);
+    std::fclose(this->instances[i].log);
   }
   this->standin_loop.stop();
   this->standin_thread.join();
@@ -74,6 +88,7 @@
   options.ip = this->Ip(index + 1);
   options.callers_address = fmt::format("{}:{}", options.ip, kCallersPort);
   options.readiness_address = fmt::format("{}:{}", options.ip, kReadinessPort);
+  options.metrics_address = fmt::format("{}:{}", options.ip, kMetricsPort);
   options.peer_port = kPeerPort;
   options.store_address =
       fmt::format("{}:{}", this->Ip(kStoreHost), kStorePort);
@@ -86,19 +101,22 @@
 void NodeFleet::PutDeployment() {
   PutKeyed(this->store, "keyed.op", "config", kDeployment);
   for (size_t i = 0; i < 2; ++i) {
-    PutKeyed(this->store, "keyed.servers", fmt::format("e{}", i),
-             fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                         R"("slots":24,"state":"ready","sequence":1}})",
-                         this->Ip(kEndpointHost + i), kEndpointPort));
+    this->PutEndpoint(i, "ready");
   }
 }
 
+void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
+  PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
+           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
+                       R"("slots":24,"state":"{}","sequence":1}})",
+                       this->Ip(kEndpointHost + index), kEndpointPort, state));
+}
+
 void NodeFleet::Start(size_t index) {
   Instance& instance = this->instances[index];
   instance.node = std::make_unique<Node>(this->OptionsOf(index));
   instance.node->log.instance = instance.node->options.instance;
-  // Lines of a test would drown its verdict.
-  instance.node->log.is_silent = true;
+  instance.node->log.descriptor = fileno(instance.log);
   StartNode(*instance.node);
   instance.thread =
       std::thread([node = instance.node.get()] { node->io.run(); });
@@ -122,44 +140,65 @@
   instance.node.reset();
 }
 
-bool NodeFleet::IsServing() {
-  std::set<uint32_t> held;
+void NodeFleet::OnEach(const std::function<void(Node&)>& task) {
   for (Instance& instance : this->instances) {
     if (instance.node == nullptr) {
       continue;
     }
-    std::promise<std::vector<uint32_t>> answer;
-    Node* const node = instance.node.get();
-    asio::post(node->io, [node, &answer] {
-      std::vector<uint32_t> slots;
-      for (uint32_t slot = 0; slot < node->fleet.slots.size(); ++slot) {
-        const bool mine = ActiveSlot(*node, slot) != nullptr;
-        const auto link =
-            node->peers.links.find(node->fleet.slots[slot].instance);
-        const bool other =
-            link != node->peers.links.end() && link->second->socket != nullptr;
-        if (IsReady(*node) && (mine || other)) {
-          slots.push_back(slot);
-        }
-      }
-      answer.set_value(slots);
+    std::promise<void> done;
+    asio::post(instance.node->io, [&] {
+      task(*instance.node);
+      done.set_value();
     });
-    if (answer.get_future().get().size() != node->fleet.slots.size()) {
-      return false;
-    }
+    done.get_future().wait();
   }
-  return true;
 }
 
-bool NodeFleet::WaitUntilServing() {
-  constexpr int kMostTries = 400;  // 20 s
-  for (int i = 0; i < kMostTries; ++i) {
-    if (this->IsServing()) {
-      return true;
+bool NodeFleet::IsServing() {
+  bool all = true;
+  this->OnEach([&all](Node& node) {
+    for (uint32_t slot = 0; slot < node.fleet.slots.size(); ++slot) {
+      const bool mine = ActiveSlot(node, slot) != nullptr;
+      const auto link = node.peers.links.find(node.fleet.slots[slot].instance);
+      const bool other =
+          link != node.peers.links.end() && link->second->socket != nullptr;
+      all = all && IsReady(node) && (mine || other);
+    }
+  });
+  return all;
+}
+
+std::string NodeFleet::Logs() {
+  this->OnEach([](Node& node) { FlushLog(node.log); });
+  std::string text;
+  for (const Instance& instance : this->instances) {
+    std::rewind(instance.log);
+    char bytes[4096];
+    while (const size_t count =
+               std::fread(bytes, 1, sizeof(bytes), instance.log)) {
+      text.append(bytes, count);
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
-  return false;
+  return text;
+}
+
+bool NodeFleet::Drain(size_t endpoint) {
+  const std::string id = fmt::format("e{}", endpoint);
+  asio::post(this->standin_loop,
+             [this, endpoint] { this->PutEndpoint(endpoint, "draining"); });
+  return WaitFor([this, &id] {
+    bool all = true;
+    this->OnEach([&all, &id](Node& node) {
+      const auto found = node.endpoints.endpoints.find(id);
+      all = all && found != node.endpoints.endpoints.end() &&
+            found->second.entry.leaving;
+    });
+    return all;
+  });
+}
+
+bool NodeFleet::WaitUntilServing() {
+  return WaitFor([this] { return this->IsServing(); });
 }
 
 CallerAnswer NodeFleet::Send(size_t index,
@@ -167,18 +206,32 @@
                              const std::string& target,
                              const HeaderList& headers,
                              const std::string& body) {
+  return this->SendTo(fmt::format("{}:{}", this->Ip(index + 1), kCallersPort),
+                      {.method = method,
+                       .target = target,
+                       .host = "h",
+                       .headers = headers,
+                       .body = body});
+}
+
+std::string NodeFleet::MetricsOf(size_t index) {
+  return this
+      ->SendTo(fmt::format("{}:{}", this->Ip(index + 1), kMetricsPort),
+               {.method = "GET",
+                .target = "/metrics",
+                .host = "h",
+                .headers = {},
+                .body = {}})
+      .body;
+}
+
+CallerAnswer NodeFleet::SendTo(const std::string& address,
+                               const OutRequest& request) {
   asio::io_context loop{1};
   OutPool pool;
   CallerAnswer answer;
-  const OutRequest request{.method = method,
-                           .target = target,
-                           .host = "h",
-                           .headers = headers,
-                           .body = body};
   const auto run = [&]() -> Task<> {
-    auto got = co_await Exchange(
-        loop, pool, fmt::format("{}:{}", this->Ip(index + 1), kCallersPort),
-        request, kCallPatience);
+    auto got = co_await Exchange(loop, pool, address, request, kCallPatience);
     if (got) {
       answer.status = got->head.status;
       answer.body = got->body;
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <memory>  // for std::unique_ptr
-#include <string>  // for std::string
-#include <thread>  // for std::thread
-#include <vector>  // for std::vector
+#include <cstdio>      // for std::FILE
+#include <functional>  // for std::function
+#include <memory>      // for std::unique_ptr
+#include <string>      // for std::string
+#include <thread>      // for std::thread
+#include <vector>      // for std::vector
 
 #include "celerykeel/node/start.h"                // for StartNode
 #include "celerykeel/testing/endpoint_standin.h"  // for EndpointStandin
@@ -37,6 +39,15 @@
   /// @brief Starts it again, at the same address.
   void Start(size_t index);
 
+  /// @brief All log lines of all instances so far.
+  std::string Logs();
+
+  /// @brief Writes that an endpoint leaves, and waits until instances know.
+  bool Drain(size_t endpoint);
+
+  /// @brief The metrics of an instance.
+  std::string MetricsOf(size_t index);
+
   /// @brief Sends a request to an instance and waits for its answer.
   CallerAnswer Send(size_t index,
                     const std::string& method,
@@ -51,11 +62,16 @@
   struct Instance {
     std::unique_ptr<Node> node;
     std::thread thread;
+    std::FILE* log = nullptr;  // over restarts
   };
 
+  /// @brief Runs `task` on the loop of each instance, one after the other.
+  void OnEach(const std::function<void(Node&)>& task);
   std::string Ip(size_t host) const;
   NodeOptions OptionsOf(size_t index) const;
   void PutDeployment();
+  void PutEndpoint(size_t index, const std::string& state);
+  CallerAnswer SendTo(const std::string& address, const OutRequest& request);
   bool IsServing();
 
   int subnet = 0;
