testing: a model of slots, checked with each rule switched off

Random runs of claims, admissions, appends whose answers or effects are lost, ends, kills, power loss and outages against the turn ledger of the core.

--- /dev/null
+++ b/src/celerykeel/testing/slot_model.cc
@@ -0,0 +1,233 @@
+#include "celerykeel/testing/slot_model.h"
+
+#include <algorithm>  // for std::find_if
+#include <utility>    // for std::move
+
+namespace celerykeel::testing {
+
+namespace {
+
+const ProgramName kProgram{"orchard", "p1"};
+constexpr Duration kNow = std::chrono::seconds(10);
+constexpr WallMillis kWall = 1'000'000;
+
+}  // namespace
+
+void SlotModel::Apply(const SlotStep& step) {
+  // The one chosen, or the other if that one does not hold the slot.
+  auto& chosen = this->holders[step.which % this->holders.size()];
+  auto& other = this->holders[(step.which + 1) % this->holders.size()];
+  auto& holder = chosen ? chosen : other;
+  const uint32_t rest = step.which / 2;
+  switch (step.what) {
+    case SlotStep::What::kClaim:
+      this->Claim(step.which % this->holders.size());
+      break;
+    case SlotStep::What::kAdmit:
+      if (holder) {
+        this->Admit(*holder);
+      }
+      break;
+    case SlotStep::What::kAppend:
+    case SlotStep::What::kAppendAnswerLost:
+    case SlotStep::What::kAppendLost:
+      this->Append(holder, step.what);
+      break;
+    case SlotStep::What::kHandOut:
+      this->HandOut(rest);
+      break;
+    case SlotStep::What::kEnd:
+      if (holder) {
+        this->End(*holder, rest);
+      }
+      break;
+    case SlotStep::What::kAskForTurn:
+      this->AskForTurn(holder, rest);
+      break;
+    case SlotStep::What::kKill:
+      holder.reset();
+      break;
+    case SlotStep::What::kPowerLoss:
+      this->holders = {};
+      this->turns.clear();
+      break;
+    case SlotStep::What::kStoreDown:
+      this->store_up = false;
+      break;
+    case SlotStep::What::kStoreUp:
+      this->store_up = true;
+      break;
+  }
+  if (this->handed_out > kBudget + kMost) {
+    this->broken = "more tokens than the budget and the most of one turn";
+  }
+}
+
+bool SlotModel::IsFenced(const Holder& holder) const {
+  return this->without != WithoutRule::kFence &&
+         holder.epoch < this->store_epoch;
+}
+
+// The claim and the read up to it; a claim whose answer is lost is repeated,
+// which changes nothing here.
+void SlotModel::Claim(size_t instance) {
+  if (!this->store_up || this->holders[instance]) {
+    return;
+  }
+  Holder holder;
+  holder.epoch = ++this->store_epoch;
+  this->log.emplace_back(ClaimRecord{"i", holder.epoch});
+  for (const SlotRecord& record : this->log) {
+    Replay(holder.ledger, record);
+  }
+  if (this->without != WithoutRule::kAssumeSpent) {
+    AssumeSpent(holder.ledger, kNow);
+  }
+  if (this->without == WithoutRule::kSlackOnce) {
+    for (auto& [program, spend] : holder.ledger.programs) {
+      spend.slack_used = false;
+    }
+  }
+  this->holders[instance] = std::move(holder);
+}
+
+void SlotModel::Enqueue(Holder& holder,
+                        SlotRecord record,
+                        std::string ends_turn) {
+  holder.queue.push_back({std::move(record), std::move(ends_turn)});
+}
+
+void SlotModel::TellCovered(const Holder& holder) {
+  const auto spend = holder.ledger.programs.find(kProgram);
+  if (spend == holder.ledger.programs.end() || !IsCovered(spend->second)) {
+    return;
+  }
+  for (Turn& turn : this->turns) {
+    turn.covered = turn.covered || spend->second.running.contains(turn.id);
+  }
+}
+
+void SlotModel::Admit(Holder& holder) {
+  const std::string id = "t" + std::to_string(this->next_turn);
+  const TurnWish wish{
+      .program = kProgram, .turn = id, .most_tokens = kMost, .budget = kBudget};
+  if (!AdmitTurn(holder.ledger, wish, kNow)) {
+    return;
+  }
+  ++this->next_turn;
+  this->turns.push_back({.id = id});
+  if (const auto record = RaiseCeiling(holder.ledger, kProgram)) {
+    this->Enqueue(holder, *record, "");
+  }
+  this->TellCovered(holder);
+}
+
+void SlotModel::Append(std::optional<Holder>& holder, SlotStep::What how) {
+  if (!holder || holder->queue.empty()) {
+    return;
+  }
+  const bool arrives =
+      this->store_up && how != SlotStep::What::kAppendLost && !holder->appended;
+  if (this->store_up && this->IsFenced(*holder)) {
+    holder.reset();
+    return;
+  }
+  if (arrives) {
+    this->log.push_back(holder->queue.front().record);
+    holder->appended = true;
+  }
+  const bool answered = this->store_up && how == SlotStep::What::kAppend;
+  if (answered || this->without == WithoutRule::kSameSequence) {
+    this->Finish(*holder);
+  }
+}
+
+void SlotModel::Finish(Holder& holder) {
+  const Pending pending = std::move(holder.queue.front());
+  holder.queue.pop_front();
+  holder.appended = false;
+  if (const auto* spend = std::get_if<SpendRecord>(&pending.record)) {
+    NoteDurable(holder.ledger, *spend);
+    this->TellCovered(holder);
+  } else {
+    Replay(holder.ledger, pending.record);
+  }
+  // Its instance is gone if the power was lost meanwhile.
+  const auto turn = std::find_if(
+      this->turns.begin(), this->turns.end(),
+      [&pending](const Turn& one) { return one.id == pending.ends_turn; });
+  if (turn != this->turns.end()) {
+    this->whole.push_back(turn->id);
+    this->turns.erase(turn);
+  }
+}
+
+void SlotModel::HandOut(uint32_t which) {
+  if (this->turns.empty()) {
+    return;
+  }
+  Turn& turn = this->turns[which % this->turns.size()];
+  if (turn.handed_out ||
+      (!turn.covered && this->without != WithoutRule::kCover)) {
+    return;
+  }
+  turn.handed_out = true;
+  this->handed_out += kMost;
+}
+
+// The relaying instance tells whoever holds the slot by then.
+void SlotModel::End(Holder& holder, uint32_t which) {
+  if (this->turns.empty()) {
+    return;
+  }
+  Turn& turn = this->turns[which % this->turns.size()];
+  if (turn.ending) {
+    return;
+  }
+  turn.ending = true;
+  const uint64_t used = turn.handed_out ? kMost : 0;
+  this->Enqueue(holder,
+                SettleTurn(holder.ledger, kProgram, turn.id, used, kMost, kNow),
+                "");
+  this->TellCovered(holder);
+  if (!turn.handed_out) {
+    this->turns.erase(this->turns.begin() + which % this->turns.size());
+    return;
+  }
+  const TurnRecord record{.program = kProgram,
+                          .turn = turn.id,
+                          .previous = {},
+                          .base = {},
+                          .input = "in",
+                          .output = "out",
+                          .ended_at = kWall,
+                          .expires_at = 2 * kWall};
+  if (this->without == WithoutRule::kDurableEnd) {
+    this->whole.push_back(turn.id);
+  }
+  this->Enqueue(holder, record, turn.id);
+}
+
+void SlotModel::AskForTurn(std::optional<Holder>& holder, uint32_t which) {
+  if (!holder || this->whole.empty()) {
+    return;
+  }
+  const std::string& id = this->whole[which % this->whole.size()];
+  if (FindTurn(holder->ledger, kProgram.team, id) != nullptr) {
+    return;
+  }
+  // Before it says that there is none, an append must show that it still holds
+  // the slot, and queued records come first.
+  if (this->without != WithoutRule::kConfirm) {
+    if (!this->store_up || !holder->queue.empty()) {
+      return;
+    }
+    if (this->IsFenced(*holder)) {
+      holder.reset();
+      return;
+    }
+  }
+  this->broken = "a turn that was answered whole is said not to exist";
+}
+
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/testing/slot_model.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <array>     // for std::array
+#include <deque>     // for std::deque
+#include <optional>  // for std::optional
+#include <set>       // for std::set
+#include <string>    // for std::string
+#include <vector>    // for std::vector
+
+#include "celerykeel/core/turn_ledger.h"  // for TurnLedger
+
+namespace celerykeel::testing {
+
+/// @brief A rule of slots that the model leaves out, to show that the check
+/// finds what it is for.
+enum class WithoutRule {
+  kNone,
+  kCover,         // tokens go out before a durable record covers them
+  kAssumeSpent,   // a successor trusts the newest record
+  kSlackOnce,     // each takeover leaves a turn's slack
+  kFence,         // the store takes appends of any epoch
+  kConfirm,       // a holder says "no such turn" without an append
+  kDurableEnd,    // a turn is answered whole before its record is durable
+  kSameSequence,  // an append without an answer counts as done
+};
+
+/// @brief One step of a run; `which` chooses among what it may apply to.
+struct SlotStep {
+  enum class What {
+    kClaim,
+    kAdmit,
+    kAppend,
+    kAppendAnswerLost,
+    kAppendLost,
+    kHandOut,
+    kEnd,
+    kAskForTurn,
+    kKill,
+    kPowerLoss,
+    kStoreDown,
+    kStoreUp,
+  };
+  What what = What::kAdmit;
+  uint32_t which = 0;
+};
+
+/// @brief One slot, its log in the store, two instances that may hold it, and
+/// the turns of one program, as callers see them.
+class SlotModel {
+ public:
+  explicit SlotModel(WithoutRule rule) : without(rule) {}
+
+  void Apply(const SlotStep& step);
+
+  /// @brief Nothing, or the promise that is broken.
+  std::optional<std::string> broken;
+
+  static constexpr uint64_t kMost = 10;    // tokens of a turn
+  static constexpr uint64_t kBudget = 30;  // of the program
+
+ private:
+  struct Pending {
+    SlotRecord record;
+    std::string ends_turn;  // answered whole once the record is durable
+  };
+  struct Holder {
+    TurnLedger ledger;
+    uint64_t epoch = 0;
+    uint64_t sequence = 0;
+    std::deque<Pending> queue;
+    bool appended = false;  // the first of `queue`, its answer was lost
+  };
+  struct Turn {
+    std::string id;
+    bool covered = false;  // the relaying instance was told so
+    bool handed_out = false;
+    bool ending = false;
+  };
+
+  void Claim(size_t instance);
+  void Admit(Holder& holder);
+  void Append(std::optional<Holder>& holder, SlotStep::What how);
+  void Finish(Holder& holder);
+  void HandOut(uint32_t which);
+  void End(Holder& holder, uint32_t which);
+  void AskForTurn(std::optional<Holder>& holder, uint32_t which);
+  void Enqueue(Holder& holder, SlotRecord record, std::string ends_turn);
+  void TellCovered(const Holder& holder);
+  bool IsFenced(const Holder& holder) const;
+
+  WithoutRule without;
+  bool store_up = true;
+  std::vector<SlotRecord> log;
+  uint64_t store_epoch = 0;
+  std::array<std::optional<Holder>, 2> holders;
+  std::vector<Turn> turns;         // under way
+  std::vector<std::string> whole;  // answered whole, kept
+  uint64_t handed_out = 0;         // tokens
+  uint32_t next_turn = 1;
+};
+
+}  // namespace celerykeel::testing
