node: three instances read the endpoints for all

Cause: on 70 instances calls to the store were the largest price; each read the endpoints each 400 ms and wrote and read members each second. Ruled out: longer waits at the store (endpoints write each heartbeat, so a read that waits returns at once). Change: three readers by rendezvous pass on changes and their age; the others read the whole list each 4 s, or for themselves once no reader is heard for 1.2 s. Entries of members each 2.5 s. In an outage only readers probe often. Stand-ins: appends that take effect late, a store that turns one instance away, a holder replaced unseen.

--- a/include/celerykeel/core/slot_table.h
+++ b/include/celerykeel/core/slot_table.h
@@ -71,9 +71,9 @@
 
 /// @brief A member without a heartbeat for so long is taken for dead.
 inline constexpr Duration kSilence = std::chrono::milliseconds(1200);
-/// @brief The same for entries in the store, which are written each second
-/// and read each second.
-inline constexpr Duration kStoreSilence = std::chrono::milliseconds(3500);
+/// @brief The same for entries in the store, which are written and read each
+/// 2.5 seconds.
+inline constexpr Duration kStoreSilence = std::chrono::seconds(7);
 /// @brief A fresh instance that has read who the members are waits so long for
 /// their heartbeats before it takes slots, unless all have been heard.
 inline constexpr Duration kListenFirst = std::chrono::milliseconds(700);
--- a/include/celerykeel/node/feeds.h
+++ b/include/celerykeel/node/feeds.h
@@ -9,9 +9,6 @@
 /// @brief Follows the configuration that the operators put in force.
 Task<> FollowDeployment(Node& node);
 
-/// @brief Follows what the endpoints say of themselves.
-Task<> FollowEndpoints(Node& node);
-
 /// @brief A peer knows a newer configuration: reads it now.
 void ReadDeploymentSoon(Node& node);
 
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <cstdint>  // for uint64_t
-#include <map>      // for std::map
-#include <memory>   // for std::shared_ptr
-#include <set>      // for std::set
-#include <string>   // for std::string
+#include <cstdint>   // for uint64_t
+#include <map>       // for std::map
+#include <memory>    // for std::shared_ptr
+#include <optional>  // for std::optional
+#include <set>       // for std::set
+#include <string>    // for std::string
 
 #include "celerykeel/core/deployment.h"      // for Deployment
 #include "celerykeel/core/endpoint_table.h"  // for EndpointTable
@@ -29,6 +30,8 @@
   uint64_t deployment_version = 0;
   bool store_reached = false;
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
+  // A reader's: when what it has told of the endpoints was true.
+  std::optional<Duration> endpoints_read_at;
 };
 
 /// @brief Rates of teams: what is borrowed, and what is lent as a home.
@@ -67,6 +70,7 @@
   SlotHost slots;
   RateDesk rates;
 
+  std::optional<Duration> endpoints_read_at;  // as a reader for all
   bool catching_up = false;      // with the configuration of a peer
   uint64_t entries_skipped = 0;  // endpoint entries that don't decode
 
--- /dev/null
+++ b/src/celerykeel/core/reader_choice.cc
@@ -0,0 +1,20 @@
+#include "celerykeel/core/reader_choice.h"
+
+#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
+
+namespace celerykeel {
+
+bool IsReader(const KnownFleet& fleet, Duration now) {
+  constexpr std::string_view kSubject = "reader";
+  const uint64_t own = RendezvousWeight(kSubject, fleet.self);
+  size_t ahead = 0;
+  for (const auto& [instance, member] : fleet.members) {
+    if (IsInTouch(member, now) && !member.leaving &&
+        RendezvousWeight(kSubject, instance) > own) {
+      ++ahead;
+    }
+  }
+  return ahead < kReaders;
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -13,9 +13,6 @@
 // An idle read of the configuration is answered after so long: the operators
 // write seldom, and each read is priced.
 constexpr uint64_t kLongReadMillis = 5000;
-// Endpoints write at each heartbeat, so that a read that waits would return at
-// once; this pace leaves most of the drain time for calls on their way.
-constexpr Duration kEndpointPace = std::chrono::milliseconds(400);
 constexpr Duration kPause = std::chrono::milliseconds(100);
 // While the store is away, probes tell of its return; a read is tried from time
 // to time all the same.
@@ -79,64 +76,6 @@
   node.catching_up = false;
 }
 
-void TakeEndpoint(Node& node, const KeyedRecord& record) {
-  if (record.key.empty()) {
-    return;
-  }
-  if (record.dropped) {
-    NoteRemoved(node.endpoints, record.key, Now());
-    return;
-  }
-  const auto entry = platform::DecodeEndpoint(record.key, record.value);
-  if (!entry) {
-    ++node.entries_skipped;
-    WriteLog(node.log, LogLevel::kOrdinary, "endpoint entry skipped",
-             {{"endpoint", record.key}, {"field", entry.error().field}});
-    return;
-  }
-  const auto known = node.endpoints.endpoints.find(record.key);
-  const bool changed = known == node.endpoints.endpoints.end() ||
-                       known->second.entry.leaving != entry->leaving ||
-                       known->second.entry.started_at != entry->started_at;
-  NoteEntry(node.endpoints, *entry);
-  if (changed) {
-    WriteLog(node.log, LogLevel::kOrdinary, "endpoint seen",
-             {{"endpoint", entry->id},
-              {"service", entry->service},
-              {"address", entry->address},
-              {"leaving", entry->leaving}});
-  }
-}
-
-Task<std::optional<uint64_t>> ReadAllEndpoints(Node& node) {
-  NewestCall call{.topic = std::string(platform::kEndpointTopic), .after = {}};
-  std::set<std::string> seen;
-  while (true) {
-    const auto done = co_await ReadNewest(node, call);
-    if (!done) {
-      co_return std::nullopt;
-    }
-    for (const KeyedRecord& record : done->records) {
-      TakeEndpoint(node, record);
-      seen.insert(record.key);
-    }
-    if (!done->more || done->records.empty()) {
-      // What the store no longer lists was removed unseen.
-      std::vector<std::string> gone;
-      for (const auto& [id, endpoint] : node.endpoints.endpoints) {
-        if (!seen.contains(id)) {
-          gone.push_back(id);
-        }
-      }
-      for (const std::string& id : gone) {
-        NoteRemoved(node.endpoints, id, Now());
-      }
-      co_return done->end;
-    }
-    call.after = done->records.back().key;
-  }
-}
-
 }  // namespace
 
 void ReadDeploymentSoon(Node& node) {
@@ -178,33 +117,4 @@
   }
 }
 
-Task<> FollowEndpoints(Node& node) {
-  std::optional<uint64_t> next;
-  while (true) {
-    co_await AwaitStore(node, kTryAnyway);
-    if (!next) {
-      next = co_await ReadAllEndpoints(node);
-      co_await Sleep(node.io, next ? kEndpointPace : kPause);
-      continue;
-    }
-    const ReadCall read{.topic = std::string(platform::kEndpointTopic),
-                        .partition = 0,
-                        .from = *next,
-                        .wait_ms = 0};
-    const auto done = co_await Read(node, read);
-    if (!done) {
-      if (std::holds_alternative<Expired>(done.error())) {
-        next.reset();
-        continue;
-      }
-    } else {
-      for (const std::string& bytes : done->records) {
-        TakeEndpoint(node, platform::DecodeKeyed(bytes, *next));
-        ++*next;
-      }
-    }
-    co_await Sleep(node.io, kEndpointPace);
-  }
-}
-
 }  // namespace celerykeel
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -19,7 +19,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(100);
 // Wishes carry news of the busy teams; this is for the rest.
 constexpr Duration kReportLoansEvery = std::chrono::milliseconds(300);
-constexpr Duration kBeatEvery = std::chrono::seconds(1);
+// Heartbeats tell peers of each other; entries are for who hears too few.
+constexpr Duration kBeatEvery = std::chrono::milliseconds(2500);
 constexpr Duration kFirstBeats = std::chrono::milliseconds(250);
 constexpr Duration kFirstTime = std::chrono::seconds(3);
 // A member out of touch and without a beat for so long is forgotten.
@@ -38,6 +39,11 @@
       node.deployment == nullptr ? 0 : node.deployment->version);
   beat.set_store_reached(!node.store.lost && node.store.reached_at.has_value());
   beat.set_leaving(node.stopping);
+  if (node.endpoints_read_at) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now() - *node.endpoints_read_at);
+    beat.set_endpoints_age_ms(static_cast<uint32_t>(age.count()));
+  }
   for (const auto& [number, slot] : node.slots.held) {
     if (slot->active && !slot->lost) {
       pb::HeldSlot& held = *beat.add_slots();
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -2,8 +2,11 @@
 
 #include <sstream>  // for std::istringstream
 
+#include "celerykeel/base/clock.h"          // for WallNow
+#include "celerykeel/node/slot_log.h"       // for kSlotTopic
 #include "celerykeel/testing/node_fleet.h"  // for NodeFleet
 #include "celerykeel/wire/log_story.h"      // for FindStory
+#include "celerykeel/wire/slot_codec.h"     // for EncodeSlotRecord
 
 namespace celerykeel::testing {
 namespace {
@@ -206,6 +209,75 @@
   CHECK(fleet.Send(0, "GET", "/look/x", Tool("tool"), "").status == 200);
 }
 
+TEST_CASE("a store whose appends take effect late doubles nothing") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.store.mode = StoreMode::kLate;
+  std::thread heal([&fleet] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    fleet.store.mode = StoreMode::kServes;
+  });
+  const auto first =
+      fleet.Send(0, "POST", "/stream/kept/x", Turn("l1", "p", "", 9999), "in1");
+  heal.join();
+  CHECK(first.status == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  fleet.Kill(0);
+  fleet.Start(0);
+  REQUIRE(fleet.WaitUntilServing());
+  CHECK(
+      fleet.Send(0, "POST", "/stream/kept/x", Turn("l2", "p", "l1", 9999), "in")
+          .status == 200);
+  CHECK(BodyAtEither(fleet, "l2") == std::string("in1") + kOutput + "in");
+}
+
+// The holder does not know yet that another instance took its slot and kept a
+// turn there.
+TEST_CASE("a turn is not called missing by a holder that was replaced") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.OnStandins([&fleet] {
+    auto& slot =
+        fleet.store
+            .partitions[{std::string(kSlotTopic), NodeFleet::SlotOf("p")}];
+    ++slot.epoch;
+    slot.next_sequence = 0;
+    const TurnRecord turn{.program = {"orchard", "p"},
+                          .turn = "unseen",
+                          .previous = {},
+                          .base = {},
+                          .input = "in0",
+                          .output = "out0\n",
+                          .ended_at = WallNow(),
+                          .expires_at = WallNow() + 60000};
+    slot.records.push_back(EncodeSlotRecord(turn));
+  });
+  const auto answer = fleet.Send(0, "POST", "/stream/kept/x",
+                                 Turn("u1", "p", "unseen", 9999), "in");
+  CHECK(answer.status != 404);
+  if (answer.status == 200) {
+    CHECK(BodyAtEither(fleet, "u1") == "in0out0\nin");
+  }
+}
+
+TEST_CASE("an instance that the store turns away goes through a peer") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.doors[0].is_shut = true;
+  for (int i = 0; i < 8; ++i) {  // programs in slots of both
+    const std::string id = "d" + std::to_string(i);
+    CHECK(fleet.Send(0, "POST", "/stream/kept/x", Turn(id, id, "", 9999), "in")
+              .status == 200);
+  }
+  fleet.WithdrawKey();
+  CallerAnswer answer;
+  for (int i = 0; i < 40 && answer.status != 401; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    answer = fleet.Send(0, "GET", "/look/x", Tool("w" + std::to_string(i)), "");
+  }
+  CHECK(answer.status == 401);
+}
+
 // The cases of docs/OPERATIONS.md: what the page shows must be in the logs, and
 // be enough.
 TEST_CASE("logs lead from a failed request to its cause") {
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -2,11 +2,12 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"         // for Now
-#include "celerykeel/node/feeds.h"         // for ReadDeploymentSoon
-#include "celerykeel/node/fleet.h"         // for ServePeers
-#include "celerykeel/node/node.h"          // for Node
-#include "celerykeel/node/rate_lending.h"  // for LendToPeer, TakeRateNews
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/endpoint_feed.h"  // for TakeEndpointNews
+#include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
+#include "celerykeel/node/fleet.h"          // for ServePeers
+#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/rate_lending.h"   // for LendToPeer, TakeRateNews
 
 namespace celerykeel {
 
@@ -51,6 +52,11 @@
   PeerState& state = node.peer_states[beat.instance()];
   state.deployment_version = beat.deployment_version();
   state.store_reached = beat.store_reached();
+  state.endpoints_read_at.reset();
+  if (beat.has_endpoints_age_ms()) {
+    state.endpoints_read_at =
+        Now() - std::chrono::milliseconds(beat.endpoints_age_ms());
+  }
   state.loads.clear();
   for (const pb::EndpointLoad& load : beat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
@@ -142,6 +148,9 @@
     case pb::NodeFrame::kRateWish:
       Spawn(node.io, OnRateWish(node, peer, frame));
       return;
+    case pb::NodeFrame::kEndpointNews:
+      TakeEndpointNews(node, frame.endpoint_news());
+      return;
     case pb::NodeFrame::kRateNews:
       TakeRateNews(node, frame.rate_news());
       return;
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -4,6 +4,7 @@
 
 #include "celerykeel/node/asio.h"           // for Spawn
 #include "celerykeel/node/caller_server.h"  // for ServeCallers
+#include "celerykeel/node/endpoint_feed.h"  // for FollowEndpoints
 #include "celerykeel/node/feeds.h"          // for FollowDeployment
 #include "celerykeel/node/fleet.h"          // for RunFleet
 #include "celerykeel/node/store_client.h"   // for ProbeStore
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -3,9 +3,10 @@
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"     // for Now
-#include "celerykeel/node/node.h"      // for Node
-#include "platform/deployment_json.h"  // for platform::kConfigurationTopic
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/core/reader_choice.h"  // for IsReader
+#include "celerykeel/node/node.h"           // for Node
+#include "platform/deployment_json.h"       // for platform::kConfigurationTopic
 
 namespace celerykeel {
 
@@ -15,6 +16,7 @@
 // refused; a call that is silent for longer has lost its answer.
 constexpr Duration kPatience = std::chrono::milliseconds(1200);
 constexpr Duration kProbePace = std::chrono::milliseconds(300);
+constexpr uint64_t kOthersProbe = 5;  // a probe of so many, if no reader
 constexpr Duration kWaitStep = std::chrono::milliseconds(30);
 // An answer that takes longer is unusual: a call that began by so much before
 // one that was answered is taken for lost.
@@ -213,9 +215,13 @@
 
 // Probes overlap: one that meets silence does not keep the next one back.
 Task<> ProbeStore(Node& node) {
+  uint64_t turn = 0;
   while (true) {
     co_await Sleep(node.io, kProbePace);
-    if (node.store.lost) {
+    // The others hear of the return from the readers, and then try at once.
+    const bool probes = IsReader(node.fleet, Now()) || StoreIsReached(node) ||
+                        ++turn % kOthersProbe == 0;
+    if (node.store.lost && probes) {
       Spawn(node.io, ProbeOnce(node));
     }
   }
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -21,6 +21,7 @@
 constexpr uint16_t kMetricsPort = 8106;
 constexpr size_t kStoreHost = 200;
 constexpr size_t kEndpointHost = 201;
+constexpr uint32_t kSlotCount = 4;
 constexpr Duration kCallPatience = std::chrono::seconds(8);
 
 constexpr char kDeployment[] = R"({"version":7,"routes":[
@@ -49,9 +50,12 @@
 NodeFleet::NodeFleet(int count)
     : subnet((getpid() * 8 + next_fleet++) % 60000) {
   this->PutDeployment();
-  Spawn(this->standin_loop,
-        ServeStore(this->standin_loop, this->store,
-                   {asio::ip::make_address(this->Ip(kStoreHost)), kStorePort}));
+  for (size_t i = 0; i < std::size(this->doors); ++i) {
+    Spawn(this->standin_loop,
+          ServeStore(this->standin_loop, this->store, this->doors[i],
+                     {asio::ip::make_address(this->Ip(kStoreHost + 10 + i)),
+                      kStorePort}));
+  }
   for (size_t i = 0; i < 2; ++i) {
     this->endpoints[i].id = fmt::format("e{}", i);
     Spawn(this->standin_loop,
@@ -91,8 +95,8 @@
   options.metrics_address = fmt::format("{}:{}", options.ip, kMetricsPort);
   options.peer_port = kPeerPort;
   options.store_address =
-      fmt::format("{}:{}", this->Ip(kStoreHost), kStorePort);
-  options.store_partitions = 4;
+      fmt::format("{}:{}", this->Ip(kStoreHost + 10 + index), kStorePort);
+  options.store_partitions = kSlotCount;
   options.store_retention = std::chrono::seconds(300);
   options.stop_time = std::chrono::seconds(8);
   return options;
@@ -105,6 +109,27 @@
   }
 }
 
+void NodeFleet::OnStandins(const std::function<void()>& task) {
+  std::promise<void> done;
+  asio::post(this->standin_loop, [&] {
+    task();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void NodeFleet::WithdrawKey() {
+  std::string changed = kDeployment;
+  changed.replace(changed.find(R"("version":7)"), 11, R"("version":9)");
+  changed.replace(changed.find(R"("k1")"), 4, R"("kx")");
+  this->OnStandins(
+      [&] { PutKeyed(this->store, "keyed.op", "config", changed); });
+}
+
+uint32_t NodeFleet::SlotOf(const std::string& program) {
+  return SlotOfSubject("orchard", program, kSlotCount);
+}
+
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
   PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
            fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
@@ -184,8 +209,7 @@
 
 bool NodeFleet::Drain(size_t endpoint) {
   const std::string id = fmt::format("e{}", endpoint);
-  asio::post(this->standin_loop,
-             [this, endpoint] { this->PutEndpoint(endpoint, "draining"); });
+  this->OnStandins([&] { this->PutEndpoint(endpoint, "draining"); });
   return WaitFor([this, &id] {
     bool all = true;
     this->OnEach([&all, &id](Node& node) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -55,7 +55,18 @@
                     const HeaderList& headers,
                     const std::string& body);
 
+  /// @brief Runs `task` where the stand-ins run.
+  void OnStandins(const std::function<void()>& task);
+
+  /// @brief Puts a configuration in force that withdraws the key "k1", with
+  /// the next version.
+  void WithdrawKey();
+
+  /// @brief The slot of a program of the team "orchard".
+  static uint32_t SlotOf(const std::string& program);
+
   StoreStandin store;
+  StoreDoor doors[3];  // of the instances
   EndpointStandin endpoints[2];
 
  private:
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -122,8 +122,18 @@
                          .dump());
 }
 
+Task<> AppendLater(asio::io_context& loop,
+                   StoreStandin::Partition& partition,
+                   std::map<std::string, std::string> query,
+                   std::string body) {
+  constexpr Duration kLater = std::chrono::milliseconds(300);
+  co_await Sleep(loop, kLater);
+  AppendTo(partition, std::move(query), body);
+}
+
 Task<bool> Handle(asio::io_context& loop,
                   StoreStandin& store,
+                  const StoreDoor& door,
                   StandinConnectionPtr connection,
                   StandinRequest request) {
   if (store.mode == StoreMode::kSilent) {
@@ -131,7 +141,7 @@
     co_await Sleep(loop, kLong);
     co_return false;
   }
-  if (store.mode == StoreMode::kRefuses) {
+  if (store.mode == StoreMode::kRefuses || door.is_shut) {
     StandinResponse refused = Answer(503, "");
     co_return co_await Respond(connection, std::move(refused));
   }
@@ -142,6 +152,10 @@
   StandinResponse response = Answer(404, "");
   if (target.find("log-append") != std::string::npos) {
     ++store.appends;
+    if (store.mode == StoreMode::kLate) {
+      Spawn(loop, AppendLater(loop, partition, query, request.body()));
+      co_return false;
+    }
     response = AppendTo(partition, query, request.body());
     if (store.mode == StoreMode::kLosesAnswers) {
       co_return false;
@@ -171,10 +185,12 @@
 
 Task<> ServeStore(asio::io_context& loop,
                   StoreStandin& store,
+                  const StoreDoor& door,
                   Tcp::endpoint address) {
-  StandinHandler handler = [&loop, &store](StandinConnectionPtr connection,
-                                           StandinRequest request) {
-    return Handle(loop, store, std::move(connection), std::move(request));
+  StandinHandler handler = [&loop, &store, &door](
+                               StandinConnectionPtr connection,
+                               StandinRequest request) {
+    return Handle(loop, store, door, std::move(connection), std::move(request));
   };
   co_await ServeStandin(loop, address, std::move(handler));
 }
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -15,6 +15,7 @@
   kServes,
   kRefuses,       // 503, nothing done
   kLosesAnswers,  // appends are done, and their connections are closed
+  kLate,          // appends are not answered, and done a while later
   kSilent,        // takes requests and answers none
 };
 
@@ -29,13 +30,19 @@
   };
 
   std::map<std::pair<std::string, uint32_t>, Partition> partitions;
-  std::atomic<StoreMode> mode{StoreMode::kServes};
+  std::atomic<StoreMode> mode{StoreMode::kServes};  // towards everyone
   std::atomic<uint64_t> appends{0};
 };
 
+/// @brief A way to the store, as one instance has it.
+struct StoreDoor {
+  std::atomic<bool> is_shut{false};  // 503 to that instance alone
+};
+
 /// @brief Serves the store on `address`.
 Task<> ServeStore(asio::io_context& loop,
                   StoreStandin& store,
+                  const StoreDoor& door,
                   Tcp::endpoint address);
 
 /// @brief Writes as the operators or an endpoint would.
