node: a home lends the whole rate

Cause: a tenth of each rate was divided evenly among the instances; with 13 or 70 of them most of it was never used, so teams got some 92 in 100 of what they paid for. Change: the home lends all; while it is silent an instance lets its part of a tenth through, from an empty bucket on, which is the overshoot that deployments allow.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -39,8 +39,8 @@
   RateBorrower borrower;
   RateHome home;
   std::map<std::string, uint64_t> home_epochs;  // of `home`'s buckets, by team
-  // This instance's own part of each team's rate, for when no home answers.
-  std::map<std::string, TokenBucket> own;
+  // Of teams whose home does not answer: what this instance lets through.
+  std::map<std::string, TokenBucket> without_home;
   std::set<std::string> asking;  // teams with a wish ahead under way
   std::map<std::string, NewcomerGate> newcomers;  // as the home, by team
   std::map<std::string, Duration> scarce_until;   // by team, as homes said
--- a/include/celerykeel/node/rate_lending.h
+++ b/include/celerykeel/node/rate_lending.h
@@ -12,27 +12,16 @@
 
 struct Node;
 
-/// @brief The part of a team's rate that is divided evenly among the instances
-/// and needs no word of the home, so that one that is cut off still serves.
-inline constexpr double kOwnPart = 0.1;
-
 inline RateShare ShareOf(const std::string& team) {
   return {team, 0};
 }
 
-inline RateLimits PartOf(const RateLimits& limits, double part) {
-  return {.rate = limits.rate * part, .burst = limits.burst * part};
-}
-
 /// @brief The slot whose holder is the home of a team's rate.
 uint32_t HomeSlot(const Node& node, const std::string& team);
 
 /// @brief Null if the configuration in force doesn't name the team.
 const DeployedTeam* TeamNamed(const Node& node, const std::string& name);
 
-/// @brief What the home lends of a team's rate.
-RateLimits HomePart(const DeployedTeam& team);
-
 /// @brief Decides on a wish of any instance, this one among them.
 /// @param slot the team's home slot, held here.
 /// @param newcomer the wish is for the first request of a program.
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -30,12 +30,11 @@
     node.rates.home.buckets.erase(share);
     if (const auto kept = slot.rates.find(team.name);
         kept != slot.rates.end() && kept->second.recorded) {
-      const double level = std::min(kept->second.durable, HomePart(team).burst);
-      TakeOver(node.rates.home,
-               {.share = share,
-                .level = level,
-                .lent = HomePart(team).burst - level},
-               Now());
+      const double level = std::min(kept->second.durable, team.limits.burst);
+      TakeOver(
+          node.rates.home,
+          {.share = share, .level = level, .lent = team.limits.burst - level},
+          Now());
     }
   }
 }
@@ -104,10 +103,6 @@
   return team == node.deployment->teams.end() ? nullptr : &team->second;
 }
 
-RateLimits HomePart(const DeployedTeam& team) {
-  return PartOf(team.limits, 1 - kOwnPart);
-}
-
 Task<pb::RateGrant> LendAsHome(Node& node,
                                HeldSlotPtr slot,
                                LoanWish wish,
@@ -119,7 +114,7 @@
     co_return grant;
   }
   const std::string name = team->name;
-  const RateLimits limits = HomePart(*team);
+  const RateLimits limits = team->limits;
   OpenBucket(node, *slot, *team);
   const double at_home = LevelAtHome(node.rates.home, wish.share, limits, Now())
                              .value_or(limits.burst);
@@ -167,7 +162,7 @@
                     .request = use.request(),
                     .tokens = use.tokens(),
                     .closed = use.closed()},
-                   news.borrower(), HomePart(*team), Now());
+                   news.borrower(), team->limits, Now());
     }
   }
 }
@@ -185,9 +180,9 @@
         continue;
       }
       const auto level =
-          LevelAtHome(node.rates.home, ShareOf(name), HomePart(*team), now);
+          LevelAtHome(node.rates.home, ShareOf(name), team->limits, now);
       if (level && std::abs(KeptOf(*level) - rate.durable) >
-                       kDrift * HomePart(*team).burst) {
+                       kDrift * team->limits.burst) {
         WriteKept(node, slot, name, KeptOf(*level));
       }
     }
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -14,6 +14,9 @@
 
 namespace {
 
+// Of a team's rate, what all instances together let through while its home is
+// silent: the overshoot that the deployments allow for such times.
+constexpr double kPartWithoutHome = 0.1;
 constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
 // A home that died has a successor within about this time.
 constexpr Duration kHomePatience = std::chrono::milliseconds(400);
@@ -27,16 +30,26 @@
   return double(node.fleet.members.size() + 1);
 }
 
-// Starts empty: an earlier start of this instance may have used its part.
-bool TakeOwn(Node& node, const DeployedTeam& team, Duration now) {
-  const RateLimits own = PartOf(team.limits, kOwnPart / FleetSize(node));
-  const auto [found, fresh] = node.rates.own.try_emplace(team.name);
-  if (fresh) {
-    found->second.updated_at = now;
+// Lets a trickle through while no home answers. The bucket starts empty when
+// the home falls silent, so that what passes is bounded by the silence.
+bool TakeWithoutHome(Node& node, const DeployedTeam& team, Duration now) {
+  const auto found = node.rates.without_home.find(team.name);
+  if (found == node.rates.without_home.end()) {
+    return false;
+  }
+  const double part = kPartWithoutHome / FleetSize(node);
+  const double rate = team.limits.rate * part;
+  Refill(found->second, rate, std::max(team.limits.burst * part, 1.0), now);
+  return Take(found->second, 1, rate).has_value();
+}
+
+void NoteHome(Node& node, const std::string& team, bool answered) {
+  if (answered) {
+    node.rates.without_home.erase(team);
+  } else {
+    node.rates.without_home.try_emplace(
+        team, TokenBucket{.level = 0, .updated_at = Now()});
   }
-  const double burst = std::max(own.burst, 1.0);
-  Refill(found->second, own.rate, burst, now);
-  return Take(found->second, 1, own.rate).has_value();
 }
 
 struct Asked {
@@ -138,7 +151,7 @@
 bool TakeAny(Node& node, const DeployedTeam& team) {
   const Duration now = Now();
   return UseToken(node.rates.borrower, ShareOf(team.name), now) ||
-         TakeOwn(node, team, now);
+         TakeWithoutHome(node, team, now);
 }
 
 }  // namespace
@@ -183,6 +196,7 @@
   Asked asked;
   while (true) {
     asked = co_await AskHome(node, team.name, 1, newcomer);
+    NoteHome(node, team.name, asked.answered);
     const bool turned_away =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
     if (!turned_away && TakeAny(node, team)) {
