core: turns that were given up hold no budget

A holder that answered after the asking instance had given up kept the turn as running at its most tokens, and each further try added one, until the budget seemed spent. Change: an instance that gave up says that the turn ended, also if that comes before the admission; 402 only if turns that ended leave no room, else 503 while turns under way hold the rest.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -4,6 +4,7 @@
 #include <map>       // for std::map
 #include <memory>    // for std::shared_ptr
 #include <optional>  // for std::optional
+#include <set>       // for std::set
 #include <string>    // for std::string
 #include <utility>   // for std::pair
 #include <variant>   // for std::variant
@@ -69,7 +70,9 @@
   uint64_t budget = 0;  // as the last turn named it
   bool slack_used = false;
   std::map<std::string, uint64_t> running;  // turns and their most tokens
-  std::optional<Duration> used_at;          // none while it is being replayed
+  // Turns whose end came before their admission, as messages cross.
+  std::set<std::string> ended_early;
+  std::optional<Duration> used_at;  // none while it is being replayed
 };
 
 /// @brief The state of one slot: turns on retained routes and budgets.
@@ -87,8 +90,12 @@
   uint64_t budget = 0;
 };
 
-/// @brief One more turn does not fit.
-struct BudgetSpent {};
+/// @brief Why a turn does not fit its program's budget now.
+enum class BudgetShort {
+  kSpent,  // what ended leaves no room
+  kHeld,   // turns under way hold the rest at their most; they may use less
+  kEnded,  // the turn was given up by its instance before it was admitted
+};
 
 /// @brief Applies a record of the slot's log, in order.
 void Replay(TurnLedger& ledger, const SlotRecord& record);
@@ -99,7 +106,7 @@
 
 /// @brief Counts a turn as running at its most tokens. A turn that is running
 /// already is admitted again.
-tl::expected<void, BudgetSpent> AdmitTurn(TurnLedger& ledger,
+tl::expected<void, BudgetShort> AdmitTurn(TurnLedger& ledger,
                                           const TurnWish& wish,
                                           Duration now);
 
--- a/include/celerykeel/node/turn_holder.h
+++ b/include/celerykeel/node/turn_holder.h
@@ -12,10 +12,12 @@
   pb::TurnGrant grant;
   std::shared_ptr<Promise<bool>> covered;  // tokens may be handed out
   uint32_t slot = 0;
+  // A holder was asked and did not answer: it may count the turn as running.
+  bool may_be_counted = false;
 };
 
 /// @brief Asks the slot's holder, wherever it is now, until it decides or
-/// `patience` ends; then the verdict is NOT_HOLDER.
+/// `patience` ends; then the verdict is NOT_HOLDER or BUDGET_HELD.
 Task<TurnPermit> AskHolder(Node& node, CallPtr call, Duration patience);
 
 /// @brief Tells the slot's holder how a turn ended, until it is noted.
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -17,6 +17,7 @@
 // Turns reserved ahead carry a program through an outage of the store. After a
 // takeover they count as spent, so there are few.
 constexpr uint64_t kTurnsAhead = 3;
+constexpr size_t kMostEndedEarly = 64;  // of one program
 
 uint64_t WantedCeiling(const ProgramSpend& spend) {
   const uint64_t used = spend.spent + Running(spend);
@@ -83,7 +84,7 @@
   }
 }
 
-tl::expected<void, BudgetSpent> AdmitTurn(TurnLedger& ledger,
+tl::expected<void, BudgetShort> AdmitTurn(TurnLedger& ledger,
                                           const TurnWish& wish,
                                           Duration now) {
   ProgramSpend& spend = ledger.programs[wish.program];
@@ -92,8 +93,14 @@
   if (spend.running.contains(wish.turn)) {
     return {};
   }
+  if (spend.ended_early.contains(wish.turn)) {
+    return tl::unexpected(BudgetShort::kEnded);
+  }
+  if (spend.spent + wish.most_tokens > wish.budget) {
+    return tl::unexpected(BudgetShort::kSpent);
+  }
   if (spend.spent + Running(spend) + wish.most_tokens > wish.budget) {
-    return tl::unexpected(BudgetSpent{});
+    return tl::unexpected(BudgetShort::kHeld);
   }
   spend.running[wish.turn] = wish.most_tokens;
   spend.largest = std::max(spend.largest, wish.most_tokens);
@@ -134,6 +141,8 @@
   spend.largest = std::max(spend.largest, most_tokens);
   if (spend.running.erase(turn) > 0) {
     spend.spent += used;
+  } else if (spend.ended_early.size() < kMostEndedEarly) {
+    spend.ended_early.insert(turn);
   }
   // What the turn did not use is given back, or a takeover would count it.
   spend.asked = WantedCeiling(spend);
--- a/src/celerykeel/core/turn_ledger_unittest.cc
+++ b/src/celerykeel/core/turn_ledger_unittest.cc
@@ -55,6 +55,33 @@
   CHECK(AdmitTurn(ledger, Wish("c"), seconds(1)));
 }
 
+// Seen after a loss of all power on 85 instances: turns that were asked for,
+// and given up before a slow holder answered, stayed counted, and the program
+// was told that its budget is spent.
+TEST_CASE("a turn whose end comes before its admission holds no budget") {
+  TurnLedger ledger;
+  SettleTurn(ledger, kProgram, "a", 0, kMost, seconds(1));
+  const auto late = AdmitTurn(ledger, Wish("a"), seconds(1));
+  REQUIRE_FALSE(late);
+  CHECK(late.error() == BudgetShort::kEnded);
+  CHECK(AdmitTurn(ledger, Wish("b"), seconds(1)));
+  CHECK(AdmitTurn(ledger, Wish("c"), seconds(1)));
+}
+
+TEST_CASE("a budget is spent only by turns that ended") {
+  TurnLedger ledger;
+  REQUIRE(AdmitTurn(ledger, Wish("a"), seconds(1)));
+  REQUIRE(AdmitTurn(ledger, Wish("b"), seconds(1)));
+  const auto held = AdmitTurn(ledger, Wish("c"), seconds(1));
+  REQUIRE_FALSE(held);
+  CHECK(held.error() == BudgetShort::kHeld);
+  SettleTurn(ledger, kProgram, "a", kMost, kMost, seconds(1));
+  SettleTurn(ledger, kProgram, "b", kMost, kMost, seconds(1));
+  const auto spent = AdmitTurn(ledger, Wish("c"), seconds(1));
+  REQUIRE_FALSE(spent);
+  CHECK(spent.error() == BudgetShort::kSpent);
+}
+
 TEST_CASE("no token goes out before a durable record covers it") {
   TurnLedger ledger;
   REQUIRE(AdmitTurn(ledger, Wish("a"), seconds(1)));
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -24,6 +24,18 @@
   return grant;
 }
 
+pb::TurnGrant::Verdict VerdictOf(BudgetShort reason) {
+  switch (reason) {
+    case BudgetShort::kSpent:
+      return pb::TurnGrant::BUDGET_SPENT;
+    case BudgetShort::kHeld:
+      return pb::TurnGrant::BUDGET_HELD;
+    case BudgetShort::kEnded:
+      break;
+  }
+  return pb::TurnGrant::NOT_HOLDER;
+}
+
 void TellCovered(HeldSlot& slot, const ProgramName& program) {
   const auto spend = slot.ledger.programs.find(program);
   if (spend == slot.ledger.programs.end() || !IsCovered(spend->second)) {
@@ -230,8 +242,8 @@
                       .turn = admission.turn(),
                       .most_tokens = admission.most_tokens(),
                       .budget = admission.budget()};
-  if (!AdmitTurn(slot->ledger, wish, Now())) {
-    co_return Verdict(pb::TurnGrant::BUDGET_SPENT);
+  if (const auto admitted = AdmitTurn(slot->ledger, wish, Now()); !admitted) {
+    co_return Verdict(VerdictOf(admitted.error()));
   }
   const bool is_covered = IsCovered(slot->ledger.programs[program]);
   grant.set_covered(is_covered);
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -92,7 +92,10 @@
       grant = co_await AskPeer(node, link, AdmissionOf(*call, permit.slot),
                                permit.covered);
     }
-    if (grant && grant->verdict() != pb::TurnGrant::NOT_HOLDER) {
+    permit.may_be_counted = permit.may_be_counted || !grant;
+    const auto verdict = grant ? grant->verdict() : pb::TurnGrant::NOT_HOLDER;
+    if (verdict != pb::TurnGrant::NOT_HOLDER &&
+        verdict != pb::TurnGrant::BUDGET_HELD) {
       permit.grant = std::move(*grant);
       if (permit.grant.covered()) {
         permit.covered->Give(true);
@@ -100,7 +103,7 @@
       co_return permit;
     }
     if (Now() + kStep >= until || call->caller->gone) {
-      permit.grant.set_verdict(pb::TurnGrant::NOT_HOLDER);
+      permit.grant.set_verdict(verdict);
       co_return permit;
     }
     co_await Sleep(node.io, kStep);
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -61,6 +61,11 @@
       return CallRefusal{kPaymentRequired, "not run: the budget is spent", {}};
     case pb::TurnGrant::NO_SUCH_TURN:
       return CallRefusal{kNotFound, "not run: no such turn", {}};
+    case pb::TurnGrant::BUDGET_HELD:
+      return CallRefusal{kUnavailable,
+                         "not run: turns under way may need the rest of the "
+                         "budget",
+                         kHolderRetry};
     case pb::TurnGrant::STORE_AWAY:
       return CallRefusal{kUnavailable, "not run: the store is away",
                          StoreRetry(call)};
@@ -348,6 +353,9 @@
         node, call, std::min(kHolderPatience, TimeLeft(*call) / 2));
     if (const auto refusal =
             RefusalOfVerdict(*call, relay.permit.grant.verdict())) {
+      if (relay.permit.may_be_counted) {
+        FinishBroken(node, *call, relay);
+      }
       co_await Refuse(node, call, *refusal);
       co_return;
     }
