--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -32,8 +32,8 @@
   uint32_t runs = 0;                   // of these, those that may have run it
   std::string last_event;              // relayed
   uint64_t events = 0;                 // relayed
-  std::optional<Duration> sent_after;  // its arrival, first try
-  std::optional<Duration> first_event_after;  // its arrival
+  std::optional<Duration> sent_after;  // first sending, since its arrival
+  std::optional<Duration> first_event_after;  // since its arrival
 };
 using CallPtr = std::shared_ptr<Call>;
 
