--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -13,7 +13,6 @@
 
 using prometheus::Counter;
 using prometheus::Family;
-using prometheus::Gauge;
 using prometheus::Histogram;
 using Boundaries = Histogram::BucketBoundaries;
 
--- a/src/celerykeel/testing/slot_model.cc
+++ b/src/celerykeel/testing/slot_model.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/testing/slot_model.h"
 
 #include <algorithm>  // for std::find_if
+#include <cstddef>    // for std::ptrdiff_t
 #include <utility>    // for std::move
 
 namespace celerykeel::testing {
@@ -180,7 +181,9 @@
   if (this->turns.empty()) {
     return;
   }
-  Turn& turn = this->turns[which % this->turns.size()];
+  const auto chosen = this->turns.begin() +
+                      static_cast<std::ptrdiff_t>(which % this->turns.size());
+  Turn& turn = *chosen;
   if (turn.ending) {
     return;
   }
@@ -191,7 +194,7 @@
                 "");
   this->TellCovered(holder);
   if (!turn.handed_out) {
-    this->turns.erase(this->turns.begin() + which % this->turns.size());
+    this->turns.erase(chosen);
     return;
   }
   const TurnRecord record{.program = kProgram,
