node: one conversion to the loop's timers

Until stood in attempts.cc and turn_path.cc, Steady in caller_server.cc and out_connection.cc, and the same cast in four more places; both are in asio.h now. Behaviour is unchanged.

--- a/include/celerykeel/node/asio.h
+++ b/include/celerykeel/node/asio.h
@@ -32,6 +32,16 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
+/// @brief A span of the loop's timers.
+inline asio::steady_timer::duration Steady(Duration duration) {
+  return std::chrono::duration_cast<asio::steady_timer::duration>(duration);
+}
+
+/// @brief The moment at which `left` has passed.
+inline asio::steady_timer::time_point Until(Duration left) {
+  return asio::steady_timer::clock_type::now() + Steady(left);
+}
+
 /// @brief Lets the coroutine sleep.
 Task<> Sleep(asio::io_context& loop, Duration duration);
 
@@ -58,8 +68,7 @@
   /// @return nothing if `patience` ends first.
   Task<std::optional<T>> Wait(Duration patience) {
     if (!this->value) {
-      this->timer.expires_after(
-          std::chrono::duration_cast<asio::steady_timer::duration>(patience));
+      this->timer.expires_after(Steady(patience));
       ErrorCode error;
       co_await this->timer.async_wait(Into(error));
     }
--- a/src/celerykeel/node/asio.cc
+++ b/src/celerykeel/node/asio.cc
@@ -8,8 +8,7 @@
 namespace celerykeel {
 
 Task<> Sleep(asio::io_context& loop, Duration duration) {
-  asio::steady_timer timer(
-      loop, std::chrono::duration_cast<asio::steady_timer::duration>(duration));
+  asio::steady_timer timer(loop, Steady(duration));
   ErrorCode ignored;  // the timer is never cancelled
   co_await timer.async_wait(Into(ignored));
 }
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -30,11 +30,6 @@
 constexpr Duration kBusyRetry = std::chrono::milliseconds(250);
 constexpr Duration kLeastTime = std::chrono::milliseconds(5);
 
-asio::steady_timer::time_point Until(Duration left) {
-  return asio::steady_timer::clock_type::now() +
-         std::chrono::duration_cast<asio::steady_timer::duration>(left);
-}
-
 EndpointStatus* Choose(Node& node, const Call& call) {
   const bool by_subject = call.route->has_affinity;
   const CallFacts& facts = call.request.facts;
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -33,10 +33,6 @@
 // Of the time until the kill, kept for the way out.
 constexpr Duration kLastMoments = std::chrono::milliseconds(700);
 
-asio::steady_timer::duration Steady(Duration duration) {
-  return std::chrono::duration_cast<asio::steady_timer::duration>(duration);
-}
-
 Tcp::endpoint ParseListen(const std::string& address) {
   const size_t colon = address.rfind(':');
   ErrorCode error;
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -71,10 +71,6 @@
   return nullptr;
 }
 
-asio::steady_timer::duration Steady(Duration duration) {
-  return std::chrono::duration_cast<asio::steady_timer::duration>(duration);
-}
-
 }  // namespace
 
 void Close(OutConnection& connection) {
@@ -212,7 +208,7 @@
                                                         std::string address,
                                                         OutRequest request,
                                                         Duration patience) {
-  const auto until = asio::steady_timer::clock_type::now() + Steady(patience);
+  const auto until = Until(patience);
   auto connection =
       co_await Connect(loop, pool, address, Duration::max(), patience);
   if (connection == nullptr) {
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -177,8 +177,8 @@
       static_cast<uint16_t>(std::atoi(link->address.substr(colon + 1).c_str()));
   const auto peer = std::make_shared<PeerSocket>(loop);
   // A dial into silence is ended by closing its socket.
-  const auto limit = std::make_shared<asio::steady_timer>(
-      loop, std::chrono::duration_cast<asio::steady_timer::duration>(patience));
+  const auto limit =
+      std::make_shared<asio::steady_timer>(loop, Steady(patience));
   limit->async_wait([peer](const ErrorCode& cancelled) {
     if (!cancelled) {
       ClosePeer(peer);
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -69,9 +69,8 @@
         std::any_of(slot->queue.begin(), slot->queue.end(),
                     [](const QueuedRecord& queued) { return queued.urgent; });
     if (!urgent) {
-      slot->group_timer = std::make_shared<asio::steady_timer>(
-          node.io,
-          std::chrono::duration_cast<std::chrono::milliseconds>(kGroupTime));
+      slot->group_timer =
+          std::make_shared<asio::steady_timer>(node.io, Steady(kGroupTime));
       ErrorCode cut_short;  // by an urgent record
       co_await slot->group_timer->async_wait(Into(cut_short));
     }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -43,11 +43,6 @@
   std::string endpoint;
 };
 
-asio::steady_timer::time_point Until(Duration left) {
-  return asio::steady_timer::clock_type::now() +
-         std::chrono::duration_cast<asio::steady_timer::duration>(left);
-}
-
 Duration StoreRetry(const Call& call) {
   return std::max(TimeLeft(call) / kRetryPart - kRetryMargin, kHolderRetry);
 }
