node: one reader of keyed topics, one way to tell all peers

Members, endpoints and configuration each paged through the newest records, decoded news from an offset and dropped the offset on Expired in their own loops; keyed_topic does it for all three, and writes a key. The loop over links stood in fleet.cc and endpoint_feed.cc, the list of held slots and the own address twice in fleet.cc, the wait for the store a second time in LeaveFleet, kTryAnyway twice. ServePeers is declared beside its source. The comment on CallStore told of reads that probes have replaced. Behaviour is unchanged, but for a list of several pages: its records are taken once all pages are there.

--- a/include/celerykeel/node/fleet.h
+++ b/include/celerykeel/node/fleet.h
@@ -8,9 +8,6 @@
 
 struct Node;
 
-/// @brief Accepts other instances, and answers their calls.
-Task<> ServePeers(Node& node);
-
 /// @brief Keeps heartbeats, links and slots going.
 Task<> RunFleet(Node& node);
 
--- a/include/celerykeel/node/peer_answer.h
+++ b/include/celerykeel/node/peer_answer.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "celerykeel/node/asio.h"       // for Task
-#include "celerykeel/node/peer_link.h"  // for PeerSocketPtr
+#include "celerykeel/node/asio.h"  // for Task
 
 namespace celerykeel {
 
 struct Node;
 
-/// @brief Serves one connection of another instance until it ends.
-Task<> ServePeer(Node& node, PeerSocketPtr peer);
+/// @brief Accepts other instances, and answers their calls.
+Task<> ServePeers(Node& node);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/peer_link.h
+++ b/include/celerykeel/node/peer_link.h
@@ -52,6 +52,9 @@
 /// one write.
 void SendFrame(const PeerSocketPtr& socket, const pb::NodeFrame& frame);
 
+/// @brief Queues a frame for every peer that there is a connection to.
+void SendToAll(const PeerNetwork& network, const pb::NodeFrame& frame);
+
 /// @brief Reads frames until the connection ends.
 Task<> ReadFrames(PeerSocketPtr socket,
                   std::function<void(const pb::NodeFrame&)> on_frame);
--- a/include/celerykeel/node/store_client.h
+++ b/include/celerykeel/node/store_client.h
@@ -41,6 +41,10 @@
 /// @brief True if a call would likely succeed now, on any way.
 bool StoreIsReached(const Node& node);
 
+/// @brief While the store is away, probes tell of its return; a call is tried
+/// after so long all the same.
+inline constexpr Duration kTryAnyway = std::chrono::seconds(1);
+
 /// @brief Waits until the store is reached.
 /// @return false if it is still away after `patience`.
 Task<bool> AwaitStore(Node& node, Duration patience);
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -1,10 +1,12 @@
 #include "celerykeel/node/endpoint_feed.h"
 
 #include <algorithm>  // for std::any_of
-#include <utility>    // for std::move
+#include <set>        // for std::set
+#include <vector>     // for std::vector
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/reader_choice.h"  // for IsReader
+#include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys
 #include "celerykeel/node/node.h"           // for Node
 #include "platform/deployment_json.h"       // for platform::DecodeEndpoint
 
@@ -16,9 +18,6 @@
 // once; this pace leaves most of the drain time for calls on their way.
 constexpr Duration kPace = std::chrono::milliseconds(400);
 constexpr Duration kPause = std::chrono::milliseconds(100);
-// While the store is away, probes tell of its return; a read is tried from time
-// to time all the same.
-constexpr Duration kTryAnyway = std::chrono::seconds(1);
 // One that hears from readers reads the whole list so often, lest news that
 // were lost with a connection stay unknown.
 constexpr Duration kReadAllEvery = std::chrono::seconds(4);
@@ -59,72 +58,47 @@
   return changed;
 }
 
-Task<std::optional<uint64_t>> ReadAllEndpoints(Node& node) {
-  NewestCall call{.topic = std::string(platform::kEndpointTopic), .after = {}};
+Task<> ReadWholeList(Node& node, KeyedTopic& topic) {
+  const auto records = co_await ReadAllKeys(node, topic);
+  if (!records) {
+    co_return;
+  }
   std::set<std::string> seen;
-  while (true) {
-    const auto done = co_await ReadNewest(node, call);
-    if (!done) {
-      co_return std::nullopt;
-    }
-    for (const KeyedRecord& record : done->records) {
-      TakeEndpoint(node, record);
-      seen.insert(record.key);
-    }
-    if (!done->more || done->records.empty()) {
-      // What the store no longer lists was removed unseen.
-      std::vector<std::string> gone;
-      for (const auto& [id, endpoint] : node.endpoints.endpoints) {
-        if (!seen.contains(id)) {
-          gone.push_back(id);
-        }
-      }
-      for (const std::string& id : gone) {
-        NoteRemoved(node.endpoints, id, Now());
-      }
-      co_return done->end;
-    }
-    call.after = done->records.back().key;
+  for (const KeyedRecord& record : *records) {
+    TakeEndpoint(node, record);
+    seen.insert(record.key);
   }
-}
-
-void TellPeers(Node& node, const pb::EndpointNews& news) {
-  pb::NodeFrame frame;
-  *frame.mutable_endpoint_news() = news;
-  for (const auto& [instance, link] : node.peers.links) {
-    if (link->socket != nullptr) {
-      SendFrame(link->socket, frame);
+  // What the store no longer lists was removed unseen.
+  std::vector<std::string> gone;
+  for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+    if (!seen.contains(id)) {
+      gone.push_back(id);
     }
   }
+  for (const std::string& id : gone) {
+    NoteRemoved(node.endpoints, id, Now());
+  }
 }
 
-// Reads what was written since `next`, and tells the peers what changed.
-Task<> ReadNews(Node& node, std::optional<uint64_t>& next) {
+// Tells the peers what changed.
+Task<> ReadForAll(Node& node, KeyedTopic& topic) {
   const Duration began = Now();
-  const ReadCall read{.topic = std::string(platform::kEndpointTopic),
-                      .partition = 0,
-                      .from = *next,
-                      .wait_ms = 0};
-  const auto done = co_await Read(node, read);
-  if (!done) {
-    if (std::holds_alternative<Expired>(done.error())) {
-      next.reset();
-    }
+  const auto records = co_await ReadNewRecords(node, topic, 0);
+  if (!records) {
     co_return;
   }
-  pb::EndpointNews news;
-  for (const std::string& bytes : done->records) {
-    const KeyedRecord record = platform::DecodeKeyed(bytes, *next);
+  pb::NodeFrame frame;
+  pb::EndpointNews& news = *frame.mutable_endpoint_news();
+  for (const KeyedRecord& record : *records) {
     if (TakeEndpoint(node, record)) {
       pb::EndpointChange& change = *news.add_changes();
       change.set_endpoint(record.key);
       change.set_entry(record.value);
       change.set_removed(record.dropped);
     }
-    ++*next;
   }
   if (news.changes_size() > 0) {
-    TellPeers(node, news);
+    SendToAll(node.peers, frame);
   }
   node.endpoints_read_at = began;
 }
@@ -149,24 +123,23 @@
 }
 
 Task<> FollowEndpoints(Node& node) {
-  std::optional<uint64_t> next;
+  KeyedTopic topic{.name = platform::kEndpointTopic, .next = std::nullopt};
   Duration read_all_at{};
   while (true) {
     const Duration now = Now();
     const bool reads = IsReader(node.fleet, now) || !HearsReader(node, now);
-    if (!next || (!reads && now >= read_all_at + kReadAllEvery)) {
+    if (!topic.next || (!reads && now >= read_all_at + kReadAllEvery)) {
       co_await AwaitStore(node, kTryAnyway);
       read_all_at = Now();
-      const auto end = co_await ReadAllEndpoints(node);
-      next = end ? end : next;
+      co_await ReadWholeList(node, topic);
     } else if (reads) {
       co_await AwaitStore(node, kTryAnyway);
-      co_await ReadNews(node, next);
+      co_await ReadForAll(node, topic);
     }
     if (!reads) {
       node.endpoints_read_at.reset();
     }
-    co_await Sleep(node.io, next ? kPace : kPause);
+    co_await Sleep(node.io, topic.next ? kPace : kPause);
   }
 }
 
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -2,9 +2,9 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"     // for Now
-#include "celerykeel/node/node.h"      // for Node
-#include "platform/deployment_json.h"  // for platform::DecodeDeployment
+#include "celerykeel/node/keyed_topic.h"  // for ReadAllKeys
+#include "celerykeel/node/node.h"         // for Node
+#include "platform/deployment_json.h"     // for platform::DecodeDeployment
 
 namespace celerykeel {
 
@@ -14,9 +14,6 @@
 // write seldom, and each read is priced.
 constexpr uint64_t kLongReadMillis = 5000;
 constexpr Duration kPause = std::chrono::milliseconds(100);
-// While the store is away, probes tell of its return; a read is tried from time
-// to time all the same.
-constexpr Duration kTryAnyway = std::chrono::seconds(1);
 // The store can serve reads that are seconds old.
 constexpr Duration kReadAgain = std::chrono::milliseconds(150);
 
@@ -48,20 +45,16 @@
   }
 }
 
-Task<std::optional<uint64_t>> ReadNewestDeployment(Node& node) {
-  const NewestCall call{.topic = std::string(platform::kConfigurationTopic),
-                        .after = {}};
-  const auto done = co_await ReadNewest(node, call);
-  if (!done) {
-    co_return std::nullopt;
-  }
-  for (const KeyedRecord& record : done->records) {
-    TakeDeployment(node, record);
+Task<> ReadNewestDeployment(Node& node, KeyedTopic& topic) {
+  if (const auto records = co_await ReadAllKeys(node, topic)) {
+    for (const KeyedRecord& record : *records) {
+      TakeDeployment(node, record);
+    }
   }
-  co_return done->end;
 }
 
 Task<> CatchUpWithPeers(Node& node) {
+  KeyedTopic topic{.name = platform::kConfigurationTopic, .next = std::nullopt};
   while (true) {
     uint64_t newest = 0;
     for (const auto& [instance, state] : node.peer_states) {
@@ -70,7 +63,7 @@
     if (node.deployment != nullptr && node.deployment->version >= newest) {
       break;
     }
-    [[maybe_unused]] const auto end = co_await ReadNewestDeployment(node);
+    co_await ReadNewestDeployment(node, topic);
     co_await Sleep(node.io, kReadAgain);
   }
   node.catching_up = false;
@@ -86,33 +79,28 @@
 }
 
 Task<> FollowDeployment(Node& node) {
-  std::optional<uint64_t> next;
+  KeyedTopic topic{.name = platform::kConfigurationTopic, .next = std::nullopt};
   while (true) {
     co_await AwaitStore(node, kTryAnyway);
-    if (!next) {
-      next = co_await ReadNewestDeployment(node);
-      if (!next || node.deployment == nullptr) {
-        next.reset();
+    if (!topic.next) {
+      co_await ReadNewestDeployment(node, topic);
+      if (!topic.next || node.deployment == nullptr) {
+        topic.next.reset();
         co_await Sleep(node.io, kPause);
       }
       continue;
     }
-    const ReadCall read{.topic = std::string(platform::kConfigurationTopic),
-                        .partition = 0,
-                        .from = *next,
-                        .wait_ms = kLongReadMillis};
-    const auto done = co_await Read(node, read);
-    if (!done) {
+    const auto records = co_await ReadNewRecords(node, topic, kLongReadMillis);
+    if (!records) {
       // Whatever was written meanwhile is in the newest records.
-      next.reset();
-      if (!std::holds_alternative<Expired>(done.error())) {
+      topic.next.reset();
+      if (!std::holds_alternative<Expired>(records.error())) {
         co_await Sleep(node.io, kPause);
       }
       continue;
     }
-    for (const std::string& bytes : done->records) {
-      TakeDeployment(node, platform::DecodeKeyed(bytes, *next));
-      ++*next;
+    for (const KeyedRecord& record : *records) {
+      TakeDeployment(node, record);
     }
   }
 }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -3,8 +3,8 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"         // for Now
+#include "celerykeel/node/keyed_topic.h"   // for ReadAllKeys, WriteKey
 #include "celerykeel/node/node.h"          // for Node
-#include "celerykeel/node/peer_answer.h"   // for ServePeer
 #include "celerykeel/node/rate_lending.h"  // for KeepRates
 #include "celerykeel/node/rates.h"         // for ReportLoans
 
@@ -27,13 +27,27 @@
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
 constexpr std::string_view kMemberTopic = "keyed.celerykeel-members";
 
+std::string PeerAddress(const Node& node) {
+  return node.options.ip + ":" + std::to_string(node.options.peer_port);
+}
+
+template <typename Message>
+void ListHeldSlots(const Node& node, Message& message) {
+  for (const auto& [number, slot] : node.slots.held) {
+    if (slot->active && !slot->lost) {
+      pb::HeldSlot& held = *message.add_slots();
+      held.set_slot(number);
+      held.set_epoch(slot->epoch);
+    }
+  }
+}
+
 pb::NodeFrame Heartbeat(const Node& node) {
   pb::NodeFrame frame;
   pb::NodeHeartbeat& beat = *frame.mutable_heartbeat();
   beat.set_instance(node.options.instance);
   beat.set_incarnation(node.incarnation);
-  beat.set_address(node.options.ip + ":" +
-                   std::to_string(node.options.peer_port));
+  beat.set_address(PeerAddress(node));
   beat.set_zone(node.options.zone);
   beat.set_deployment_version(
       node.deployment == nullptr ? 0 : node.deployment->version);
@@ -44,13 +58,7 @@
         Now() - *node.endpoints_read_at);
     beat.set_endpoints_age_ms(static_cast<uint32_t>(age.count()));
   }
-  for (const auto& [number, slot] : node.slots.held) {
-    if (slot->active && !slot->lost) {
-      pb::HeldSlot& held = *beat.add_slots();
-      held.set_slot(number);
-      held.set_epoch(slot->epoch);
-    }
-  }
+  ListHeldSlots(node, beat);
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
     if (endpoint.in_flight > 0) {
       pb::EndpointLoad& load = *beat.add_loads();
@@ -92,12 +100,7 @@
 }
 
 void SendHeartbeats(Node& node) {
-  const pb::NodeFrame frame = Heartbeat(node);
-  for (const auto& [instance, link] : node.peers.links) {
-    if (link->socket != nullptr) {
-      SendFrame(link->socket, frame);
-    }
-  }
+  SendToAll(node.peers, Heartbeat(node));
 }
 
 void SumLoads(Node& node) {
@@ -189,68 +192,34 @@
 Task<> WriteEntry(Node& node, uint64_t beat) {
   pb::MemberEntry entry;
   entry.set_incarnation(node.incarnation);
-  entry.set_address(node.options.ip + ":" +
-                    std::to_string(node.options.peer_port));
+  entry.set_address(PeerAddress(node));
   entry.set_zone(node.options.zone);
   entry.set_beat(beat);
   entry.set_written_at(WallNow());
   entry.set_leaving(node.stopping);
-  for (const auto& [number, slot] : node.slots.held) {
-    if (slot->active && !slot->lost) {
-      pb::HeldSlot& held = *entry.add_slots();
-      held.set_slot(number);
-      held.set_epoch(slot->epoch);
-    }
-  }
-  const AppendCall call{.topic = std::string(kMemberTopic),
-                        .partition = 0,
-                        .stamp = std::nullopt,
-                        .records = {platform::EncodeKeyed(
-                            node.options.instance, entry.SerializeAsString())}};
+  ListHeldSlots(node, entry);
   // A beat that is lost is made good by the next one.
-  [[maybe_unused]] const auto done = co_await Append(node, call);
-}
-
-Task<std::optional<uint64_t>> ReadAllMembers(Node& node) {
-  NewestCall call{.topic = std::string(kMemberTopic), .after = {}};
-  while (true) {
-    const auto done = co_await ReadNewest(node, call);
-    if (!done) {
-      co_return std::nullopt;
-    }
-    for (const KeyedRecord& record : done->records) {
-      NoteMemberEntry(node, record, Now());
-    }
-    if (!done->more || done->records.empty()) {
-      if (!node.fleet.members_read_at) {
-        node.fleet.members_read_at = Now();
-      }
-      co_return done->end;
-    }
-    call.after = done->records.back().key;
-  }
+  [[maybe_unused]] const auto done = co_await WriteKey(
+      node, kMemberTopic, node.options.instance, entry.SerializeAsString());
 }
 
-Task<> ReadMembers(Node& node, std::optional<uint64_t>& next) {
-  if (!next) {
-    next = co_await ReadAllMembers(node);
-    co_return;
+Task<> ReadMembers(Node& node, KeyedTopic& members) {
+  const bool all = !members.next;
+  KeyedRecords records;
+  if (all) {
+    records = co_await ReadAllKeys(node, members);
+  } else {
+    records = co_await ReadNewRecords(node, members, 0);
   }
-  const ReadCall read{.topic = std::string(kMemberTopic),
-                      .partition = 0,
-                      .from = *next,
-                      .wait_ms = 0};
-  const auto done = co_await Read(node, read);
-  if (!done) {
-    if (std::holds_alternative<Expired>(done.error())) {
-      next.reset();
-    }
+  if (!records) {
     co_return;
   }
   const Duration now = Now();
-  for (const std::string& bytes : done->records) {
-    NoteMemberEntry(node, platform::DecodeKeyed(bytes, *next), now);
-    ++*next;
+  for (const KeyedRecord& record : *records) {
+    NoteMemberEntry(node, record, now);
+  }
+  if (all && !node.fleet.members_read_at) {
+    node.fleet.members_read_at = now;
   }
 }
 
@@ -297,13 +266,13 @@
 }
 
 Task<> RunMembership(Node& node) {
-  std::optional<uint64_t> next;
+  KeyedTopic members{.name = kMemberTopic, .next = std::nullopt};
   uint64_t beat = 0;
   const Duration started = Now();
   while (true) {
     beat += 1;
     co_await WriteEntry(node, beat);
-    co_await ReadMembers(node, next);
+    co_await ReadMembers(node, members);
     co_await Sleep(node.io,
                    Now() < started + kFirstTime ? kFirstBeats : kBeatEvery);
   }
@@ -312,19 +281,12 @@
 // While the store is away nobody can take the slots, so they are kept for as
 // long as this instance lasts.
 Task<> LeaveFleet(Node& node) {
-  const Duration until = Now() + node.options.stop_time / 2;
-  while (!StoreIsReached(node) && Now() < until) {
-    co_await Sleep(node.io, kTick);
-  }
+  co_await AwaitStore(node, node.options.stop_time / 2);
   co_await ReleaseSlots(node);
   SendHeartbeats(node);
-  const AppendCall call{
-      .topic = std::string(kMemberTopic),
-      .partition = 0,
-      .stamp = std::nullopt,
-      .records = {platform::EncodeKeyed(node.options.instance, "")}};
   // Without it the entry stays until the members forget it.
-  [[maybe_unused]] const auto done = co_await Append(node, call);
+  [[maybe_unused]] const auto done =
+      co_await WriteKey(node, kMemberTopic, node.options.instance, "");
 }
 
 }  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -0,0 +1,63 @@
+#include "celerykeel/node/keyed_topic.h"
+
+#include <iterator>  // for std::make_move_iterator
+#include <utility>   // for std::move
+
+#include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/store_client.h"  // for ReadNewest
+#include "platform/store_calls.h"          // for platform::DecodeKeyed
+
+namespace celerykeel {
+
+Task<KeyedRecords> ReadAllKeys(Node& node, KeyedTopic& topic) {
+  NewestCall call{.topic = std::string(topic.name), .after = {}};
+  std::vector<KeyedRecord> all;
+  while (true) {
+    auto done = co_await ReadNewest(node, call);
+    if (!done) {
+      co_return tl::unexpected(done.error());
+    }
+    all.insert(all.end(), std::make_move_iterator(done->records.begin()),
+               std::make_move_iterator(done->records.end()));
+    if (!done->more || done->records.empty()) {
+      topic.next = done->end;
+      co_return all;
+    }
+    call.after = all.back().key;
+  }
+}
+
+Task<KeyedRecords> ReadNewRecords(Node& node,
+                                  KeyedTopic& topic,
+                                  uint64_t wait_ms) {
+  const ReadCall read{.topic = std::string(topic.name),
+                      .partition = 0,
+                      .from = *topic.next,
+                      .wait_ms = wait_ms};
+  const auto done = co_await Read(node, read);
+  if (!done) {
+    if (std::holds_alternative<Expired>(done.error())) {
+      topic.next.reset();
+    }
+    co_return tl::unexpected(done.error());
+  }
+  std::vector<KeyedRecord> records;
+  records.reserve(done->records.size());
+  for (const std::string& bytes : done->records) {
+    records.push_back(platform::DecodeKeyed(bytes, (*topic.next)++));
+  }
+  co_return records;
+}
+
+Task<tl::expected<AppendDone, StoreError>> WriteKey(Node& node,
+                                                    std::string_view topic,
+                                                    std::string_view key,
+                                                    std::string value) {
+  AppendCall call{.topic = std::string(topic),
+                  .partition = 0,
+                  .stamp = std::nullopt,
+                  .records = {platform::EncodeKeyed(key, value)}};
+  co_return co_await Append(node, std::move(call));
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -5,7 +5,6 @@
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/node/endpoint_feed.h"  // for TakeEndpointNews
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
-#include "celerykeel/node/fleet.h"          // for ServePeers
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, TakeRateNews
 
@@ -159,8 +158,6 @@
   }
 }
 
-}  // namespace
-
 Task<> ServePeer(Node& node, PeerSocketPtr peer) {
   // GCC 12 destroys a lambda twice that is made inside a co_await.
   std::function<void(const pb::NodeFrame&)> on_frame =
@@ -168,6 +165,8 @@
   co_await ReadFrames(peer, std::move(on_frame));
 }
 
+}  // namespace
+
 Task<> ServePeers(Node& node) {
   ErrorCode error;
   const Tcp::endpoint local(asio::ip::make_address(node.options.ip, error),
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -123,6 +123,14 @@
   ClosePeer(peer);
 }
 
+void SendToAll(const PeerNetwork& network, const pb::NodeFrame& frame) {
+  for (const auto& [instance, link] : network.links) {
+    if (link->socket != nullptr) {
+      SendFrame(link->socket, frame);
+    }
+  }
+}
+
 bool StartCall(PeerNetwork& network,
                PeerLink& link,
                pb::NodeFrame frame,
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/endpoint_feed.h"  // for FollowEndpoints
 #include "celerykeel/node/feeds.h"          // for FollowDeployment
 #include "celerykeel/node/fleet.h"          // for RunFleet
+#include "celerykeel/node/peer_answer.h"    // for ServePeers
 #include "celerykeel/node/store_client.h"   // for ProbeStore
 
 namespace celerykeel {
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -104,8 +104,8 @@
   co_return platform::StoreResponse{0, "no way to the store"};
 }
 
-// While the direct way fails, a peer is asked first, and the direct way is
-// tried by the paced reads of Feeds.
+// While the direct way fails, a peer is asked first; probes tell when it works
+// again.
 Task<platform::StoreResponse> CallStore(Node& node,
                                         platform::StoreRequest request,
                                         Duration patience) {
