node, platform: what nothing reads is gone

Each turn's prompt parts were split into strings that nothing used, beside three more facts of the request; HasEndpoint, OutConnection::reused and the verdict STORE_AWAY, which no holder gives, had no reader either. The headers themselves are passed on as before. Behaviour is unchanged.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -18,16 +18,12 @@
   std::string id;   // of this request; a repeat by the caller has another
   std::string key;  // never logged, never passed on
   std::string program;
-  std::string line;  // one for each sequence of turns, such as a sub-agent's
   std::string previous_turn;
   std::string object;  // calls on the same object carry the same value
   std::string last_event;
   std::optional<uint64_t> token_budget;  // of the whole program
-  uint64_t prompt_tokens = 0;
-  uint64_t most_tokens = 0;  // that this call may generate
-  std::vector<std::string> prompt_parts;
-  std::optional<Duration> time_left;          // of the caller's patience
-  std::optional<Duration> program_time_left;  // until the program is late
+  uint64_t most_tokens = 0;              // that this call may generate
+  std::optional<Duration> time_left;     // of the caller's patience
 };
 
 /// @brief A caller's request, decoded once.
--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -71,9 +71,6 @@
                                const EndpointWish& wish,
                                Duration now);
 
-/// @brief True if an endpoint of the service takes new work.
-bool HasEndpoint(const EndpointTable& table, std::string_view service);
-
 /// @brief For so long after the store's return, an endpoint whose entry went
 /// meanwhile may still write it again.
 inline constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -29,7 +29,6 @@
   Duration idle_since{};
   Duration idle_limit{};  // the peer closes it after so long
   Duration sent_at{};     // when its last exchange began
-  bool reused = false;
   bool given_up = false;  // by CloseBusy
 };
 using OutConnectionPtr = std::shared_ptr<OutConnection>;
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -117,12 +117,4 @@
   return best;
 }
 
-bool HasEndpoint(const EndpointTable& table, std::string_view service) {
-  return std::any_of(table.endpoints.begin(), table.endpoints.end(),
-                     [service](const auto& entry) {
-                       return entry.second.entry.service == service &&
-                              !entry.second.entry.leaving;
-                     });
-}
-
 }  // namespace celerykeel
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -63,7 +63,6 @@
     const Duration idle = now - connection->idle_since;
     if (idle < std::min(most_idle, connection->idle_limit) &&
         IsQuiet(*connection)) {
-      connection->reused = true;
       return connection;
     }
     Close(*connection);
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -43,12 +43,12 @@
   std::string endpoint;
 };
 
-Duration StoreRetry(const Call& call) {
-  return std::max(TimeLeft(call) / kRetryPart - kRetryMargin, kHolderRetry);
+CallRefusal StoreAway(const Call& call) {
+  return {kUnavailable, "not run: the store is away",
+          std::max(TimeLeft(call) / kRetryPart - kRetryMargin, kHolderRetry)};
 }
 
-std::optional<CallRefusal> RefusalOfVerdict(const Call& call,
-                                            pb::TurnGrant::Verdict verdict) {
+std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
   switch (verdict) {
     case pb::TurnGrant::GRANTED:
       return std::nullopt;
@@ -61,9 +61,6 @@
                          "not run: turns under way may need the rest of the "
                          "budget",
                          kHolderRetry};
-    case pb::TurnGrant::STORE_AWAY:
-      return CallRefusal{kUnavailable, "not run: the store is away",
-                         StoreRetry(call)};
     default:
       return CallRefusal{kUnavailable, "not run: the program has no holder now",
                          kHolderRetry};
@@ -340,14 +337,12 @@
   if (NeedsHolder(*call)) {
     if (call->route->retained &&
         !co_await AwaitStore(node, TimeLeft(*call) / kStoreWaitPart)) {
-      co_await Refuse(node, call,
-                      *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
+      co_await Refuse(node, call, StoreAway(*call));
       co_return;
     }
     relay.permit = co_await AskHolder(
         node, call, std::min(kHolderPatience, TimeLeft(*call) / 2));
-    if (const auto refusal =
-            RefusalOfVerdict(*call, relay.permit.grant.verdict())) {
+    if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
       if (relay.permit.may_be_counted) {
         FinishBroken(node, *call, relay);
       }
@@ -356,8 +351,7 @@
     }
     if (!co_await AwaitCover(node, call, relay.permit)) {
       FinishBroken(node, *call, relay);
-      co_await Refuse(node, call,
-                      *RefusalOfVerdict(*call, pb::TurnGrant::STORE_AWAY));
+      co_await Refuse(node, call, StoreAway(*call));
       co_return;
     }
     call->preferred_endpoint = relay.permit.grant.endpoint();
