core: names of headers are compared in one place

caller_stream.cc and platform/headers.cc each had a list of hop-by-hop headers and a comparison without case. The eight common names and the comparison are in core/header_names, with a test; what only one side drops stays there. Behaviour is unchanged.

--- a/src/celerykeel/node/caller_stream.cc
+++ b/src/celerykeel/node/caller_stream.cc
@@ -1,7 +1,6 @@
 #include "celerykeel/node/caller_stream.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -10,12 +9,10 @@
 
 #include <sys/socket.h>  // for recv
 
-#include <algorithm>  // for std::any_of
-#include <array>      // for std::array
-
 #include <fmt/format.h>  // for fmt::format
 
-#include "platform/headers.h"  // for platform::EncodeRetryAfter
+#include "celerykeel/core/header_names.h"  // for IsHopByHop
+#include "platform/headers.h"              // for platform::EncodeRetryAfter
 
 namespace celerykeel {
 
@@ -27,23 +24,13 @@
 // A caller that does not read for so long has given up.
 constexpr auto kWriteTimeout = std::chrono::seconds(10);
 
-bool IsHopByHop(const std::string& name) {
-  constexpr std::array<const char*, 9> kNames = {
-      "Connection", "Keep-Alive",     "Proxy-Connection",
-      "TE",         "Trailer",        "Transfer-Encoding",
-      "Upgrade",    "Content-Length", "Proxy-Authenticate"};
-  return std::any_of(kNames.begin(), kNames.end(), [&](const char* one) {
-    return boost::beast::iequals(name, one);
-  });
-}
-
 template <typename Message>
 void FillHead(Message& message,
               const CallerStream& caller,
               const HeaderList& headers) {
   message.version(kVersion11);
   for (const auto& [name, value] : headers) {
-    if (!IsHopByHop(name)) {
+    if (!IsHopByHop(name) && !SameName(name, "Proxy-Authenticate")) {
       message.insert(name, value);
     }
   }
