--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -39,6 +39,30 @@
   return BodyOf(fleet.endpoints[0], id) + BodyOf(fleet.endpoints[1], id);
 }
 
+// Sends kept turns until one is refused.
+// @return the last answer, and the turn that got it.
+std::pair<CallerAnswer, std::string> SendUntilRefused(NodeFleet& fleet) {
+  CallerAnswer answer;
+  std::string id;
+  for (int i = 0; i < 40 && answer.status != 503; ++i) {
+    id = "o" + std::to_string(i);
+    answer =
+        fleet.Send(0, "POST", "/stream/kept/x", Turn(id, "p", "", 99999), "in");
+  }
+  return {answer, id};
+}
+
+// Ends the store's trouble from a thread, which the caller joins.
+std::thread TroubleFor(NodeFleet& fleet,
+                       StoreMode mode,
+                       std::chrono::milliseconds time) {
+  fleet.store.mode = mode;
+  return std::thread([&fleet, time] {
+    std::this_thread::sleep_for(time);
+    fleet.store.mode = StoreMode::kServes;
+  });
+}
+
 constexpr char kOutput[] = "e1\ne2\ne3\ne4\n";
 
 TEST_CASE("turns, tools, keys and budgets over three instances") {
@@ -177,11 +201,8 @@
 TEST_CASE("a store that loses answers doubles and loses nothing") {
   NodeFleet fleet(1);
   REQUIRE(fleet.WaitUntilServing());
-  fleet.store.mode = StoreMode::kLosesAnswers;
-  std::thread heal([&fleet] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    fleet.store.mode = StoreMode::kServes;
-  });
+  std::thread heal = TroubleFor(fleet, StoreMode::kLosesAnswers,
+                                std::chrono::milliseconds(300));
   const auto first =
       fleet.Send(0, "POST", "/stream/kept/x", Turn("l1", "p", "", 9999), "in1");
   heal.join();
@@ -198,11 +219,7 @@
   NodeFleet fleet(1);
   REQUIRE(fleet.WaitUntilServing());
   fleet.store.mode = StoreMode::kRefuses;
-  CallerAnswer answer;
-  for (int i = 0; i < 40 && answer.status != 503; ++i) {
-    answer = fleet.Send(0, "POST", "/stream/kept/x",
-                        Turn("o" + std::to_string(i), "p", "", 99999), "in");
-  }
+  const CallerAnswer answer = SendUntilRefused(fleet).first;
   CHECK(answer.status == 503);
   CHECK_FALSE(answer.retry_after.empty());
   // Tools need no store.
@@ -212,11 +229,8 @@
 TEST_CASE("a store whose appends take effect late doubles nothing") {
   NodeFleet fleet(1);
   REQUIRE(fleet.WaitUntilServing());
-  fleet.store.mode = StoreMode::kLate;
-  std::thread heal([&fleet] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(150));
-    fleet.store.mode = StoreMode::kServes;
-  });
+  std::thread heal =
+      TroubleFor(fleet, StoreMode::kLate, std::chrono::milliseconds(150));
   const auto first =
       fleet.Send(0, "POST", "/stream/kept/x", Turn("l1", "p", "", 9999), "in1");
   heal.join();
@@ -316,13 +330,7 @@
 
   SUBCASE("a turn was refused in an outage of the store") {
     fleet.store.mode = StoreMode::kRefuses;
-    CallerAnswer answer;
-    std::string id;
-    for (int i = 0; i < 40 && answer.status != 503; ++i) {
-      id = "o" + std::to_string(i);
-      answer = fleet.Send(0, "POST", "/stream/kept/x", Turn(id, "p", "", 99999),
-                          "in");
-    }
+    const auto [answer, id] = SendUntilRefused(fleet);
     REQUIRE(answer.status == 503);
     const LogStory told = story(id);
     CHECK(tells(told, "Refused: not run: the store is away"));
