core, node: a call that no endpoint runs takes nothing from its team's rate

Two more refusals inside the rate: the home kept 0.85 of a small bucket for its successor, so that the first call of a team with a burst under 7 was refused; and a team whose tokens of two seconds are fewer than an average program needs could not begin one while short of tokens, with nothing under way. Ruled out: asking the holder first; a team over its rate would then make its holders work for each call. Change: a token is reserved, counts as lent, and is used or returned once the call's fate is known; a program whose budget was found spent is refused where it asks; a waiting request comes before what is kept; a newcomer is only held back for programs under way.

--- a/include/celerykeel/core/rate_borrower.h
+++ b/include/celerykeel/core/rate_borrower.h
@@ -12,7 +12,8 @@
 
 /// @brief A loan in a gate's hands, or one that it has asked for.
 struct LoanHeld {
-  double tokens = 0;
+  double tokens = 0;    // not used yet, the reserved ones included
+  double reserved = 0;  // of `tokens`, for requests whose fate is open
   double reported = 0;  // tokens that the home knows of
   Duration asked_at{};
   bool granted = false;
@@ -35,10 +36,30 @@
 /// @brief Notes that a request came, for the estimate of demand.
 void NoteDemand(RateBorrower& borrower, const RateShare& share, Duration now);
 
-/// @brief Uses one token, if the gate holds one that has not expired.
+/// @brief One token set aside for a request, by the loans that it comes from.
+struct ReservedToken {
+  RateShare share;
+  std::map<uint64_t, double> parts;  // by the number of the loan's request
+};
+
+/// @brief Sets one token aside, if the gate holds one that has not expired. It
+/// counts as lent until it is used or returned, so that a request that is never
+/// run takes nothing from its team.
+std::optional<ReservedToken> ReserveToken(RateBorrower& borrower,
+                                          const RateShare& share,
+                                          Duration now);
+
+/// @brief The request ran, or may have run.
+void UseReserved(RateBorrower& borrower, const ReservedToken& token);
+
+/// @brief The request was not run. The token of a loan that was given back
+/// meanwhile is lost.
+void ReturnReserved(RateBorrower& borrower, const ReservedToken& token);
+
+/// @brief Takes one token for a request that runs for certain.
 bool UseToken(RateBorrower& borrower, const RateShare& share, Duration now);
 
-/// @brief Tokens in hand.
+/// @brief Tokens in hand that no request has reserved.
 double Held(const RateBorrower& borrower, const RateShare& share, Duration now);
 
 /// @brief Registers a wish for a loan that covers `needed` and the demand
--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -10,6 +10,7 @@
 #include "celerykeel/node/asio.h"            // for Task
 #include "celerykeel/node/caller_stream.h"   // for CallerStreamPtr
 #include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
+#include "celerykeel/node/rates.h"           // for RateTicket
 
 namespace celerykeel {
 
@@ -32,6 +33,7 @@
   uint32_t runs = 0;                   // of these, those that may have run it
   std::string last_event;              // relayed
   uint64_t events = 0;                 // relayed
+  std::optional<RateTicket> ticket;    // until it is known whether it ran
   std::optional<Duration> sent_after;  // first sending, since its arrival
   std::optional<Duration> first_event_after;  // since its arrival
 };
@@ -44,6 +46,10 @@
 /// @brief Refuses a call, with a line in the log.
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal);
 
+/// @brief Settles the call's part of its team's rate, once it is known whether
+/// an endpoint may have run it.
+void SettleRate(Node& node, Call& call);
+
 /// @brief Time left until the call's deadline.
 Duration TimeLeft(const Call& call);
 
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -13,6 +13,7 @@
 #include "celerykeel/core/rate_borrower.h"   // for RateBorrower
 #include "celerykeel/core/rate_home.h"       // for RateHome
 #include "celerykeel/core/slot_table.h"      // for KnownFleet
+#include "celerykeel/core/spent_programs.h"  // for SpentPrograms
 #include "celerykeel/node/asio.h"            // for asio::io_context
 #include "celerykeel/node/caller_stream.h"   // for CallerStream
 #include "celerykeel/node/log_sink.h"        // for LogSink
@@ -68,6 +69,7 @@
   PeerNetwork peers;
   std::map<std::string, PeerState> peer_states;
   SlotHost slots;
+  SpentPrograms spent_programs;
   RateDesk rates;
 
   std::optional<Duration> endpoints_read_at;  // as a reader for all
--- a/src/celerykeel/core/newcomer_gate.cc
+++ b/src/celerykeel/core/newcomer_gate.cc
@@ -40,7 +40,11 @@
                    Duration now) {
   Decay(gate, now);
   const double soon = at_hand + limits.rate * kProgramSeconds;
-  if (IsScarce(at_hand, limits) && gate.committed + gate.per_program > soon) {
+  // With nothing under way there is nobody to leave the tokens to, however few
+  // they are against an average program.
+  const bool others_need = gate.committed >= 1;
+  if (others_need && IsScarce(at_hand, limits) &&
+      gate.committed + gate.per_program > soon) {
     return false;
   }
   gate.committed += gate.per_program;
--- a/src/celerykeel/core/newcomer_gate_unittest.cc
+++ b/src/celerykeel/core/newcomer_gate_unittest.cc
@@ -70,6 +70,17 @@
   CHECK(gated >= 35);
 }
 
+// A program needs more tokens than a small team has in two seconds.
+TEST_CASE("a small team with no program under way may begin one") {
+  const RateLimits small{.rate = 3, .burst = 4};
+  NewcomerGate gate;
+  const Duration now = milliseconds(100);
+  CHECK(AdmitNewcomer(gate, 1, small, now));
+  CHECK_FALSE(AdmitNewcomer(gate, 1, small, now));
+  NoteTokensUsed(gate, 12, now);
+  CHECK(AdmitNewcomer(gate, 1, small, now));
+}
+
 TEST_CASE("a team within its rate is not held back") {
   CHECK(ServedWhole(1, true) == ServedWhole(1, false));
   CHECK(ServedWhole(1, true) == 30);
--- a/src/celerykeel/core/rate_borrower.cc
+++ b/src/celerykeel/core/rate_borrower.cc
@@ -15,6 +15,8 @@
 constexpr Duration kReportEvery = milliseconds(50);
 // Older loans go back to the home in time: what expires is lost to the team.
 constexpr Duration kGiveBackAfter = milliseconds(600);
+// Closing a loan gives its reserved tokens up, so it waits for them this long.
+constexpr Duration kGiveBackAtLatest = milliseconds(850);
 // Requests per second from which a token in hand is soon used.
 constexpr double kBusyDemand = 2;
 constexpr double kRounding = 1e-9;
@@ -40,10 +42,14 @@
   return held.demand * std::exp(-age / Seconds(kDemandMemory));
 }
 
+double Free(const LoanHeld& loan) {
+  return loan.tokens - loan.reserved;
+}
+
 double HeldOf(const ShareHeld& held, Duration now) {
   double tokens = 0;
   for (const auto& [request, loan] : held.loans) {
-    tokens += IsLive(loan, now) ? loan.tokens : 0;
+    tokens += IsLive(loan, now) ? Free(loan) : 0;
   }
   return tokens;
 }
@@ -61,8 +67,10 @@
                std::vector<LoanNews>& news) {
   held.reported_at = now;
   for (auto& [request, loan] : held.loans) {
-    if (IsLive(loan, now) && now >= loan.asked_at + kGiveBackAfter) {
-      news.push_back({share, request, loan.tokens, true});
+    const Duration due =
+        loan.reserved > kRounding ? kGiveBackAtLatest : kGiveBackAfter;
+    if (IsLive(loan, now) && now >= loan.asked_at + due) {
+      news.push_back({share, request, Free(loan), true});
       loan.tokens = 0;
     } else if (loan.granted && loan.tokens != loan.reported) {
       loan.reported = loan.tokens;
@@ -83,21 +91,66 @@
   held.demand_at = now;
 }
 
-bool UseToken(RateBorrower& borrower, const RateShare& share, Duration now) {
+std::optional<ReservedToken> ReserveToken(RateBorrower& borrower,
+                                          const RateShare& share,
+                                          Duration now) {
   const auto found = borrower.shares.find(share);
   if (found == borrower.shares.end() ||
       HeldOf(found->second, now) + kRounding < 1) {
-    return false;
+    return std::nullopt;
   }
+  ReservedToken token{.share = share, .parts = {}};
   double left = 1;
   for (auto& [request, loan] : found->second.loans) {
-    if (IsLive(loan, now)) {
-      const double used = std::min(loan.tokens, left);
-      loan.tokens -= used;
-      left -= used;
+    if (const double part = std::min(Free(loan), left);
+        IsLive(loan, now) && part > 0) {
+      loan.reserved += part;
+      left -= part;
+      token.parts[request] = part;
+    }
+  }
+  return token;
+}
+
+namespace {
+
+// A loan that was closed meanwhile is no longer here.
+template <typename Change>
+void ChangeParts(RateBorrower& borrower,
+                 const ReservedToken& token,
+                 Change change) {
+  const auto held = borrower.shares.find(token.share);
+  if (held == borrower.shares.end()) {
+    return;
+  }
+  for (const auto& [request, part] : token.parts) {
+    if (const auto loan = held->second.loans.find(request);
+        loan != held->second.loans.end()) {
+      change(loan->second, part);
     }
   }
-  return true;
+}
+
+}  // namespace
+
+void UseReserved(RateBorrower& borrower, const ReservedToken& token) {
+  ChangeParts(borrower, token, [](LoanHeld& loan, double part) {
+    loan.reserved -= part;
+    loan.tokens -= part;
+  });
+}
+
+void ReturnReserved(RateBorrower& borrower, const ReservedToken& token) {
+  ChangeParts(borrower, token,
+              [](LoanHeld& loan, double part) { loan.reserved -= part; });
+}
+
+bool UseToken(RateBorrower& borrower, const RateShare& share, Duration now) {
+  const auto token = ReserveToken(borrower, share, now);
+  if (token) {
+    UseReserved(borrower, *token);
+  }
+  return token.has_value();
 }
 
 double Held(const RateBorrower& borrower,
@@ -169,7 +222,7 @@
   std::erase_if(found->second.loans, [&](const auto& entry) {
     const auto& [request, loan] = entry;
     if (IsLive(loan, now)) {
-      news.push_back({share, request, loan.tokens, true});
+      news.push_back({share, request, Free(loan), true});
     }
     return loan.granted;
   });
@@ -190,9 +243,14 @@
   });
   ReportUse(share, held, now, news);
   if (HeldOf(held, now) > 2 * Ahead(held, now) + 1) {
-    for (LoanNews& closed : GiveBack(borrower, share, now)) {
-      news.push_back(std::move(closed));
-    }
+    std::erase_if(held.loans, [&](const auto& entry) {
+      const auto& [request, loan] = entry;
+      const bool is_spare = IsLive(loan, now) && loan.reserved < kRounding;
+      if (is_spare) {
+        news.push_back({share, request, loan.tokens, true});
+      }
+      return is_spare;
+    });
   }
   return news;
 }
--- a/src/celerykeel/core/rate_borrower_unittest.cc
+++ b/src/celerykeel/core/rate_borrower_unittest.cc
@@ -48,6 +48,63 @@
   CHECK(rest[0].share == kOrchard);
 }
 
+// A call took its token before its budget was looked up and never gave it back,
+// so that a program that looped beyond its budget took its team's whole rate.
+TEST_CASE("a request that is not run takes nothing from its team") {
+  const Duration start = seconds(10);
+  RateBorrower borrower = WithLoan(kOrchard, 1, start);
+  for (int i = 0; i < 60; ++i) {
+    const auto token = ReserveToken(borrower, kOrchard, start);
+    REQUIRE(token);
+    CHECK_FALSE(ReserveToken(borrower, kOrchard, start));
+    ReturnReserved(borrower, *token);
+  }
+  CHECK(Held(borrower, kOrchard, start) == 1);
+  const auto used = ReserveToken(borrower, kOrchard, start);
+  REQUIRE(used);
+  UseReserved(borrower, *used);
+  CHECK_FALSE(ReserveToken(borrower, kOrchard, start));
+}
+
+TEST_CASE("a reserved token counts as lent until its request's fate is known") {
+  const Duration start = seconds(10);
+  RateBorrower borrower = WithLoan(kOrchard, 1, start);
+  const auto token = ReserveToken(borrower, kOrchard, start);
+  REQUIRE(token);
+  CHECK(ReviewShare(borrower, kOrchard, start + milliseconds(60)).empty());
+  SUBCASE("it is used: the home hears that the loan is used up") {
+    UseReserved(borrower, *token);
+    const auto news =
+        ReviewShare(borrower, kOrchard, start + milliseconds(120));
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].closed);
+    CHECK(news[0].tokens == 0);
+  }
+  SUBCASE("its loan is due: it goes back without the token, for good") {
+    const auto news =
+        ReviewShare(borrower, kOrchard, start + milliseconds(900));
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].closed);
+    CHECK(news[0].tokens == 0);
+    ReturnReserved(borrower, *token);
+    CHECK(Held(borrower, kOrchard, start + milliseconds(900)) == 0);
+  }
+}
+
+TEST_CASE(
+    "a token is put together from parts of loans, and goes back to them") {
+  const Duration start = seconds(10);
+  RateBorrower borrower = WithLoan(kOrchard, 0.75, start);
+  const LoanWish wish = AskFor(borrower, kOrchard, 0.75, 1, start);
+  TakeGrant(borrower, kOrchard, wish.id.request, 0.75, start);
+  const auto token = ReserveToken(borrower, kOrchard, start);
+  REQUIRE(token);
+  CHECK(token->parts.size() == 2);
+  CHECK(Held(borrower, kOrchard, start) == doctest::Approx(0.5));
+  ReturnReserved(borrower, *token);
+  CHECK(Held(borrower, kOrchard, start) == doctest::Approx(1.5));
+}
+
 /// A team's requests, spread over instances that borrow from one home.
 struct SpreadTeam {
   RateLimits limits{.rate = 58, .burst = 58};
--- /dev/null
+++ b/src/celerykeel/core/spent_programs.cc
@@ -0,0 +1,55 @@
+#include "celerykeel/core/spent_programs.h"
+
+#include <algorithm>  // for std::max
+#include <cstddef>    // for size_t
+
+namespace celerykeel {
+
+namespace {
+
+// A program that was stopped may come back within the retention of its turns,
+// a minute on the known deployments.
+constexpr Duration kRemembered = std::chrono::minutes(2);
+// About 200 bytes each: a bound of memory, not of correctness.
+constexpr size_t kMostPrograms = 4096;
+
+}  // namespace
+
+void NoteSpent(SpentPrograms& spent,
+               const ProgramName& program,
+               uint64_t budget,
+               uint64_t most_tokens,
+               Duration now) {
+  if (most_tokens > budget || (spent.programs.size() >= kMostPrograms &&
+                               !spent.programs.contains(program))) {
+    return;
+  }
+  SpentPrograms::Entry& entry = spent.programs[program];
+  entry.spent_above = std::max(entry.spent_above, budget - most_tokens);
+  entry.used_at = now;
+}
+
+bool IsKnownSpent(SpentPrograms& spent,
+                  const ProgramName& program,
+                  uint64_t budget,
+                  uint64_t most_tokens,
+                  Duration now) {
+  if (most_tokens > budget) {
+    return true;
+  }
+  const auto found = spent.programs.find(program);
+  if (found == spent.programs.end() ||
+      budget - most_tokens > found->second.spent_above) {
+    return false;
+  }
+  found->second.used_at = now;
+  return true;
+}
+
+void ForgetSpent(SpentPrograms& spent, Duration now) {
+  std::erase_if(spent.programs, [now](const auto& entry) {
+    return entry.second.used_at + kRemembered < now;
+  });
+}
+
+}  // namespace celerykeel
--- /dev/null
+++ b/src/celerykeel/core/spent_programs_unittest.cc
@@ -0,0 +1,49 @@
+#include "celerykeel/core/spent_programs.h"
+
+#include <doctest/doctest.h>
+
+namespace celerykeel {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const ProgramName kLoop{"orchard", "loop"};
+const ProgramName kOther{"orchard", "other"};
+
+TEST_CASE("a program that loops beyond its budget is known") {
+  SpentPrograms spent;
+  const Duration now = seconds(10);
+  CHECK_FALSE(IsKnownSpent(spent, kLoop, 1000, 100, now));
+  NoteSpent(spent, kLoop, 1000, 100, now);
+  CHECK(IsKnownSpent(spent, kLoop, 1000, 100, now));
+  CHECK(IsKnownSpent(spent, kLoop, 1000, 200, now));
+  CHECK_FALSE(IsKnownSpent(spent, kOther, 1000, 100, now));
+}
+
+TEST_CASE("a turn that may fit is asked for") {
+  SpentPrograms spent;
+  const Duration now = seconds(10);
+  NoteSpent(spent, kLoop, 1000, 100, now);
+  CHECK_FALSE(IsKnownSpent(spent, kLoop, 1000, 99, now));
+  CHECK_FALSE(IsKnownSpent(spent, kLoop, 1100, 100, now));
+  NoteSpent(spent, kLoop, 1000, 40, now);
+  CHECK(IsKnownSpent(spent, kLoop, 1000, 99, now));
+}
+
+TEST_CASE("a turn of more than the whole budget never fits") {
+  SpentPrograms spent;
+  CHECK(IsKnownSpent(spent, kLoop, 100, 101, seconds(1)));
+}
+
+TEST_CASE("programs that are gone are forgotten") {
+  SpentPrograms spent;
+  NoteSpent(spent, kLoop, 1000, 100, seconds(10));
+  ForgetSpent(spent, seconds(10) + minutes(1));
+  CHECK(IsKnownSpent(spent, kLoop, 1000, 100, seconds(10) + minutes(1)));
+  ForgetSpent(spent, seconds(10) + minutes(4));
+  CHECK(spent.programs.empty());
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -59,7 +59,18 @@
   return call.deadline - Now();
 }
 
+void SettleRate(Node& node, Call& call) {
+  if (const auto ticket = std::exchange(call.ticket, std::nullopt)) {
+    if (call.runs > 0) {
+      UseTicket(node, *ticket);
+    } else {
+      ReturnTicket(node, *ticket);
+    }
+  }
+}
+
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal) {
+  SettleRate(node, *call);
   CountRefusal(node.metrics, refusal.status, refusal.reason);
   WriteLog(
       node.log, LogLevel::kOrdinary, "refused",
@@ -99,23 +110,29 @@
       Close(*call->attempt);
     }
   };
+  const bool is_turn = call->route->repeat == RepeatRule::kStream;
+  if (const auto refusal = is_turn ? RefuseKnown(node, *call) : std::nullopt) {
+    co_await Refuse(node, call, *refusal);
+    co_return;
+  }
   if (call->team != nullptr) {
-    const auto taken =
-        co_await TakeFromRate(node, *call->team, call->request.facts.program,
-                              call->route->repeat == RepeatRule::kStream &&
-                                  call->request.facts.previous_turn.empty());
+    auto taken = co_await TakeFromRate(
+        node, *call->team, call->request.facts.program,
+        is_turn && call->request.facts.previous_turn.empty());
     if (!taken) {
       co_await Refuse(node, call,
                       {kTooMany, "the team's rate is used up", taken.error()});
       co_return;
     }
+    call->ticket = std::move(*taken);
   }
   call->service = ServiceAt(*call->route, SplitPoint(call->request));
-  if (call->route->repeat == RepeatRule::kStream) {
+  if (is_turn) {
     co_await ServeTurn(node, call);
   } else {
     co_await RunAttempts(node, call);
   }
+  SettleRate(node, *call);
 }
 
 bool IsReady(const Node& node) {
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -253,6 +253,7 @@
       CloseOldIdle(node.store.pool, now);
       ExpireSlots(node);
       ForgetPrograms(node);
+      ForgetSpent(node.spent_programs, now);
     }
     TakeVacantSlots(node, now);
     KeepRates(node);
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -68,6 +68,13 @@
   return level * kKeptPart;
 }
 
+// A request that waits comes before what is kept.
+double KeptBeside(double level, double needed) {
+  const double kept = KeptOf(level);
+  const bool hides_needed = level >= needed && level - kept < needed;
+  return hides_needed ? (level - needed) / 4 : kept;
+}
+
 // Frees tokens that are kept for a successor by a record that keeps fewer.
 // @return false if nothing may be lent: no record of this home is durable.
 Task<bool> MakeLendable(Node& node,
@@ -82,7 +89,7 @@
     co_return true;
   }
   const double kept =
-      short_of_kept ? std::max((at_home - needed) / 4, 0.0) : KeptOf(at_home);
+      short_of_kept ? (at_home - needed) / 4 : KeptBeside(at_home, needed);
   const auto written = WriteKept(node, slot, team, kept);
   const auto durable = co_await written->Wait(kRecordPatience);
   co_return !slot->lost && (rate.recorded || durable.value_or(false));
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -148,10 +148,15 @@
   }
 }
 
-bool TakeAny(Node& node, const DeployedTeam& team) {
+std::optional<RateTicket> TakeAny(Node& node, const DeployedTeam& team) {
   const Duration now = Now();
-  return UseToken(node.rates.borrower, ShareOf(team.name), now) ||
-         TakeWithoutHome(node, team, now);
+  if (auto token = ReserveToken(node.rates.borrower, ShareOf(team.name), now)) {
+    return RateTicket{team.name, std::move(token), false};
+  }
+  if (TakeWithoutHome(node, team, now)) {
+    return RateTicket{team.name, std::nullopt, true};
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -173,12 +178,12 @@
   });
 }
 
-Task<tl::expected<void, Duration>> TakeFromRate(Node& node,
-                                                DeployedTeam team,
-                                                std::string program,
-                                                bool may_begin) {
+Task<tl::expected<RateTicket, Duration>> TakeFromRate(Node& node,
+                                                      DeployedTeam team,
+                                                      std::string program,
+                                                      bool may_begin) {
   if (team.limits.rate <= 0) {
-    co_return tl::expected<void, Duration>();
+    co_return RateTicket{};
   }
   NoteDemand(node.rates.borrower, ShareOf(team.name), Now());
   const ProgramName name{team.name, program};
@@ -187,10 +192,12 @@
       scarce != node.rates.scarce_until.end() && Now() < scarce->second;
   const bool newcomer = may_begin && !program.empty() && is_scarce &&
                         !node.rates.under_way.contains(name);
-  if (!newcomer && TakeAny(node, team)) {
-    node.rates.under_way[name] = Now();
-    AskAheadIfDue(node, team.name, Now());
-    co_return tl::expected<void, Duration>();
+  if (!newcomer) {
+    if (auto ticket = TakeAny(node, team)) {
+      node.rates.under_way[name] = Now();
+      AskAheadIfDue(node, team.name, Now());
+      co_return std::move(*ticket);
+    }
   }
   const Duration until = Now() + kHomePatience;
   Asked asked;
@@ -199,9 +206,11 @@
     NoteHome(node, team.name, asked.answered);
     const bool turned_away =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
-    if (!turned_away && TakeAny(node, team)) {
-      node.rates.under_way[name] = Now();
-      co_return tl::expected<void, Duration>();
+    if (!turned_away) {
+      if (auto ticket = TakeAny(node, team)) {
+        node.rates.under_way[name] = Now();
+        co_return std::move(*ticket);
+      }
     }
     if (asked.answered || Now() + kAskAgain >= until) {
       break;
@@ -214,4 +223,19 @@
                                : kHomeSilentRetry);
 }
 
+void UseTicket(Node& node, const RateTicket& ticket) {
+  if (ticket.token) {
+    UseReserved(node.rates.borrower, *ticket.token);
+  }
+}
+
+void ReturnTicket(Node& node, const RateTicket& ticket) {
+  if (ticket.token) {
+    ReturnReserved(node.rates.borrower, *ticket.token);
+  } else if (const auto bucket = node.rates.without_home.find(ticket.team);
+             ticket.without_home && bucket != node.rates.without_home.end()) {
+    bucket->second.level += 1;  // the next refill keeps it to its burst
+  }
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -326,8 +326,31 @@
   co_return covered.value_or(false);
 }
 
+ProgramName ProgramOf(const Call& call) {
+  return {call.team == nullptr ? "" : call.team->name,
+          call.request.facts.program};
+}
+
+void NoteVerdict(Node& node, const Call& call, pb::TurnGrant::Verdict verdict) {
+  if (const CallFacts& facts = call.request.facts;
+      verdict == pb::TurnGrant::BUDGET_SPENT && facts.token_budget) {
+    NoteSpent(node.spent_programs, ProgramOf(call), *facts.token_budget,
+              facts.most_tokens, Now());
+  }
+}
+
 }  // namespace
 
+std::optional<CallRefusal> RefuseKnown(Node& node, const Call& call) {
+  const CallFacts& facts = call.request.facts;
+  if (!facts.token_budget ||
+      !IsKnownSpent(node.spent_programs, ProgramOf(call), *facts.token_budget,
+                    facts.most_tokens, Now())) {
+    return std::nullopt;
+  }
+  return RefusalOfVerdict(pb::TurnGrant::BUDGET_SPENT);
+}
+
 Task<> ServeTurn(Node& node, CallPtr call) {
   Relay relay;
   if (const auto service = call->deployment->services.find(call->service);
@@ -342,6 +365,7 @@
     }
     relay.permit = co_await AskHolder(
         node, call, std::min(kHolderPatience, TimeLeft(*call) / 2));
+    NoteVerdict(node, *call, relay.permit.grant.verdict());
     if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
       if (relay.permit.may_be_counted) {
         FinishBroken(node, *call, relay);
