node, platform: an endpoint that says in an answer that it leaves gets no more

Change: a departure is noted by id and start, apart from the entry, which may lapse and come back; peers hear of it at once; a newer start under the same id takes work again, as does another endpoint at the address.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -50,6 +50,7 @@
   std::string request_id;  // that it answers
   bool sealed = false;     // an endpoint made it, nothing on the way
   bool not_run = false;    // the endpoint promises that it did not run it
+  bool leaving = false;    // the endpoint takes nothing new
 };
 
 }  // namespace celerykeel
--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -38,6 +38,9 @@
 /// @brief The endpoints of all services, by id.
 struct EndpointTable {
   std::map<std::string, EndpointStatus, std::less<>> endpoints;
+  // Endpoints that said in an answer that they leave, and when that start of
+  // theirs began. Kept apart, as an entry may lapse and come back.
+  std::map<std::string, WallMillis, std::less<>> departures;
   // When the store was last found to be back after it had been away.
   std::optional<Duration> store_back_at;
 };
@@ -49,6 +52,14 @@
 /// before, the endpoint may live and has `kReturnTime` to come back.
 void NoteRemoved(EndpointTable& table, std::string_view id, Duration now);
 
+/// @brief An answer of the endpoint said that it leaves. Its entry may still
+/// say otherwise; only a newer start of it takes work again.
+/// @param started_at of the start that the answer came from.
+/// @return true if this is news.
+bool NoteDeparture(EndpointTable& table,
+                   std::string_view id,
+                   WallMillis started_at);
+
 /// @brief Drops endpoints whose time to come back is over.
 void DropLapsed(EndpointTable& table, Duration now);
 
--- a/include/celerykeel/node/endpoint_feed.h
+++ b/include/celerykeel/node/endpoint_feed.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "celerykeel/node.pb.h"    // for pb::EndpointNews
-#include "celerykeel/node/asio.h"  // for Task
+#include "celerykeel/core/endpoint_table.h"  // for EndpointEntry
+#include "celerykeel/node.pb.h"              // for pb::EndpointNews
+#include "celerykeel/node/asio.h"            // for Task
 
 namespace celerykeel {
 
@@ -11,7 +12,12 @@
 /// by the readers' news.
 Task<> FollowEndpoints(Node& node);
 
-/// @brief Takes what a reader found.
+/// @brief An answer of the endpoint said that it leaves: it gets nothing new
+/// from here, and the peers are told.
+/// @param endpoint its entry when the answered call was sent.
+void TakeDeparture(Node& node, const EndpointEntry& endpoint);
+
+/// @brief Takes what a reader found, or a peer heard of an endpoint.
 void TakeEndpointNews(Node& node, const pb::EndpointNews& news);
 
 }  // namespace celerykeel
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/core/endpoint_table.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::min, std::max
+#include <cstddef>    // for size_t
 #include <tuple>      // for std::tuple
 
 #include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
@@ -12,6 +13,8 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
 constexpr Duration kLongestAvoidance = std::chrono::seconds(3);
 constexpr uint32_t kMaxDoublings = 4;
+// A release of the largest service that is planned for, several times over.
+constexpr size_t kMostDepartures = 16384;
 // Load above which a subject's own endpoint is passed over for the next one.
 constexpr double kCrowded = 0.85;
 // Load from which a call without a subject goes to a less loaded endpoint.
@@ -22,8 +25,16 @@
          std::max(endpoint.entry.slots, 1U);
 }
 
-bool TakesWork(const EndpointStatus& endpoint, const EndpointWish& wish) {
+bool HasDeparted(const EndpointTable& table, const EndpointEntry& entry) {
+  const auto found = table.departures.find(entry.id);
+  return found != table.departures.end() && entry.started_at <= found->second;
+}
+
+bool TakesWork(const EndpointTable& table,
+               const EndpointStatus& endpoint,
+               const EndpointWish& wish) {
   return endpoint.entry.service == wish.service && !endpoint.entry.leaving &&
+         !HasDeparted(table, endpoint.entry) &&
          (wish.excluded == nullptr ||
           !wish.excluded->contains(endpoint.entry.id));
 }
@@ -63,6 +74,22 @@
   table.endpoints.erase(found);
 }
 
+bool NoteDeparture(EndpointTable& table,
+                   std::string_view id,
+                   WallMillis started_at) {
+  const auto found = table.departures.find(id);
+  if (found == table.departures.end()) {
+    if (table.departures.size() >= kMostDepartures) {
+      return false;
+    }
+    table.departures.emplace(id, started_at);
+    return true;
+  }
+  const bool is_news = started_at > found->second;
+  found->second = std::max(found->second, started_at);
+  return is_news;
+}
+
 void DropLapsed(EndpointTable& table, Duration now) {
   if (MayComeBack(table, now)) {
     return;
@@ -99,7 +126,7 @@
   EndpointStatus* best = nullptr;
   std::tuple<bool, bool, double, bool, uint64_t> lowest;
   for (auto& [id, endpoint] : table.endpoints) {
-    if (!TakesWork(endpoint, wish)) {
+    if (!TakesWork(table, endpoint, wish)) {
       continue;
     }
     const double load = Load(endpoint);
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -3,9 +3,10 @@
 #include <algorithm>  // for std::min
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/node.h"   // for Node
-#include "platform/headers.h"       // for platform::EncodeAttempt
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/endpoint_feed.h"  // for TakeDeparture
+#include "celerykeel/node/node.h"           // for Node
+#include "platform/headers.h"               // for platform::EncodeAttempt
 
 namespace celerykeel {
 
@@ -67,7 +68,9 @@
 // The next answer on the connection that is to this request. One to an earlier
 // request may come first, late.
 Task<tl::expected<AnswerHead, ExchangeError>> ReadOwnHead(
+    Node& node,
     const Call& call,
+    const EndpointEntry& endpoint,
     Attempt& attempt,
     OutConnectionPtr connection,
     asio::steady_timer::time_point until) {
@@ -79,6 +82,9 @@
     }
     const AnswerFacts facts =
         platform::DecodeAnswer(head->headers, head->status);
+    if (facts.leaving) {
+      TakeDeparture(node, endpoint);
+    }
     if (facts.request_id == call.request.facts.id || facts.not_run) {
       co_return head;
     }
@@ -182,7 +188,8 @@
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
   // A server may answer before it has read the whole body, so an answer is
   // looked for even then.
-  auto head = co_await ReadOwnHead(*call, attempt, connection, until);
+  auto head =
+      co_await ReadOwnHead(node, *call, endpoint, attempt, connection, until);
   if (!head) {
     Close(*connection);
     call->attempt = nullptr;
@@ -218,6 +225,7 @@
     LogAttempt(node, *call, attempt, "unsealed");
     co_return attempt;
   }
+  SettleRate(node, *call);
   NoteSuccess(node.endpoints, endpoint.id);
   attempt.end = AttemptEnd::kAnswered;
   LogAttempt(node, *call, attempt, "answered");
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -113,7 +113,28 @@
 
 }  // namespace
 
+void TakeDeparture(Node& node, const EndpointEntry& endpoint) {
+  if (!NoteDeparture(node.endpoints, endpoint.id, endpoint.started_at)) {
+    return;
+  }
+  WriteLog(node.log, LogLevel::kOrdinary, "endpoint leaves",
+           {{"endpoint", endpoint.id}, {"source", "its answer"}});
+  pb::NodeFrame frame;
+  pb::EndpointDeparture& departure =
+      *frame.mutable_endpoint_news()->add_departures();
+  departure.set_endpoint(endpoint.id);
+  departure.set_started_at(endpoint.started_at);
+  SendToAll(node.peers, frame);
+}
+
 void TakeEndpointNews(Node& node, const pb::EndpointNews& news) {
+  for (const pb::EndpointDeparture& departure : news.departures()) {
+    if (NoteDeparture(node.endpoints, departure.endpoint(),
+                      departure.started_at())) {
+      WriteLog(node.log, LogLevel::kOrdinary, "endpoint leaves",
+               {{"endpoint", departure.endpoint()}, {"source", "a peer"}});
+    }
+  }
   for (const pb::EndpointChange& change : news.changes()) {
     TakeEndpoint(node, {.key = change.endpoint(),
                         .value = change.entry(),
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -106,6 +106,59 @@
     CHECK(RunsOfBoth(fleet, "b2") == 0);
   }
 
+  SUBCASE(
+      "a program that loops beyond its budget takes no tokens of its team") {
+    // The team may send four calls.
+    HeaderList first = Turn("o1", "loop", "", 150);
+    first[1].second = "Bearer k2";
+    CHECK(fleet.Send(0, "POST", "/stream/plain/x", first, "").status == 200);
+    for (size_t i = 0; i < 12; ++i) {
+      HeaderList more = Turn("o2" + std::to_string(i), "loop", "", 150);
+      more[1].second = "Bearer k2";
+      CHECK(fleet.Send(i % 3, "POST", "/stream/plain/x", more, "").status ==
+            402);
+    }
+    for (size_t i = 0; i < 2; ++i) {
+      CHECK(fleet
+                .Send(i, "GET", "/look/x", Tool("o3" + std::to_string(i), "k2"),
+                      "")
+                .status == 200);
+    }
+  }
+
+  SUBCASE("a call that no endpoint takes costs its team no token") {
+    fleet.endpoints[0].is_full = true;
+    fleet.endpoints[1].is_full = true;
+    for (size_t i = 0; i < 8; ++i) {
+      CHECK(fleet
+                .Send(0, "GET", "/look/x", Tool("n" + std::to_string(i), "k2"),
+                      "")
+                .status == 503);
+    }
+    fleet.endpoints[0].is_full = false;
+    fleet.endpoints[1].is_full = false;
+    CHECK(fleet.Send(0, "GET", "/look/x", Tool("n-last", "k2"), "").status ==
+          200);
+  }
+
+  SUBCASE(
+      "an endpoint that says it leaves gets no more calls, of any instance") {
+    fleet.endpoints[0].says_leaving = true;
+    int heard = 0;
+    for (size_t i = 0; i < 20 && heard == 0; ++i) {
+      const std::string id = "g" + std::to_string(i);
+      CHECK(fleet.Send(0, "GET", "/look/x", Tool(id), "").status == 200);
+      heard = RunsOf(fleet.endpoints[0], id);
+    }
+    REQUIRE(heard == 1);
+    REQUIRE(fleet.WaitUntilDeparted(0));
+    for (size_t i = 0; i < 30; ++i) {
+      const std::string id = "h" + std::to_string(i);
+      CHECK(fleet.Send(i % 3, "GET", "/look/x", Tool(id), "").status == 200);
+      CHECK(RunsOf(fleet.endpoints[0], id) == 0);
+    }
+  }
+
   SUBCASE("keys decide, and no endpoint sees one") {
     CHECK(fleet.Send(0, "GET", "/look/x", Tool("k-1", "wrong"), "").status ==
           401);
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -38,8 +38,8 @@
   std::string head = fmt::format(
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
       "Content-Type: text/event-stream\r\nKeep-Alive: timeout=10\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n",
-      id, endpoint.id);
+      "{}Transfer-Encoding: chunked\r\n\r\n",
+      id, endpoint.id, endpoint.says_leaving ? "Server-Leaving: 1\r\n" : "");
   bool goes_on = co_await Write(connection, std::move(head));
   for (int event = first + 1; goes_on && event <= endpoint.events; ++event) {
     if (endpoint.cut_after >= 0 && event > endpoint.cut_after) {
@@ -61,6 +61,9 @@
   response.set("X-Attempt-Id", id);
   response.set("X-Server-Seal", "s." + endpoint.id);
   response.set("Keep-Alive", "timeout=10");
+  if (endpoint.says_leaving) {
+    response.set("Server-Leaving", "1");
+  }
   response.body() = std::move(body);
   return response;
 }
@@ -77,6 +80,9 @@
                                 : http::status::misdirected_request,
                             11);
     refused.set("X-Not-Executed", "1");
+    if (endpoint.says_leaving) {
+      refused.set("Server-Leaving", "1");
+    }
     co_return co_await Respond(connection, std::move(refused));
   }
   NoteRun(endpoint, id, request);
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -207,20 +207,31 @@
   return text;
 }
 
+bool NodeFleet::WaitForAll(const std::function<bool(const Node&)>& condition) {
+  return WaitFor([this, &condition] {
+    bool all = true;
+    this->OnEach([&](Node& node) { all = all && condition(node); });
+    return all;
+  });
+}
+
 bool NodeFleet::Drain(size_t endpoint) {
   const std::string id = fmt::format("e{}", endpoint);
   this->OnStandins([&] { this->PutEndpoint(endpoint, "draining"); });
-  return WaitFor([this, &id] {
-    bool all = true;
-    this->OnEach([&all, &id](Node& node) {
-      const auto found = node.endpoints.endpoints.find(id);
-      all = all && found != node.endpoints.endpoints.end() &&
-            found->second.entry.leaving;
-    });
-    return all;
+  return this->WaitForAll([&id](const Node& node) {
+    const auto found = node.endpoints.endpoints.find(id);
+    return found != node.endpoints.endpoints.end() &&
+           found->second.entry.leaving;
   });
 }
 
+bool NodeFleet::WaitUntilDeparted(size_t endpoint) {
+  return this->WaitForAll(
+      [id = fmt::format("e{}", endpoint)](const Node& node) {
+        return node.endpoints.departures.contains(id);
+      });
+}
+
 bool NodeFleet::WaitUntilServing() {
   return WaitFor([this] { return this->IsServing(); });
 }
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -45,6 +45,9 @@
   /// @brief Writes that an endpoint leaves, and waits until instances know.
   bool Drain(size_t endpoint);
 
+  /// @brief Waits until all instances know that an endpoint said it leaves.
+  bool WaitUntilDeparted(size_t endpoint);
+
   /// @brief The metrics of an instance.
   std::string MetricsOf(size_t index);
 
@@ -76,6 +79,8 @@
     std::FILE* log = nullptr;  // over restarts
   };
 
+  /// @brief Waits until the condition holds on each instance.
+  bool WaitForAll(const std::function<bool(const Node&)>& condition);
   /// @brief Runs `task` on the loop of each instance, one after the other.
   void OnEach(const std::function<void(Node&)>& task);
   std::string Ip(size_t host) const;
