core: newcomers are held back by the tokens of a program's life, not of two seconds

Programs that began while tokens were plenty were not counted at all. Change: the time that callers give a program bounds its life; instances tell the home how many programs began without asking.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -24,6 +24,8 @@
   std::optional<uint64_t> token_budget;  // of the whole program
   uint64_t most_tokens = 0;              // that this call may generate
   std::optional<Duration> time_left;     // of the caller's patience
+  // Until the whole program should be finished.
+  std::optional<Duration> program_time_left;
 };
 
 /// @brief A caller's request, decoded once.
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -45,7 +45,8 @@
   std::set<std::string> asking;  // teams with a wish ahead under way
   std::map<std::string, NewcomerGate> newcomers;  // as the home, by team
   std::map<std::string, Duration> scarce_until;   // by team, as homes said
-  std::map<ProgramName, Duration> under_way;      // programs served of late
+  std::map<std::string, uint32_t> begun;  // programs the home has not heard of
+  std::map<ProgramName, Duration> under_way;  // programs served of late
 };
 
 /// @brief All state of one instance. One thread, the loop's, uses it.
--- a/include/celerykeel/node/rate_lending.h
+++ b/include/celerykeel/node/rate_lending.h
@@ -22,13 +22,19 @@
 /// @brief Null if the configuration in force doesn't name the team.
 const DeployedTeam* TeamNamed(const Node& node, const std::string& name);
 
+/// @brief What a wish says of its team's programs.
+struct ProgramNews {
+  bool newcomer = false;  // the wish is for the first request of a program
+  Duration time_left{};   // of that program
+  uint32_t begun = 0;     // programs that began without asking
+};
+
 /// @brief Decides on a wish of any instance, this one among them.
 /// @param slot the team's home slot, held here.
-/// @param newcomer the wish is for the first request of a program.
 Task<pb::RateGrant> LendAsHome(Node& node,
                                HeldSlotPtr slot,
                                LoanWish wish,
-                               bool newcomer);
+                               ProgramNews programs);
 
 /// @brief The same for a peer; its answer says so if the home is elsewhere.
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish wish);
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -7,12 +7,19 @@
 
 #include "celerykeel/core/deployment.h"     // for DeployedTeam
 #include "celerykeel/core/rate_borrower.h"  // for ReservedToken
+#include "celerykeel/core/time.h"           // for Duration
 #include "celerykeel/node/asio.h"           // for Task
 
 namespace celerykeel {
 
 struct Node;
 
+/// @brief Whether a request begins its program.
+struct ProgramStart {
+  bool may_begin = false;  // nothing says that it goes on
+  Duration time_left{};    // until the program should be finished
+};
+
 /// @brief One request's part of its team's rate.
 struct RateTicket {
   std::string team;
@@ -23,11 +30,10 @@
 /// @brief Sets one request of a team's rate aside, or says when to come back.
 /// What is set aside ends with UseTicket or ReturnTicket.
 /// @param program that the request is part of; empty if of none.
-/// @param may_begin it may be the first of its program.
 Task<tl::expected<RateTicket, Duration>> TakeFromRate(Node& node,
                                                       DeployedTeam team,
                                                       std::string program,
-                                                      bool may_begin);
+                                                      ProgramStart start);
 
 /// @brief The request ran, or may have run.
 void UseTicket(Node& node, const RateTicket& ticket);
--- a/src/celerykeel/core/newcomer_gate.cc
+++ b/src/celerykeel/core/newcomer_gate.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/newcomer_gate.h"
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::clamp, std::max
 #include <cmath>      // for std::exp
 
 namespace celerykeel {
@@ -9,8 +9,11 @@
 
 // Programs that end early, or are given up, leave commitments behind.
 constexpr double kForgetSeconds = 12;
-// A program takes about so long; its tokens need not all be there at once.
-constexpr double kProgramSeconds = 2;
+// Callers give a program about twice the time that it takes on idle endpoints.
+constexpr double kTimePart = 0.5;
+constexpr double kLeastLife = 1;
+constexpr double kMostLife = 10;
+constexpr double kLifeWeight = 0.1;  // of one program in the average
 // Above this part of the burst there is no reason to hold anybody back.
 constexpr double kScarcePart = 0.5;
 
@@ -19,12 +22,12 @@
 }
 
 void Decay(NewcomerGate& gate, Duration now) {
-  if (gate.used && now > gate.updated_at) {
-    gate.committed *=
-        std::exp(-Seconds(now - gate.updated_at) / kForgetSeconds);
+  if (gate.is_used && now > gate.updated_at) {
+    const double passed = Seconds(now - gate.updated_at);
+    gate.committed *= std::exp(-passed / kForgetSeconds);
   }
   gate.updated_at = now;
-  gate.used = true;
+  gate.is_used = true;
 }
 
 }  // namespace
@@ -34,12 +37,23 @@
   gate.committed = std::max(gate.committed - tokens, 0.0);
 }
 
+void NoteBegun(NewcomerGate& gate, uint32_t programs, Duration now) {
+  Decay(gate, now);
+  gate.committed += programs * gate.per_program;
+}
+
 bool AdmitNewcomer(NewcomerGate& gate,
                    double at_hand,
                    const RateLimits& limits,
+                   Duration time_left,
                    Duration now) {
   Decay(gate, now);
-  const double soon = at_hand + limits.rate * kProgramSeconds;
+  if (time_left > Duration::zero()) {
+    const double life =
+        std::clamp(Seconds(time_left) * kTimePart, kLeastLife, kMostLife);
+    gate.life_s += (life - gate.life_s) * kLifeWeight;
+  }
+  const double soon = at_hand + limits.rate * gate.life_s;
   // With nothing under way there is nobody to leave the tokens to, however few
   // they are against an average program.
   const bool others_need = gate.committed >= 1;
@@ -47,7 +61,7 @@
       gate.committed + gate.per_program > soon) {
     return false;
   }
-  gate.committed += gate.per_program;
+  NoteBegun(gate, 1, now);
   return true;
 }
 
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -116,9 +116,11 @@
     co_return;
   }
   if (call->team != nullptr) {
-    auto taken = co_await TakeFromRate(
-        node, *call->team, call->request.facts.program,
-        is_turn && call->request.facts.previous_turn.empty());
+    const CallFacts& facts = call->request.facts;
+    const ProgramStart start{
+        .may_begin = is_turn && facts.previous_turn.empty(),
+        .time_left = facts.program_time_left.value_or(Duration::zero())};
+    auto taken = co_await TakeFromRate(node, *call->team, facts.program, start);
     if (!taken) {
       co_await Refuse(node, call,
                       {kTooMany, "the team's rate is used up", taken.error()});
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -113,7 +113,7 @@
 Task<pb::RateGrant> LendAsHome(Node& node,
                                HeldSlotPtr slot,
                                LoanWish wish,
-                               bool newcomer) {
+                               ProgramNews programs) {
   pb::RateGrant grant;
   const DeployedTeam* team = TeamNamed(node, wish.share.team);
   if (team == nullptr) {
@@ -126,8 +126,10 @@
   const double at_home = LevelAtHome(node.rates.home, wish.share, limits, Now())
                              .value_or(limits.burst);
   grant.set_scarce(IsScarce(at_home, limits));
-  if (newcomer &&
-      !AdmitNewcomer(node.rates.newcomers[name], at_home, limits, Now())) {
+  NewcomerGate& gate = node.rates.newcomers[name];
+  NoteBegun(gate, programs.begun, Now());
+  if (programs.newcomer &&
+      !AdmitNewcomer(gate, at_home, limits, programs.time_left, Now())) {
     grant.set_retry_after_ns(static_cast<uint64_t>(kNewcomerRetry.count()));
     co_return grant;
   }
@@ -156,7 +158,11 @@
       .id = {.borrower = wish.borrower(), .request = wish.request()},
       .needed = wish.needed(),
       .wanted = wish.wanted()};
-  co_return co_await LendAsHome(node, slot, asked, wish.newcomer());
+  co_return co_await LendAsHome(
+      node, slot, asked,
+      {.newcomer = wish.newcomer(),
+       .time_left = std::chrono::milliseconds(wish.time_left_ms()),
+       .begun = wish.begun()});
 }
 
 void TakeRateNews(Node& node, const pb::RateNews& news) {
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -99,7 +99,7 @@
 Task<Asked> AskPeerHome(Node& node,
                         PeerLinkPtr link,
                         LoanWish wish,
-                        bool newcomer) {
+                        ProgramNews programs) {
   pb::NodeFrame frame;
   pb::RateWish& asked = *frame.mutable_rate_wish();
   asked.set_team(wish.share.team);
@@ -107,7 +107,11 @@
   asked.set_request(wish.id.request);
   asked.set_needed(wish.needed);
   asked.set_wanted(wish.wanted);
-  asked.set_newcomer(newcomer);
+  asked.set_newcomer(programs.newcomer);
+  asked.set_time_left_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(programs.time_left)
+          .count()));
+  asked.set_begun(programs.begun);
   const auto answer = co_await CallPeer(node.io, node.peers, link,
                                         std::move(frame), kAnswerPatience);
   if (!answer || !answer->has_rate_grant()) {
@@ -119,25 +123,27 @@
 Task<Asked> AskHome(Node& node,
                     std::string team,
                     double needed,
-                    bool newcomer) {
+                    ProgramNews programs) {
   const uint32_t number = HomeSlot(node, team);
   SendNews(node, number,
            ReviewShare(node.rates.borrower, ShareOf(team), Now()));
   const LoanWish wish = AskFor(node.rates.borrower, ShareOf(team), needed,
                                node.incarnation, Now());
+  // A wish that is lost takes this news along; the next programs make it good.
+  programs.begun = std::exchange(node.rates.begun[team], 0);
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
-    const pb::RateGrant grant = co_await LendAsHome(node, slot, wish, newcomer);
+    const pb::RateGrant grant = co_await LendAsHome(node, slot, wish, programs);
     co_return TakeAnswer(node, wish, grant);
   }
   const PeerLinkPtr link = LinkToHolder(node, number);
   if (link == nullptr) {
     co_return Asked{};
   }
-  co_return co_await AskPeerHome(node, link, wish, newcomer);
+  co_return co_await AskPeerHome(node, link, wish, programs);
 }
 
 Task<> AskAhead(Node& node, std::string team) {
-  co_await AskHome(node, team, 0, false);
+  co_await AskHome(node, team, 0, {});
   node.rates.asking.erase(team);
 }
 
@@ -181,7 +187,7 @@
 Task<tl::expected<RateTicket, Duration>> TakeFromRate(Node& node,
                                                       DeployedTeam team,
                                                       std::string program,
-                                                      bool may_begin) {
+                                                      ProgramStart start) {
   if (team.limits.rate <= 0) {
     co_return RateTicket{};
   }
@@ -190,11 +196,13 @@
   const auto scarce = node.rates.scarce_until.find(team.name);
   const bool is_scarce =
       scarce != node.rates.scarce_until.end() && Now() < scarce->second;
-  const bool newcomer = may_begin && !program.empty() && is_scarce &&
-                        !node.rates.under_way.contains(name);
+  const bool begins = start.may_begin && !program.empty() &&
+                      !node.rates.under_way.contains(name);
+  const bool newcomer = begins && is_scarce;
   if (!newcomer) {
     if (auto ticket = TakeAny(node, team)) {
       node.rates.under_way[name] = Now();
+      node.rates.begun[team.name] += begins ? 1 : 0;
       AskAheadIfDue(node, team.name, Now());
       co_return std::move(*ticket);
     }
@@ -202,13 +210,16 @@
   const Duration until = Now() + kHomePatience;
   Asked asked;
   while (true) {
-    asked = co_await AskHome(node, team.name, 1, newcomer);
+    asked = co_await AskHome(
+        node, team.name, 1,
+        {.newcomer = newcomer, .time_left = start.time_left, .begun = 0});
     NoteHome(node, team.name, asked.answered);
     const bool turned_away =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
     if (!turned_away) {
       if (auto ticket = TakeAny(node, team)) {
         node.rates.under_way[name] = Now();
+        node.rates.begun[team.name] += begins && !newcomer ? 1 : 0;
         co_return std::move(*ticket);
       }
     }
