node: the store's return is told at once, and ends the pauses of writers

Cause: an instance heard of the store's return with the next heartbeat (400 ms), and holders repeated their records at pauses of up to 400 ms; and a held read that the store dropped when it deleted records counted as its loss. Ruled out: shorter pauses; a busy store would take more calls. Change: an instance that regains the store sends a heartbeat; pauses end with the store's return; after a dropped held read a probe decides.

--- a/include/celerykeel/node/store_client.h
+++ b/include/celerykeel/node/store_client.h
@@ -49,6 +49,10 @@
 /// @return false if it is still away after `patience`.
 Task<bool> AwaitStore(Node& node, Duration patience);
 
+/// @brief The pause before a failed call is repeated: it ends early when the
+/// store comes back.
+Task<> PauseForStore(Node& node, Duration pause);
+
 /// @brief Probes the store while it is away, so that all who wait for it go on
 /// soon after its return.
 Task<> ProbeStore(Node& node);
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -345,6 +345,18 @@
   CHECK(answer.status == 401);
 }
 
+// All instances took the store for lost when it dropped reads that it had held
+// open, and kept turns waiting for nothing.
+TEST_CASE("a held read that is dropped does not show that the store is away") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.store.drops_held_reads = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  CHECK(fleet.Logs().find("store lost") == std::string::npos);
+  CHECK(fleet.Send(0, "POST", "/stream/kept/x", Turn("t", "p", "", 9999), "in")
+            .status == 200);
+}
+
 // The cases of docs/OPERATIONS.md: what the page shows must be in the logs, and
 // be enough.
 TEST_CASE("logs lead from a failed request to its cause") {
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -94,7 +94,7 @@
         slot->writing = false;
         co_return;
       }
-      co_await Sleep(node.io, pause);
+      co_await PauseForStore(node, pause);
       pause = std::min(2 * pause, kLongestPause);
     }
     if (!call.records.empty()) {
@@ -147,7 +147,7 @@
       next = std::max(next, expired->first);
       continue;
     }
-    co_await Sleep(node.io, pause);
+    co_await PauseForStore(node, pause);
     pause = std::min(2 * pause, kLongestPause);
   }
   co_return !slot->lost;
@@ -245,7 +245,7 @@
       LoseSlot(node, slot, "another instance was faster");
       co_return;
     }
-    co_await Sleep(node.io, pause);
+    co_await PauseForStore(node, pause);
     pause = std::min(2 * pause, kLongestPause);
     if (slot->lost || node.stopping) {
       LoseSlot(node, slot, "given up");
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -5,6 +5,7 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/reader_choice.h"  // for IsReader
+#include "celerykeel/node/fleet.h"          // for AnnounceSoon
 #include "celerykeel/node/node.h"           // for Node
 #include "platform/deployment_json.h"       // for platform::kConfigurationTopic
 
@@ -45,6 +46,21 @@
   return "unknown";
 }
 
+// The store holds long reads open and drops them when it deletes records, so
+// the end of one that was held for so long does not show that the store is
+// away.
+constexpr Duration kHeldOpen = std::chrono::milliseconds(400);
+
+Task<> ProbeOnce(Node& node) {
+  // Any answer will do; there is no record to carry at this offset.
+  constexpr uint64_t kBeyondEnd = 1ULL << 40;
+  const ReadCall read{.topic = std::string(platform::kConfigurationTopic),
+                      .partition = 0,
+                      .from = kBeyondEnd,
+                      .wait_ms = 0};
+  co_await CallStoreDirect(node, platform::EncodeRead(read), kPatience);
+}
+
 // A call that began before the last failed one may have been answered before
 // the store went away, so its answer does not show that the store is back.
 void NoteOutcome(Node& node,
@@ -59,6 +75,7 @@
       node.endpoints.store_back_at = now;
       // Calls that the store never answers would only end with their patience.
       CloseBusy(store.pool, began - kUsualAnswer);
+      AnnounceSoon(node);
       WriteLog(node.log, LogLevel::kUnusual, "store regained",
                {{"after_ms", now - store.troubled_at.value_or(now)}});
     }
@@ -149,6 +166,10 @@
     if (answer.error() == ExchangeError::kGivenUp) {
       co_return response;  // says nothing of the store
     }
+    if (answer.error() == ExchangeError::kClosed && Now() > began + kHeldOpen) {
+      Spawn(node.io, ProbeOnce(node));
+      co_return response;
+    }
   }
   NoteOutcome(node, response, began);
   co_return response;
@@ -188,6 +209,14 @@
   return false;
 }
 
+Task<> PauseForStore(Node& node, Duration pause) {
+  if (StoreIsReached(node)) {
+    co_await Sleep(node.io, pause);
+  } else {
+    co_await AwaitStore(node, pause);
+  }
+}
+
 Task<bool> AwaitStore(Node& node, Duration patience) {
   const Duration until = Now() + patience;
   while (!StoreIsReached(node)) {
@@ -199,20 +228,6 @@
   co_return true;
 }
 
-namespace {
-
-Task<> ProbeOnce(Node& node) {
-  // Any answer will do; there is no record to carry at this offset.
-  constexpr uint64_t kBeyondEnd = 1ULL << 40;
-  const ReadCall read{.topic = std::string(platform::kConfigurationTopic),
-                      .partition = 0,
-                      .from = kBeyondEnd,
-                      .wait_ms = 0};
-  co_await CallStoreDirect(node, platform::EncodeRead(read), kPatience);
-}
-
-}  // namespace
-
 // Probes overlap: one that meets silence does not keep the next one back.
 Task<> ProbeStore(Node& node) {
   uint64_t turn = 0;
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -164,7 +164,13 @@
     response = Newest(partition);
   } else if (target.find("log-read") != std::string::npos) {
     const uint64_t from = std::stoull(query["from"]);
-    if (query.contains("wait_ms") && from >= partition.records.size()) {
+    const bool waits = query.contains("wait_ms") && query["wait_ms"] != "0";
+    if (waits && store.drops_held_reads) {
+      constexpr Duration kHeld = std::chrono::seconds(1);
+      co_await Sleep(loop, kHeld);
+      co_return false;
+    }
+    if (waits && from >= partition.records.size()) {
       constexpr Duration kShortWait = std::chrono::milliseconds(50);
       co_await Sleep(loop, kShortWait);
     }
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -31,6 +31,8 @@
 
   std::map<std::pair<std::string, uint32_t>, Partition> partitions;
   std::atomic<StoreMode> mode{StoreMode::kServes};  // towards everyone
+  // Reads that wait are held for a second and dropped.
+  std::atomic<bool> drops_held_reads{false};
   std::atomic<uint64_t> appends{0};
 };
 
