core, node: a program spends a third of its budget without a record

Cause: in an outage of the store no program could begin, and one under way got at most three turns: its tokens needed a durable ceiling first. Each first turn also waited 12 to 20 ms for an append, and each turn wrote two records. Ruled out: a number of turns in place of a part of the budget; one-turn programs have budgets of 1.5 turns and would be refused after each takeover. Change: a new program may spend a third of its budget and the most of one turn without a record. A successor counts that third for each program that it finds and each that it doesn't know for 20 s, and gives those no free part. A holder gives free parts for 10 s after the store last confirmed its slot, which is confirmed anew when nothing was written for 2.5 s. Kept turns carry what their program spent. Seen: slot_model holds, and breaks with the charge left out, and with a free part from each holder; turn_ledger cases.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -42,6 +42,7 @@
   std::string output;
   WallMillis ended_at = 0;
   WallMillis expires_at = 0;
+  uint64_t spent = 0;  // of its program by then
 };
 
 /// @brief Tokens of a team's rate that the holder leaves for the next one.
@@ -69,6 +70,10 @@
   uint64_t largest = 0;
   uint64_t budget = 0;  // as the last turn named it
   bool slack_used = false;
+  // It may have run under an earlier holder, without a record: it has no free
+  // part here, and the one it had there counts as spent.
+  bool is_inherited = false;
+  bool is_charged = false;                  // with that free part
   std::map<std::string, uint64_t> running;  // turns and their most tokens
   // Turns whose end came before their admission, as messages cross.
   std::set<std::string> ended_early;
@@ -81,8 +86,25 @@
            std::shared_ptr<const StoredTurn>>
       turns;  // by team and turn
   std::map<ProgramName, ProgramSpend> programs;
+  // Until then a program that is not known may be an earlier holder's.
+  Duration strangers_until{};
 };
 
+/// @brief A new program's free part: tokens that it may spend without a record,
+/// beside the most of one turn. Whoever takes the slot over counts it as spent
+/// for each program that may have run before. Programs of the known deployments
+/// use a fifth of their budgets at the median, and under a third in three of
+/// four cases.
+uint64_t FreePart(uint64_t budget);
+
+/// @brief A program that is alive asks for its next turn within about half of
+/// this time: the longest tools take 6 s.
+inline constexpr Duration kStrangersFor = std::chrono::seconds(20);
+/// @brief A holder gives free parts for so long after the store last confirmed
+/// that it holds the slot. The other half of the time above is for programs on
+/// their way from a holder that was replaced unseen.
+inline constexpr Duration kFreePartFor = kStrangersFor / 2;
+
 struct TurnWish {
   ProgramName program;
   std::string turn;
@@ -102,7 +124,8 @@
 
 /// @brief Ends a replay: whatever the holder before may have let through is
 /// taken as spent, but for the most of one turn, once for each program.
-void AssumeSpent(TurnLedger& ledger, Duration now);
+/// @param is_first nobody held the slot before.
+void AssumeSpent(TurnLedger& ledger, bool is_first, Duration now);
 
 /// @brief Counts a turn as running at its most tokens. A turn that is running
 /// already is admitted again.
@@ -111,25 +134,28 @@
                                           Duration now);
 
 /// @brief True if all that the program has spent and runs is under its durable
-/// ceiling, so that tokens may be handed out.
-bool IsCovered(const ProgramSpend& spend);
+/// ceiling or in its free part, so that tokens may be handed out.
+/// @param is_confirmed the slot was held for certain within kFreePartFor.
+bool IsCovered(const ProgramSpend& spend, bool is_confirmed);
 
 /// @brief The record that raises the ceiling over what runs and the turns
-/// reserved ahead; nothing if it is there or on its way.
+/// reserved ahead; nothing if none is needed, or it is on its way.
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
-                                        const ProgramName& program);
+                                        const ProgramName& program,
+                                        bool is_confirmed);
 
 /// @brief A record of the program became durable.
 void NoteDurable(TurnLedger& ledger, const SpendRecord& record);
 
 /// @brief A turn ended with `used` tokens. One that an earlier holder admitted
 /// is part of what AssumeSpent counted, and is not counted again.
-SpendRecord SettleTurn(TurnLedger& ledger,
-                       const ProgramName& program,
-                       const std::string& turn,
-                       uint64_t used,
-                       uint64_t most_tokens,
-                       Duration now);
+/// @return the record to write, of a program that has any.
+std::optional<SpendRecord> SettleTurn(TurnLedger& ledger,
+                                      const ProgramName& program,
+                                      const std::string& turn,
+                                      uint64_t used,
+                                      uint64_t most_tokens,
+                                      Duration now);
 
 /// @brief The turn, if the ledger has it and it is the team's.
 std::shared_ptr<const StoredTurn> FindTurn(const TurnLedger& ledger,
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -40,6 +40,8 @@
   bool active = false;  // claimed and caught up
   bool lost = false;
   uint64_t next_sequence = 0;
+  // The newest append that held began then: nobody had taken the slot.
+  Duration confirmed_at{};
   TurnLedger ledger;
   std::map<std::string, KeptRate> rates;         // by team
   std::map<ProgramName, std::string> endpoints;  // that served them last
@@ -79,6 +81,9 @@
 /// listed only if the store confirms that they are still held.
 Task<pb::TurnFound> LookUpHere(Node& node, pb::TurnLookup lookup);
 
+/// @brief Has the store confirm slots that were not written to lately.
+void ConfirmSlots(Node& node);
+
 /// @brief Drops what has expired.
 void ExpireSlots(Node& node);
 
--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -52,6 +52,8 @@
   CHECK_FALSE(Holds(WithoutRule::kCover, 1));
   CHECK_FALSE(Holds(WithoutRule::kAssumeSpent, 1));
   CHECK_FALSE(Holds(WithoutRule::kSlackOnce, 1));
+  CHECK_FALSE(Holds(WithoutRule::kChargeFreePart, 1));
+  CHECK_FALSE(Holds(WithoutRule::kFreePartOnce, 1));
   CHECK_FALSE(Holds(WithoutRule::kFence, 1));
   CHECK_FALSE(Holds(WithoutRule::kConfirm, 1));
   CHECK_FALSE(Holds(WithoutRule::kDurableEnd, 1));
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -15,14 +15,43 @@
 }
 
 // Turns reserved ahead carry a program through an outage of the store. After a
-// takeover they count as spent, so there are few.
+// takeover they count as spent, so there are few; a program that has a free
+// part needs them only beyond it.
 constexpr uint64_t kTurnsAhead = 3;
+constexpr uint64_t kTurnsBeyondFree = 1;
 constexpr size_t kMostEndedEarly = 64;  // of one program
+constexpr uint64_t kFreeDivisor = 3;    // of the budget
 
 uint64_t WantedCeiling(const ProgramSpend& spend) {
   const uint64_t used = spend.spent + Running(spend);
-  return std::max(std::min(used + kTurnsAhead * spend.largest, spend.budget),
-                  used);
+  const uint64_t ahead = spend.is_inherited ? kTurnsAhead : kTurnsBeyondFree;
+  return std::max(std::min(used + ahead * spend.largest, spend.budget), used);
+}
+
+bool IsInFreePart(const ProgramSpend& spend,
+                  uint64_t tokens,
+                  bool is_confirmed) {
+  return is_confirmed && !spend.is_inherited &&
+         tokens <= FreePart(spend.budget) + spend.largest;
+}
+
+ProgramSpend& SpendOf(TurnLedger& ledger,
+                      const ProgramName& program,
+                      Duration now) {
+  const auto [found, is_new] = ledger.programs.try_emplace(program);
+  if (is_new) {
+    found->second.is_inherited = now < ledger.strangers_until;
+  }
+  return found->second;
+}
+
+// The free part took the slack of one turn with it.
+void ChargeFreePart(ProgramSpend& spend) {
+  if (spend.is_inherited && !spend.is_charged) {
+    spend.is_charged = true;
+    spend.slack_used = true;
+    spend.spent = std::max(spend.spent, FreePart(spend.budget));
+  }
 }
 
 SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend) {
@@ -44,6 +73,11 @@
 }
 
 void ReplayTurn(TurnLedger& ledger, const TurnRecord& record) {
+  // A record of a program without a budget says nothing of what it spent.
+  if (record.spent > 0) {
+    ProgramSpend& spend = ledger.programs[record.program];
+    spend.spent = std::max(spend.spent, record.spent);
+  }
   auto turn = std::make_shared<StoredTurn>();
   turn->text = record.base + record.input + record.output;
   turn->expires_at = record.expires_at;
@@ -72,9 +106,11 @@
 // turn is seldom used whole, and the rule allows the most of one turn above
 // the budget, so one turn is not counted; but only once, or the excess of
 // several takeovers would add up.
-void AssumeSpent(TurnLedger& ledger, Duration now) {
+void AssumeSpent(TurnLedger& ledger, bool is_first, Duration now) {
+  ledger.strangers_until = is_first ? now : now + kStrangersFor;
   for (auto& [program, spend] : ledger.programs) {
     spend.used_at = now;
+    spend.is_inherited = true;
     const uint64_t slack = spend.slack_used ? 0 : spend.largest;
     const uint64_t assumed = spend.ceiling - std::min(spend.ceiling, slack);
     spend.slack_used = spend.slack_used || spend.ceiling > spend.spent;
@@ -87,9 +123,10 @@
 tl::expected<void, BudgetShort> AdmitTurn(TurnLedger& ledger,
                                           const TurnWish& wish,
                                           Duration now) {
-  ProgramSpend& spend = ledger.programs[wish.program];
+  ProgramSpend& spend = SpendOf(ledger, wish.program, now);
   spend.used_at = now;
   spend.budget = wish.budget;
+  ChargeFreePart(spend);
   if (spend.running.contains(wish.turn)) {
     return {};
   }
@@ -107,15 +144,21 @@
   return {};
 }
 
-bool IsCovered(const ProgramSpend& spend) {
-  return spend.spent + Running(spend) <= spend.ceiling;
+uint64_t FreePart(uint64_t budget) {
+  return budget / kFreeDivisor;
+}
+
+bool IsCovered(const ProgramSpend& spend, bool is_confirmed) {
+  const uint64_t tokens = spend.spent + Running(spend);
+  return tokens <= spend.ceiling || IsInFreePart(spend, tokens, is_confirmed);
 }
 
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
-                                        const ProgramName& program) {
+                                        const ProgramName& program,
+                                        bool is_confirmed) {
   ProgramSpend& spend = ledger.programs[program];
   const uint64_t wanted = WantedCeiling(spend);
-  if (wanted <= spend.asked) {
+  if (wanted <= spend.asked || IsInFreePart(spend, wanted, is_confirmed)) {
     return std::nullopt;
   }
   spend.asked = wanted;
@@ -130,13 +173,13 @@
   }
 }
 
-SpendRecord SettleTurn(TurnLedger& ledger,
-                       const ProgramName& program,
-                       const std::string& turn,
-                       uint64_t used,
-                       uint64_t most_tokens,
-                       Duration now) {
-  ProgramSpend& spend = ledger.programs[program];
+std::optional<SpendRecord> SettleTurn(TurnLedger& ledger,
+                                      const ProgramName& program,
+                                      const std::string& turn,
+                                      uint64_t used,
+                                      uint64_t most_tokens,
+                                      Duration now) {
+  ProgramSpend& spend = SpendOf(ledger, program, now);
   spend.used_at = now;
   spend.largest = std::max(spend.largest, most_tokens);
   if (spend.running.erase(turn) > 0) {
@@ -144,6 +187,9 @@
   } else if (spend.ended_early.size() < kMostEndedEarly) {
     spend.ended_early.insert(turn);
   }
+  if (spend.asked == 0) {
+    return std::nullopt;
+  }
   // What the turn did not use is given back, or a takeover would count it.
   spend.asked = WantedCeiling(spend);
   spend.ceiling = std::min(spend.ceiling, spend.asked);
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -252,6 +252,7 @@
       CloseOldIdle(node.endpoint_pool, now);
       CloseOldIdle(node.store.pool, now);
       ExpireSlots(node);
+      ConfirmSlots(node);
       ForgetPrograms(node);
       ForgetSpent(node.spent_programs, now);
     }
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -316,7 +316,8 @@
                           .input = "in0",
                           .output = "out0\n",
                           .ended_at = WallNow(),
-                          .expires_at = WallNow() + 60000};
+                          .expires_at = WallNow() + 60000,
+                          .spent = 0};
     slot.records.push_back(EncodeSlotRecord(turn));
   });
   const auto answer = fleet.Send(0, "POST", "/stream/kept/x",
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kConfirmPatience = std::chrono::milliseconds(400);
+// A quarter of the time for which a confirmation counts.
+constexpr Duration kConfirmEvery = kFreePartFor / 4;
 constexpr Duration kLookupPatience = std::chrono::milliseconds(500);
 // Clocks of instances differ, and a caller may be late with its next turn.
 constexpr WallMillis kExpiryMargin = 10000;
@@ -36,9 +38,14 @@
   return pb::TurnGrant::NOT_HOLDER;
 }
 
+bool IsConfirmed(const HeldSlot& slot) {
+  return Now() < slot.confirmed_at + kFreePartFor;
+}
+
 void TellCovered(HeldSlot& slot, const ProgramName& program) {
   const auto spend = slot.ledger.programs.find(program);
-  if (spend == slot.ledger.programs.end() || !IsCovered(spend->second)) {
+  if (spend == slot.ledger.programs.end() ||
+      !IsCovered(spend->second, IsConfirmed(slot))) {
     return;
   }
   const auto [first, last] = slot.uncovered.equal_range(program);
@@ -56,7 +63,7 @@
                    const HeldSlotPtr& slot,
                    const ProgramName& program,
                    bool urgent) {
-  const auto record = RaiseCeiling(slot->ledger, program);
+  const auto record = RaiseCeiling(slot->ledger, program, IsConfirmed(*slot));
   if (!record) {
     return;
   }
@@ -156,7 +163,12 @@
       .output = end.output(),
       .ended_at = now,
       .expires_at =
-          now + static_cast<WallMillis>(end.retention_ms()) + kExpiryMargin};
+          now + static_cast<WallMillis>(end.retention_ms()) + kExpiryMargin,
+      .spent = 0};
+  if (const auto spend = slot.ledger.programs.find(record.program);
+      spend != slot.ledger.programs.end()) {
+    record.spent = spend->second.spent;
+  }
   if (!record.base.empty()) {
     record.previous.clear();
     return record;
@@ -245,7 +257,8 @@
   if (const auto admitted = AdmitTurn(slot->ledger, wish, Now()); !admitted) {
     co_return Verdict(VerdictOf(admitted.error()));
   }
-  const bool is_covered = IsCovered(slot->ledger.programs[program]);
+  const bool is_covered =
+      IsCovered(slot->ledger.programs[program], IsConfirmed(*slot));
   grant.set_covered(is_covered);
   if (!is_covered) {
     slot->uncovered.emplace(program, std::move(covered));
@@ -267,15 +280,16 @@
     slot->endpoints[program] = end.endpoint();
   }
   if (end.most_tokens() > 0) {
-    const SpendRecord spend =
-        SettleTurn(slot->ledger, program, end.turn(), end.used_tokens(),
-                   end.most_tokens(), Now());
-    Enqueue(node, slot, spend, false, [slot, spend](bool durable) {
-      if (durable) {
-        NoteDurable(slot->ledger, spend);
-        TellCovered(*slot, spend.program);
-      }
-    });
+    const auto spend = SettleTurn(slot->ledger, program, end.turn(),
+                                  end.used_tokens(), end.most_tokens(), Now());
+    if (spend) {
+      Enqueue(node, slot, *spend, false, [slot, spend](bool durable) {
+        if (durable) {
+          NoteDurable(slot->ledger, *spend);
+          TellCovered(*slot, spend->program);
+        }
+      });
+    }
     TellCovered(*slot, program);
   }
   if (!end.kept() || FindTurn(slot->ledger, end.team(), end.turn())) {
@@ -297,6 +311,18 @@
   co_return done;
 }
 
+// Free parts last as long as the store confirms the slot, and an outage may
+// begin at any moment.
+void ConfirmSlots(Node& node) {
+  const Duration now = Now();
+  for (const auto& [number, slot] : node.slots.held) {
+    if (slot->active && !slot->writing &&
+        now >= slot->confirmed_at + kConfirmEvery) {
+      StartConfirm(node, slot);
+    }
+  }
+}
+
 void ExpireSlots(Node& node) {
   const Duration now = Now();
   const WallMillis wall = WallNow();
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -82,8 +82,10 @@
     Duration pause = kFirstPause;
     const Duration began = Now();
     while (!call.records.empty()) {
+      const Duration asked_at = Now();
       const auto done = co_await Append(node, call);
       if (done) {
+        slot->confirmed_at = asked_at;
         break;
       }
       if (HoldsAnother(done.error()) || slot->lost) {
@@ -219,15 +221,19 @@
   const Duration began = Now();
   Duration pause = kFirstPause;
   bool is_first = true;
+  bool is_first_holder = false;
   while (true) {
     const AppendCall claim{.topic = std::string(kSlotTopic),
                            .partition = number,
                            .stamp = Stamp(*slot),
                            .records = {EncodeSlotRecord(
                                ClaimRecord{node.fleet.self, slot->epoch})}};
+    const Duration asked_at = Now();
     const auto done = co_await Append(node, claim);
     if (done) {
       slot->next_sequence = 1;
+      slot->confirmed_at = asked_at;
+      is_first_holder = done->offset == 0;
       if (!co_await CatchUp(node, slot, done->offset)) {
         co_return;
       }
@@ -252,7 +258,7 @@
       co_return;
     }
   }
-  AssumeSpent(slot->ledger, Now());
+  AssumeSpent(slot->ledger, is_first_holder, Now());
   slot->active = true;
   NoteHolder(node.fleet, number, {node.fleet.self, slot->epoch});
   WriteLog(node.log, LogLevel::kUnusual, "slot taken",
--- a/src/celerykeel/testing/slot_model.h
+++ b/src/celerykeel/testing/slot_model.h
@@ -15,13 +15,15 @@
 /// finds what it is for.
 enum class WithoutRule {
   kNone,
-  kCover,         // tokens go out before a durable record covers them
-  kAssumeSpent,   // a successor trusts the newest record
-  kSlackOnce,     // each takeover leaves a turn's slack
-  kFence,         // the store takes appends of any epoch
-  kConfirm,       // a holder says "no such turn" without an append
-  kDurableEnd,    // a turn is answered whole before its record is durable
-  kSameSequence,  // an append without an answer counts as done
+  kCover,           // tokens go out before a durable record covers them
+  kAssumeSpent,     // a successor trusts the newest record
+  kSlackOnce,       // each takeover leaves a turn's slack
+  kChargeFreePart,  // a successor takes no free part as spent
+  kFreePartOnce,    // each holder gives a program a free part
+  kFence,           // the store takes appends of any epoch
+  kConfirm,         // a holder says "no such turn" without an append
+  kDurableEnd,      // a turn is answered whole before its record is durable
+  kSameSequence,    // an append without an answer counts as done
 };
 
 /// @brief One step of a run; `which` chooses among what it may apply to.
--- a/src/celerykeel/wire/slot_codec.cc
+++ b/src/celerykeel/wire/slot_codec.cc
@@ -40,6 +40,7 @@
     turn.set_output(record.output);
     turn.set_ended_at(record.ended_at);
     turn.set_expires_at(record.expires_at);
+    turn.set_spent(record.spent);
   }
 };
 
@@ -76,7 +77,8 @@
                         .input = turn.input(),
                         .output = turn.output(),
                         .ended_at = turn.ended_at(),
-                        .expires_at = turn.expires_at()};
+                        .expires_at = turn.expires_at(),
+                        .spent = turn.spent()};
     }
     case pb::SlotEntry::kRate:
       return RateRecord{entry.rate().team(), entry.rate().kept()};
