node: answers without end cost bounded memory

Cause: the framing of an answer (the line before a chunk, a trailer) was buffered without a bound until the call's deadline: 256 MB and more in a test where an instance may have 88 MB. An event that does not end was kept whole, and whole answers took up to 16 MB each, however many there were. A refusal with another request's id was taken for the own answer. Change: bounds for what is unparsed, for an event, for all answers that are being read; the output of a turn is kept only where turns are kept, and only as much as a record carries; a refusal counts with the own id or without one. The stray refusal's case was not run with its rule off.

--- a/include/celerykeel/core/event_stream.h
+++ b/include/celerykeel/core/event_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>      // for size_t
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 #include <vector>       // for std::vector
@@ -18,6 +19,10 @@
   std::string partial;
 };
 
+/// @brief An event of more bytes than this is none: an endpoint may send bytes
+/// without end. Events of model engines have a few hundred bytes.
+inline constexpr size_t kMostEventBytes = 256UL * 1024;
+
 /// @brief Adds bytes and returns the events that they complete. Lines may end
 /// in LF or CRLF.
 std::vector<StreamEvent> AddBytes(EventSplitter& splitter,
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -64,6 +64,7 @@
 
   std::shared_ptr<const Deployment> deployment;  // null until one is known
   OutPool endpoint_pool;
+  size_t buffered_answer_bytes = 0;  // of answers that are not complete yet
   StoreClient store;
 
   KnownFleet fleet;
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -20,12 +20,16 @@
 
 namespace celerykeel {
 
+/// @brief Bytes of an answer that are kept before they are parsed: a head, or
+/// the framing of a body. A peer that sends more of it is not waited for.
+inline constexpr size_t kMostUnparsedBytes = 256UL * 1024;
+
 /// @brief A connection to an endpoint or to the store.
 struct OutConnection {
   explicit OutConnection(asio::io_context& loop) : stream(loop) {}
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMostUnparsedBytes};
   Duration idle_since{};
   Duration idle_limit{};  // the peer closes it after so long
   Duration sent_at{};     // when its last exchange began
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -24,6 +24,8 @@
 constexpr Duration kFreshIdle = std::chrono::milliseconds(300);
 constexpr Duration kAnyIdle = std::chrono::seconds(60);
 constexpr size_t kMostAnswerBytes = 16UL * 1024 * 1024;
+// A quarter of the memory of the smallest known instance, 88 MB.
+constexpr size_t kMostBufferedBytes = 22UL * 1024 * 1024;
 // Answers of earlier requests that are skipped before our own.
 constexpr int kMostStale = 2;
 // Endpoints that were tried in vain without running it count only here.
@@ -65,6 +67,48 @@
           .resume_after = call.last_event};
 }
 
+// Counts the bytes of answers that wait here to be complete.
+class BufferedBytes {
+ public:
+  explicit BufferedBytes(size_t& of_all) : total(of_all) {}
+  ~BufferedBytes() { this->total -= this->own; }
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+
+  bool Add(size_t bytes) {
+    this->own += bytes;
+    this->total += bytes;
+    return this->own <= kMostAnswerBytes && this->total <= kMostBufferedBytes;
+  }
+
+ private:
+  size_t& total;
+  size_t own = 0;
+};
+
+// Reads a body whole, unless it has no end or all bodies that are being read
+// take too much memory.
+Task<tl::expected<std::string, ExchangeError>> ReadWhole(
+    Node& node,
+    std::shared_ptr<AnswerReader> reader,
+    asio::steady_timer::time_point until) {
+  BufferedBytes buffered(node.buffered_answer_bytes);
+  std::string body;
+  while (true) {
+    auto some = co_await reader->ReadSome(until);
+    if (!some) {
+      co_return tl::unexpected(some.error());
+    }
+    if (!*some) {
+      co_return body;
+    }
+    body += **some;
+    if (!buffered.Add((*some)->size())) {
+      co_return tl::unexpected(ExchangeError::kGarbled);
+    }
+  }
+}
+
 // The next answer on the connection that is to this request. One to an earlier
 // request may come first, late.
 Task<tl::expected<AnswerHead, ExchangeError>> ReadOwnHead(
@@ -85,11 +129,12 @@
     if (facts.leaving) {
       TakeDeparture(node, endpoint);
     }
-    if (facts.request_id == call.request.facts.id || facts.not_run) {
+    // A refusal may come without an id, but not with another request's.
+    if (facts.request_id == call.request.facts.id ||
+        (facts.not_run && facts.request_id.empty())) {
       co_return head;
     }
-    const auto skipped =
-        co_await attempt.reader->ReadAll(until, kMostAnswerBytes);
+    const auto skipped = co_await ReadWhole(node, attempt.reader, until);
     if (!skipped) {
       co_return tl::unexpected(skipped.error());
     }
@@ -233,8 +278,7 @@
 }
 
 Task<bool> RelayWhole(Node& node, CallPtr call, Attempt& attempt) {
-  auto body = co_await attempt.reader->ReadAll(Until(TimeLeft(*call)),
-                                               kMostAnswerBytes);
+  auto body = co_await ReadWhole(node, attempt.reader, Until(TimeLeft(*call)));
   const auto connection = call->attempt;
   call->attempt = nullptr;
   if (!body) {
--- /dev/null
+++ b/src/celerykeel/node/endless_answer_unittest.cc
@@ -0,0 +1,63 @@
+#include <doctest/doctest.h>
+
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+// What an instance may take in of one call's answers, with the buffers of
+// sockets.
+constexpr uint64_t kMostTaken = 64UL * 1024 * 1024;
+
+HeaderList Call(const std::string& id) {
+  return {{"X-Attempt-Id", id},         {"Authorization", "Bearer k1"},
+          {"X-Deadline-Ms", "900"},     {"X-Program-Id", id},
+          {"X-Token-Usage", "100,100"}, {"X-Token-Budget", "9999"}};
+}
+
+// An endpoint in trouble may send bytes until its caller closes the connection:
+// they must cost bounded memory and time, and never make a whole answer.
+TEST_CASE("answers without end") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  const auto send = [&fleet](Endless where, const std::string& target) {
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.endless = where;
+      endpoint.endless_bytes = 0;
+    }
+    auto answer = fleet.Send(0, "POST", target, Call("c"), "in");
+    CHECK(fleet.endpoints[0].endless_bytes + fleet.endpoints[1].endless_bytes <
+          kMostTaken);
+    return answer;
+  };
+  for (const std::string target : {"/pay/x", "/stream/kept/x"}) {
+    CAPTURE(target);
+    for (const Endless where :
+         {Endless::kHead, Endless::kInterim, Endless::kChunkSize,
+          Endless::kChunks, Endless::kTrailer}) {
+      CAPTURE(static_cast<int>(where));
+      const auto answer = send(where, target);
+      CHECK((answer.status == 502 || answer.status == 504));
+    }
+  }
+
+  // Bytes past the length belong to no answer.
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = send(Endless::kPastLength, "/pay/x");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ok");
+  }
+
+  // An event without end is never relayed.
+  const auto stream = send(Endless::kEvent, "/stream/kept/x");
+  CHECK((stream.status == 502 || stream.status == 504));
+
+  // The instance is as it was.
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.endless = Endless::kNowhere;
+  }
+  CHECK(fleet.Send(0, "POST", "/pay/x", Call("after"), "in").status == 200);
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -213,6 +213,13 @@
     CHECK(fleet.Send(0, "GET", "/look/x", Tool("s1"), "").body == "done s1");
   }
 
+  SUBCASE("a refusal of an earlier request is skipped") {
+    fleet.endpoints[0].echoes_refusal = true;
+    fleet.endpoints[1].echoes_refusal = true;
+    CHECK(fleet.Send(0, "POST", "/pay/x", Tool("s2"), "x").status == 200);
+    CHECK(RunsOfBoth(fleet, "s2") == 1);
+  }
+
   SUBCASE("a stream that may be resumed goes on at another endpoint") {
     fleet.endpoints[0].cut_after = 2;
     for (int i = 0; i < 6; ++i) {  // some of them begin at either endpoint
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -136,8 +136,10 @@
   std::string piece;
   for (const StreamEvent& event : events) {
     piece += event.raw;
-    relay.output += event.data;
-    relay.output += '\n';
+    if (call.route->retained) {
+      relay.output += event.data;
+      relay.output += '\n';
+    }
     relay.tokens += relay.tokens_per_event;
     ++call.events;
     if (!event.id.empty()) {
@@ -168,6 +170,10 @@
                                          : StreamEnd::kBroken;
     }
     const std::vector<StreamEvent> events = AddBytes(splitter, **some);
+    if (splitter.partial.size() > kMostEventBytes ||
+        relay.output.size() > node.options.store_record_bytes) {
+      co_return StreamEnd::kBroken;
+    }
     if (events.empty()) {
       continue;
     }
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -54,6 +54,53 @@
   co_return goes_on&& co_await Write(connection, std::move(last));
 }
 
+struct EndlessBytes {
+  std::string begin;
+  std::string again;
+};
+
+EndlessBytes BytesOf(Endless where, const std::string& id) {
+  const std::string head = fmt::format(
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s\r\n"
+      "Content-Type: {}\r\n",
+      id, where == Endless::kEvent ? "text/event-stream" : "text/plain");
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(4096, 'x');
+  switch (where) {
+    case Endless::kHead:
+      return {head, "X-More: " + filler + "\r\n"};
+    case Endless::kInterim:
+      return {"", "HTTP/1.1 102 Processing\r\n\r\n"};
+    case Endless::kChunkSize:
+      return {chunked + "5;", filler};
+    case Endless::kChunks:
+      return {chunked, "1000\r\n" + filler + "\r\n"};
+    case Endless::kTrailer:
+      return {chunked + "2\r\nok\r\n0\r\n", "X-More: " + filler + "\r\n"};
+    case Endless::kPastLength:
+      return {head + "Content-Length: 2\r\n\r\nok", filler};
+    case Endless::kEvent:
+      return {chunked + "6\r\ndata: \r\n", "1000\r\n" + filler + "\r\n"};
+    case Endless::kNowhere:
+      break;
+  }
+  return {};
+}
+
+// Sends until the caller closes, or until it is clear that it does not.
+Task<bool> SendEndless(EndpointStandin& endpoint,
+                       StandinConnectionPtr connection,
+                       std::string id) {
+  constexpr uint64_t kEnough = 256UL * 1024 * 1024;
+  const EndlessBytes bytes = BytesOf(endpoint.endless, id);
+  bool goes_on = co_await Write(connection, bytes.begin);
+  while (goes_on && endpoint.endless_bytes < kEnough) {
+    goes_on = co_await Write(connection, bytes.again);
+    endpoint.endless_bytes += bytes.again.size();
+  }
+  co_return false;
+}
+
 StandinResponse Plain(const EndpointStandin& endpoint,
                       const std::string& id,
                       std::string body) {
@@ -89,12 +136,23 @@
   if (endpoint.is_mute) {
     co_return false;
   }
+  if (endpoint.endless != Endless::kNowhere) {
+    co_return co_await SendEndless(endpoint, connection, id);
+  }
   const std::string target(request.target());
   if (target.starts_with("/stream/")) {
     const std::string last(request["Last-Event-ID"]);
     co_return co_await Stream(loop, endpoint, connection, id,
                               std::atoi(last.c_str()));
   }
+  if (endpoint.echoes_refusal) {
+    StandinResponse stray(http::status::service_unavailable, 11);
+    stray.set("X-Attempt-Id", "earlier");
+    stray.set("X-Not-Executed", "1");
+    if (!co_await Respond(connection, std::move(stray))) {
+      co_return false;
+    }
+  }
   if (endpoint.echoes_late) {
     StandinResponse stray = Plain(endpoint, "earlier", "stray");
     if (!co_await Respond(connection, std::move(stray))) {
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -1,14 +1,27 @@
 #pragma once
 
-#include <atomic>  // for std::atomic
-#include <map>     // for std::map
-#include <mutex>   // for std::mutex
-#include <string>  // for std::string
+#include <atomic>   // for std::atomic
+#include <cstdint>  // for uint64_t
+#include <map>      // for std::map
+#include <mutex>    // for std::mutex
+#include <string>   // for std::string
 
 #include "celerykeel/testing/http_standin.h"  // for StandinRequest
 
 namespace celerykeel::testing {
 
+/// @brief Where an endpoint in trouble sends bytes without end.
+enum class Endless {
+  kNowhere,
+  kHead,
+  kInterim,     // answers that say to go on waiting
+  kChunkSize,   // the line before a chunk
+  kChunks,      // a body of chunks
+  kTrailer,     // after the last chunk
+  kPastLength,  // after a body of a stated length
+  kEvent,       // an event that does not end
+};
+
 /// @brief A stand-in of a model engine or a plain service. A POST below
 /// /stream/ is answered with events, anything else with a short body.
 struct EndpointStandin {
@@ -20,8 +33,12 @@
   std::atomic<bool> says_leaving{false};  // in each answer
   std::atomic<bool> echoes_late{false};   // an answer of an earlier request
                                           // comes before the right one
-  std::mutex mutex;                       // of what follows
-  std::map<std::string, int> runs;        // by request id
+  // A refusal of an earlier request comes before the right answer.
+  std::atomic<bool> echoes_refusal{false};
+  std::atomic<Endless> endless{Endless::kNowhere};
+  std::atomic<uint64_t> endless_bytes{0};  // sent so, of all connections
+  std::mutex mutex;                        // of what follows
+  std::map<std::string, int> runs;         // by request id
   std::map<std::string, std::string> bodies;
   std::map<std::string, std::map<std::string, std::string>> headers;
 };
