core: programs whose turns are kept have no free part but their first turn

Kept turns need the store at their end anyway, so a free part gains them nothing; and a program of which no turn was kept can only have begun its first one. Change: a kept program's free part is its first turn, and costs nothing after a takeover but the slack. Seen: slot_model for programs of both kinds; turn_ledger case.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -70,6 +70,8 @@
   uint64_t largest = 0;
   uint64_t budget = 0;  // as the last turn named it
   bool slack_used = false;
+  // Tokens that it may spend without a record, beside the most of one turn.
+  uint64_t free_part = 0;
   // It may have run under an earlier holder, without a record: it has no free
   // part here, and the one it had there counts as spent.
   bool is_inherited = false;
@@ -90,13 +92,6 @@
   Duration strangers_until{};
 };
 
-/// @brief A new program's free part: tokens that it may spend without a record,
-/// beside the most of one turn. Whoever takes the slot over counts it as spent
-/// for each program that may have run before. Programs of the known deployments
-/// use a fifth of their budgets at the median, and under a third in three of
-/// four cases.
-uint64_t FreePart(uint64_t budget);
-
 /// @brief A program that is alive asks for its next turn within about half of
 /// this time: the longest tools take 6 s.
 inline constexpr Duration kStrangersFor = std::chrono::seconds(20);
@@ -110,6 +105,9 @@
   std::string turn;
   uint64_t most_tokens = 0;
   uint64_t budget = 0;
+  // Its turns are kept: they need the store anyway, and a program of which no
+  // turn was kept can only have begun its first one.
+  bool is_kept = false;
 };
 
 /// @brief Why a turn does not fit its program's budget now.
--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -33,11 +33,11 @@
 constexpr int kSteps = 100;
 constexpr int kRuns = 3000;
 
-bool Holds(WithoutRule rule, uint64_t seed) {
+bool Holds(WithoutRule rule, uint64_t seed, bool kept = false) {
   return HoldsAlways(
       seed,
-      [rule] {
-        SlotModel model(rule);
+      [rule, kept] {
+        SlotModel model(rule, kept);
         for (int i = 0; i < kSteps; ++i) {
           model.Apply(MakeStep());
           RC_ASSERT(!model.broken);
@@ -49,6 +49,8 @@
 TEST_CASE("slots keep budgets and turns over losses, and no rule is idle") {
   CHECK(Holds(WithoutRule::kNone, 1));
   CHECK(Holds(WithoutRule::kNone, 2));
+  CHECK(Holds(WithoutRule::kNone, 1, true));
+  CHECK(Holds(WithoutRule::kNone, 2, true));
   CHECK_FALSE(Holds(WithoutRule::kCover, 1));
   CHECK_FALSE(Holds(WithoutRule::kAssumeSpent, 1));
   CHECK_FALSE(Holds(WithoutRule::kSlackOnce, 1));
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -20,7 +20,9 @@
 constexpr uint64_t kTurnsAhead = 3;
 constexpr uint64_t kTurnsBeyondFree = 1;
 constexpr size_t kMostEndedEarly = 64;  // of one program
-constexpr uint64_t kFreeDivisor = 3;    // of the budget
+// Programs of the known deployments use a fifth of their budgets at the median,
+// and less than this part in three of four cases.
+constexpr uint64_t kFreeDivisor = 3;
 
 uint64_t WantedCeiling(const ProgramSpend& spend) {
   const uint64_t used = spend.spent + Running(spend);
@@ -32,7 +34,7 @@
                   uint64_t tokens,
                   bool is_confirmed) {
   return is_confirmed && !spend.is_inherited &&
-         tokens <= FreePart(spend.budget) + spend.largest;
+         tokens <= spend.free_part + spend.largest;
 }
 
 ProgramSpend& SpendOf(TurnLedger& ledger,
@@ -50,7 +52,7 @@
   if (spend.is_inherited && !spend.is_charged) {
     spend.is_charged = true;
     spend.slack_used = true;
-    spend.spent = std::max(spend.spent, FreePart(spend.budget));
+    spend.spent = std::max(spend.spent, spend.free_part);
   }
 }
 
@@ -126,6 +128,7 @@
   ProgramSpend& spend = SpendOf(ledger, wish.program, now);
   spend.used_at = now;
   spend.budget = wish.budget;
+  spend.free_part = wish.is_kept ? 0 : wish.budget / kFreeDivisor;
   ChargeFreePart(spend);
   if (spend.running.contains(wish.turn)) {
     return {};
@@ -144,10 +147,6 @@
   return {};
 }
 
-uint64_t FreePart(uint64_t budget) {
-  return budget / kFreeDivisor;
-}
-
 bool IsCovered(const ProgramSpend& spend, bool is_confirmed) {
   const uint64_t tokens = spend.spent + Running(spend);
   return tokens <= spend.ceiling || IsInFreePart(spend, tokens, is_confirmed);
--- a/src/celerykeel/core/turn_ledger_unittest.cc
+++ b/src/celerykeel/core/turn_ledger_unittest.cc
@@ -18,7 +18,8 @@
   return {.program = kProgram,
           .turn = turn,
           .most_tokens = kMost,
-          .budget = kBudget};
+          .budget = kBudget,
+          .is_kept = false};
 }
 
 // Admits a turn and makes its ceiling durable, as a holder does.
@@ -122,6 +123,25 @@
   CHECK(RaiseCeiling(ledger, kProgram, true));
 }
 
+TEST_CASE(
+    "a program whose turns are kept runs its first turn without a record") {
+  TurnLedger ledger;
+  TurnWish wish = Wish("a");
+  wish.budget = 6 * kMost;
+  wish.is_kept = true;
+  REQUIRE(AdmitTurn(ledger, wish, seconds(1)));
+  CHECK(IsCovered(ledger.programs[kProgram], true));
+  wish.turn = "b";
+  REQUIRE(AdmitTurn(ledger, wish, seconds(1)));
+  CHECK_FALSE(IsCovered(ledger.programs[kProgram], true));
+  // One that begins after a takeover pays nothing for it, but has no slack.
+  TurnLedger successor = AfterTakeover();
+  REQUIRE(AdmitTurn(successor, wish, seconds(2)));
+  CHECK(successor.programs[kProgram].spent == 0);
+  CHECK(successor.programs[kProgram].slack_used);
+  CHECK_FALSE(IsCovered(successor.programs[kProgram], true));
+}
+
 // A holder that was cut off may have been replaced unseen.
 TEST_CASE("without the store's confirmation there is no free part") {
   TurnLedger ledger;
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -253,7 +253,8 @@
   const TurnWish wish{.program = program,
                       .turn = admission.turn(),
                       .most_tokens = admission.most_tokens(),
-                      .budget = admission.budget()};
+                      .budget = admission.budget(),
+                      .is_kept = admission.kept()};
   if (const auto admitted = AdmitTurn(slot->ledger, wish, Now()); !admitted) {
     co_return Verdict(VerdictOf(admitted.error()));
   }
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -25,6 +25,7 @@
   admission.set_turn(facts.id);
   admission.set_previous(call.route->retained ? facts.previous_turn : "");
   admission.set_most_tokens(facts.most_tokens);
+  admission.set_kept(call.route->retained);
   if (facts.token_budget) {
     admission.set_budget(*facts.token_budget);
   }
--- a/src/celerykeel/testing/slot_model.cc
+++ b/src/celerykeel/testing/slot_model.cc
@@ -117,8 +117,11 @@
 
 void SlotModel::Admit(Holder& holder) {
   const std::string id = "t" + std::to_string(this->next_turn);
-  const TurnWish wish{
-      .program = kProgram, .turn = id, .most_tokens = kMost, .budget = kBudget};
+  const TurnWish wish{.program = kProgram,
+                      .turn = id,
+                      .most_tokens = kMost,
+                      .budget = kBudget,
+                      .is_kept = this->is_kept};
   if (!AdmitTurn(holder.ledger, wish, kNow)) {
     return;
   }
--- a/src/celerykeel/testing/slot_model.h
+++ b/src/celerykeel/testing/slot_model.h
@@ -50,7 +50,7 @@
 /// the turns of one program, as callers see them.
 class SlotModel {
  public:
-  explicit SlotModel(WithoutRule rule) : without(rule) {}
+  SlotModel(WithoutRule rule, bool kept) : without(rule), is_kept(kept) {}
 
   void Apply(const SlotStep& step);
 
@@ -91,6 +91,7 @@
   bool IsFenced(const Holder& holder) const;
 
   WithoutRule without;
+  bool is_kept;  // the program's turns are on a route that keeps them
   bool store_up = true;
   std::vector<SlotRecord> log;
   uint64_t store_epoch = 0;
