node: a planned stop answers requests that have begun to arrive

Cause: when an instance that stops closed its connections, one whose request had arrived in part, or waited unread, counted as idle, and connections that the system had accepted already were reset with the listening socket. Change: waiting connections are taken before the listening socket closes; connections get 200 ms more, and those on which a request has begun are served. Tests for what went wrong elsewhere: slow and trickling streams, a silent holder of a slot, a holder that was paused and replaced, bytes that are no message.

--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -29,6 +29,9 @@
 // The platform asks once a second and needs two misses; then it still takes a
 // moment until callers go elsewhere.
 constexpr Duration kNoticeTime = std::chrono::milliseconds(3200);
+// A request that was sent before its caller saw the refusal of new connections
+// arrives within this time: two long ways, and a slow loop.
+constexpr Duration kOnItsWay = std::chrono::milliseconds(200);
 constexpr Duration kStopStep = std::chrono::milliseconds(50);
 // Of the time until the kill, kept for the way out.
 constexpr Duration kLastMoments = std::chrono::milliseconds(700);
@@ -125,6 +128,8 @@
 
 Task<> ServeConnection(Node& node, CallerStreamPtr caller) {
   node.callers.insert(caller);
+  ErrorCode slower;  // answers go out later then, and whole
+  caller->stream.socket().set_option(Tcp::no_delay(true), slower);
   while (!caller->broken && !caller->gone && caller->keep_alive) {
     RequestParser parser;
     const ReadEnd end = co_await ReadRequest(node, caller, parser);
@@ -202,6 +207,29 @@
   }
 }
 
+// Takes the connections that the system has accepted already: a caller may have
+// sent its request on one of them.
+void AcceptWaiting(Node& node) {
+  ErrorCode error;
+  node.callers_acceptor->non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(node.io);
+    node.callers_acceptor->accept(socket, error);
+    if (!error) {
+      auto caller = std::make_shared<CallerStream>(std::move(socket));
+      node.callers.insert(caller);
+      Spawn(node.io, ServeConnection(node, std::move(caller)));
+    }
+  }
+}
+
+// True if a request is being served, or some of one has come.
+bool HasBegun(CallerStream& caller) {
+  ErrorCode error;
+  return caller.busy || caller.buffer.size() > 0 ||
+         caller.stream.socket().available(error) > 0;
+}
+
 }  // namespace
 
 Task<> ServeCallers(Node& node) {
@@ -216,9 +244,8 @@
       co_await Sleep(node.io, kPause);
       continue;
     }
-    socket.set_option(Tcp::no_delay(true), error);
-    Spawn(node.io, ServeConnection(node, std::make_shared<CallerStream>(
-                                             std::move(socket))));
+    auto caller = std::make_shared<CallerStream>(std::move(socket));
+    Spawn(node.io, ServeConnection(node, std::move(caller)));
   }
 }
 
@@ -254,16 +281,18 @@
     co_await Sleep(node.io, kStopStep);
   }
   // Whatever came later could be cut before its answer is whole.
+  AcceptWaiting(node);
   ErrorCode closed;
   node.callers_acceptor->close(closed);
+  co_await Sleep(node.io, kOnItsWay);
   for (const CallerStreamPtr& caller : node.callers) {
     caller->keep_alive = false;
-    if (!caller->busy) {
+    if (!HasBegun(*caller)) {
       ErrorCode ignored;
       caller->stream.socket().close(ignored);
     }
   }
-  while (node.calls_under_way > 0 &&
+  while (!node.callers.empty() &&
          Now() < began + node.options.stop_time - kLastMoments) {
     co_await Sleep(node.io, kStopStep);
   }
--- /dev/null
+++ b/src/celerykeel/node/planned_stop_unittest.cc
@@ -0,0 +1,85 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>  // for std::atomic
+#include <thread>  // for std::thread
+#include <vector>  // for std::vector
+
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+std::string Head(const std::string& id) {
+  return "GET /look/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+         "\r\nAuthorization: Bearer k1\r\nX-Deadline-Ms: 1000\r\n\r\n";
+}
+
+// @return true if a whole answer came; `done` is its body.
+bool ReadAnswer(Tcp::socket& socket, const std::string& done) {
+  asio::streambuf answer;
+  ErrorCode error;
+  asio::read_until(socket, answer, done, error);
+  return !error;
+}
+
+struct Tally {
+  std::atomic<int> answered{0};
+  std::atomic<int> cut{0};  // connected and sent, and no whole answer came
+};
+
+// One request a connection until the instance takes no more connections.
+void SendUntilClosed(const Tcp::endpoint& address,
+                     const std::string& prefix,
+                     Tally& tally) {
+  for (int i = 0;; ++i) {
+    asio::io_context loop;
+    Tcp::socket socket(loop);
+    ErrorCode error;
+    socket.connect(address, error);
+    if (error) {
+      return;
+    }
+    const std::string id = prefix + std::to_string(i);
+    asio::write(socket, asio::buffer(Head(id)), error);
+    // Four callers stay inside their team's 1,000 requests a second.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    ++(!error && ReadAnswer(socket, "done " + id) ? tally.answered : tally.cut);
+  }
+}
+
+TEST_CASE("a planned stop under load cuts no request") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  const Tcp::endpoint address = fleet.CallersAddress(0);
+  asio::io_context loop;
+  Tcp::socket slow(loop);
+  ErrorCode error;
+  slow.connect(address, error);
+  const std::string head = Head("slow");
+  Tally tally;
+  std::vector<std::thread> callers;
+  for (const char* prefix : {"a", "b", "c", "d"}) {
+    callers.emplace_back(
+        [&, prefix] { SendUntilClosed(address, prefix, tally); });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.Stop(0);
+  // A request that has begun to arrive when the instance closes its door.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  asio::write(slow, asio::buffer(head.substr(0, 20)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  asio::write(slow, asio::buffer(head.substr(20)), error);
+  CHECK(ReadAnswer(slow, "done slow"));
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(tally.answered.load() > 100);
+  CHECK(tally.cut.load() == 0);
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/node/trouble_unittest.cc
@@ -0,0 +1,143 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/write.hpp>
+
+#include <future>  // for std::async
+
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+HeaderList Turn(const std::string& id,
+                const std::string& program,
+                const std::string& previous,
+                int budget,
+                int millis = 4000) {
+  HeaderList headers{{"X-Attempt-Id", id},
+                     {"Authorization", "Bearer k1"},
+                     {"X-Deadline-Ms", std::to_string(millis)},
+                     {"X-Program-Id", program},
+                     {"X-Token-Usage", "100,100"},
+                     {"X-Token-Budget", std::to_string(budget)}};
+  if (!previous.empty()) {
+    headers.emplace_back("X-Previous-Turn", previous);
+  }
+  return headers;
+}
+
+// A program whose slot the instance holds.
+std::string ProgramOf(NodeFleet& fleet, size_t index) {
+  for (int i = 0; i < 64; ++i) {
+    const std::string program = "p" + std::to_string(i);
+    if (fleet.Holds(index, program)) {
+      return program;
+    }
+  }
+  FAIL("no slot is held there");
+  return {};
+}
+
+int RunsOfBoth(NodeFleet& fleet, const std::string& id) {
+  return RunsOf(fleet.endpoints[0], id) + RunsOf(fleet.endpoints[1], id);
+}
+
+TEST_CASE("a slow stream ends whole, and one that says nothing ends in time") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  SUBCASE("events that are far apart") {
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.pause_ms = 600;
+    }
+    const auto answer = fleet.Send(0, "POST", "/stream/kept/x",
+                                   Turn("slow", "p", "", 9999), "in");
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find("data: e4") != std::string::npos);
+    CHECK(RunsOfBoth(fleet, "slow") == 1);
+  }
+  SUBCASE("bytes now and then, and no event") {
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.trickles = true;
+    }
+    // The caller's patience would be 8 s.
+    const auto answer = fleet.Send(0, "POST", "/stream/kept/x",
+                                   Turn("idle", "p", "", 9999, 800), "in");
+    CHECK(answer.status == 504);
+    CHECK(RunsOfBoth(fleet, "idle") == 1);
+  }
+}
+
+TEST_CASE("work goes on while the holder of its slot is silent") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  const std::string program = ProgramOf(fleet, 0);
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.pause_ms = 500;
+  }
+  auto answer = std::async(std::launch::async, [&] {
+    return fleet.Send(1, "POST", "/stream/kept/x",
+                      Turn("t1", program, "", 9999), "in");
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.Freeze(0, milliseconds(1700));
+  const auto got = answer.get();
+  CHECK(got.status == 200);
+  CHECK(got.body.find("data: e4") != std::string::npos);
+  CHECK(RunsOfBoth(fleet, "t1") == 1);
+}
+
+TEST_CASE("a holder that was paused and replaced spends no budget twice") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  const std::string program = ProgramOf(fleet, 0);
+  // Each turn spends 80 tokens and may spend 100.
+  const auto send = [&](size_t index, const std::string& id) {
+    return fleet
+        .Send(index, "POST", "/stream/plain/x", Turn(id, program, "", 400), "")
+        .status;
+  };
+  CHECK(send(0, "t1") == 200);
+  fleet.Freeze(0, milliseconds(2500));
+  std::this_thread::sleep_for(milliseconds(1600));
+  CHECK(send(1, "t2") == 200);  // by the new holder
+  std::this_thread::sleep_for(milliseconds(900));
+  int served = 2;
+  for (int i = 0; i < 8; ++i) {
+    served += send(static_cast<size_t>(i % 2), "u" + std::to_string(i)) == 200;
+  }
+  CHECK(served * 80 <= 400 + 100);
+}
+
+TEST_CASE("bytes that are no message end one connection and no process") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  const std::string garbage[] = {
+      std::string("\xff\xff\xff\xff whatever"),      // a frame too long
+      std::string("\0\0\0\x04\xff\xff\xff\xff", 8),  // not a frame's bytes
+      std::string("\0\0\0\x02\x78\x01", 6),          // of an unknown kind
+      std::string("\0\0\0\0", 4),                    // an empty frame
+      "GET / HTTP/1.1\r\n\r\n",
+      "POST /pay/x HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+      "POST /pay/x HTTP/1.1\r\nTransfer-Encoding: gzip, what\r\n\r\n",
+      "GET /look/x HTTP/9.9\r\nX-Deadline-Ms: -1\r\n\r\n",
+      std::string(100'000, 'a')};
+  for (const Tcp::endpoint& address :
+       {fleet.PeerAddress(0), fleet.CallersAddress(0)}) {
+    for (const std::string& bytes : garbage) {
+      asio::io_context loop;
+      Tcp::socket socket(loop);
+      ErrorCode error;
+      socket.connect(address, error);
+      CHECK_FALSE(error);
+      asio::write(socket, asio::buffer(bytes), error);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+  CHECK(fleet.Send(0, "POST", "/stream/kept/x", Turn("t", "p", "", 9999), "in")
+            .status == 200);
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration kEventPause = std::chrono::milliseconds(3);
+constexpr Duration kTricklePause = std::chrono::milliseconds(50);
 
 Task<bool> Write(StandinConnectionPtr connection, std::string bytes) {
   ErrorCode error;
@@ -41,6 +41,10 @@
       "{}Transfer-Encoding: chunked\r\n\r\n",
       id, endpoint.id, endpoint.says_leaving ? "Server-Leaving: 1\r\n" : "");
   bool goes_on = co_await Write(connection, std::move(head));
+  while (goes_on && endpoint.trickles) {
+    goes_on = co_await Write(connection, "1\r\n:\r\n");
+    co_await Sleep(loop, kTricklePause);
+  }
   for (int event = first + 1; goes_on && event <= endpoint.events; ++event) {
     if (endpoint.cut_after >= 0 && event > endpoint.cut_after) {
       co_return false;
@@ -48,7 +52,7 @@
     const std::string text = fmt::format("id: {}\ndata: e{}\n\n", event, event);
     std::string chunk = fmt::format("{:x}\r\n{}\r\n", text.size(), text);
     goes_on = co_await Write(connection, std::move(chunk));
-    co_await Sleep(loop, kEventPause);
+    co_await Sleep(loop, std::chrono::milliseconds(endpoint.pause_ms));
   }
   std::string last = "0\r\n\r\n";
   co_return goes_on&& co_await Write(connection, std::move(last));
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -26,10 +26,12 @@
 /// /stream/ is answered with events, anything else with a short body.
 struct EndpointStandin {
   std::string id;
-  std::atomic<int> events{4};        // of one stream
-  std::atomic<int> cut_after{-1};    // events, then the connection closes
-  std::atomic<bool> is_full{false};  // 503, and it says that it did not run
-  std::atomic<bool> is_mute{false};  // runs, and closes without an answer
+  std::atomic<int> events{4};         // of one stream
+  std::atomic<int> pause_ms{3};       // between events
+  std::atomic<bool> trickles{false};  // a stream of comments, and no event
+  std::atomic<int> cut_after{-1};     // events, then the connection closes
+  std::atomic<bool> is_full{false};   // 503, and it says that it did not run
+  std::atomic<bool> is_mute{false};   // runs, and closes without an answer
   std::atomic<bool> says_leaving{false};  // in each answer
   std::atomic<bool> echoes_late{false};   // an answer of an earlier request
                                           // comes before the right one
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>  // for fmt::format
 
+#include "celerykeel/node/caller_server.h"   // for StopGracefully
 #include "celerykeel/node/out_connection.h"  // for Exchange
 
 namespace celerykeel::testing {
@@ -165,6 +166,33 @@
   instance.node.reset();
 }
 
+void NodeFleet::Stop(size_t index) {
+  Node& node = *this->instances[index].node;
+  asio::post(node.io, [&node] { Spawn(node.io, StopGracefully(node)); });
+}
+
+void NodeFleet::Freeze(size_t index, std::chrono::milliseconds time) {
+  asio::post(this->instances[index].node->io,
+             [time] { std::this_thread::sleep_for(time); });
+}
+
+bool NodeFleet::Holds(size_t index, const std::string& program) {
+  std::promise<bool> holds;
+  Node& node = *this->instances[index].node;
+  asio::post(node.io, [&] {
+    holds.set_value(ActiveSlot(node, SlotOf(program)) != nullptr);
+  });
+  return holds.get_future().get();
+}
+
+Tcp::endpoint NodeFleet::CallersAddress(size_t index) const {
+  return {asio::ip::make_address(this->Ip(index + 1)), kCallersPort};
+}
+
+Tcp::endpoint NodeFleet::PeerAddress(size_t index) const {
+  return {asio::ip::make_address(this->Ip(index + 1)), kPeerPort};
+}
+
 void NodeFleet::OnEach(const std::function<void(Node&)>& task) {
   for (Instance& instance : this->instances) {
     if (instance.node == nullptr) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -39,6 +39,17 @@
   /// @brief Starts it again, at the same address.
   void Start(size_t index);
 
+  /// @brief Stops an instance as planned, and returns at once.
+  void Stop(size_t index);
+  /// @brief Keeps an instance from running for a while, and returns at once.
+  void Freeze(size_t index, std::chrono::milliseconds time);
+  /// @brief True if the instance holds the program's slot.
+  bool Holds(size_t index, const std::string& program);
+
+  /// @brief Where an instance takes callers, and other instances.
+  Tcp::endpoint CallersAddress(size_t index) const;
+  Tcp::endpoint PeerAddress(size_t index) const;
+
   /// @brief All log lines of all instances so far.
   std::string Logs();
 
