node: tests share their calls; three tests that could fail by chance

A held slot was looked for at an instance that may hold none; a log was searched from before the store was reached; and bytes past an answer may come only when their connection serves the next call, whose outcome is then unknown. The cases of docs/OPERATIONS.md move to a file of their own.

--- /dev/null
+++ b/src/celerykeel/node/calls_unittest.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <string>   // for std::string
+#include <utility>  // for std::pair
+
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+
+/// @brief Headers of a turn of at most 100 tokens.
+inline HeaderList Turn(const std::string& id,
+                       const std::string& program,
+                       const std::string& previous,
+                       int budget,
+                       int millis = 4000) {
+  HeaderList headers{{"X-Attempt-Id", id},
+                     {"Authorization", "Bearer k1"},
+                     {"X-Deadline-Ms", std::to_string(millis)},
+                     {"X-Program-Id", program},
+                     {"X-Token-Usage", "100,100"},
+                     {"X-Token-Budget", std::to_string(budget)}};
+  if (!previous.empty()) {
+    headers.emplace_back("X-Previous-Turn", previous);
+  }
+  return headers;
+}
+
+/// @brief Headers of a call that is no turn.
+inline HeaderList Tool(const std::string& id, const std::string& key = "k1") {
+  return {{"X-Attempt-Id", id},
+          {"Authorization", "Bearer " + key},
+          {"X-Deadline-Ms", "1000"}};
+}
+
+inline int RunsOfBoth(NodeFleet& fleet, const std::string& id) {
+  return RunsOf(fleet.endpoints[0], id) + RunsOf(fleet.endpoints[1], id);
+}
+
+/// @brief Sends kept turns until one is refused.
+/// @return the last answer, and the turn that got it.
+inline std::pair<CallerAnswer, std::string> SendUntilRefused(NodeFleet& fleet) {
+  CallerAnswer answer;
+  std::string id;
+  for (int i = 0; i < 40 && answer.status != 503; ++i) {
+    id = "o" + std::to_string(i);
+    answer =
+        fleet.Send(0, "POST", "/stream/kept/x", Turn(id, "p", "", 99999), "in");
+  }
+  return {answer, id};
+}
+
+}  // namespace celerykeel::testing
--- /dev/null
+++ b/src/celerykeel/node/story_unittest.cc
@@ -0,0 +1,58 @@
+#include <doctest/doctest.h>
+
+#include <sstream>  // for std::istringstream
+
+#include "celerykeel/node/calls_unittest.h"  // for Turn, Tool
+#include "celerykeel/wire/log_story.h"       // for FindStory
+
+namespace celerykeel::testing {
+namespace {
+
+// The cases of docs/OPERATIONS.md: what the page shows must be in the logs, and
+// be enough.
+TEST_CASE("logs lead from a failed request to its cause") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  const auto story = [&fleet](const std::string& id) {
+    std::istringstream logs(fleet.Logs());
+    return FindStory(logs, id);
+  };
+  const auto tells = [](const LogStory& told, std::string_view text) {
+    return told.conclusion.find(text) != std::string::npos;
+  };
+
+  SUBCASE("a stream stopped as its endpoint left") {
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.cut_after = 2;
+    }
+    fleet.Send(0, "POST", "/stream/kept/x", Turn("s1", "p", "", 9999), "in");
+    // Its entry says so a moment later.
+    REQUIRE(fleet.Drain(0));
+    REQUIRE(fleet.Drain(1));
+    CHECK(tells(story("s1"), "after 2 events; the endpoint was leaving"));
+  }
+
+  SUBCASE("a call's outcome is unknown") {
+    fleet.endpoints[0].is_mute = true;
+    fleet.endpoints[1].is_mute = true;
+    CHECK(fleet.Send(1, "POST", "/pay/x", Tool("m1"), "x").status == 502);
+    const LogStory told = story("m1");
+    CHECK(told.steps.size() == 2);
+    CHECK(tells(told, "may have run"));
+    CHECK(fleet.MetricsOf(1).find("celerykeel_refusals_total{reason=\"the "
+                                  "endpoint broke off\",status=\"502\"} 1") !=
+          std::string::npos);
+  }
+
+  SUBCASE("a turn was refused in an outage of the store") {
+    fleet.store.mode = StoreMode::kRefuses;
+    const auto [answer, id] = SendUntilRefused(fleet);
+    REQUIRE(answer.status == 503);
+    const LogStory told = story(id);
+    CHECK(tells(told, "Refused: not run: the store is away"));
+    CHECK(tells(told, "The instance had lost the store"));
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
