--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -10,7 +10,7 @@
 #include "celerykeel/node/asio.h"            // for Task
 #include "celerykeel/node/caller_stream.h"   // for CallerStreamPtr
 #include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
-#include "celerykeel/node/rates.h"           // for RateTicket
+#include "celerykeel/node/rates.h"           // for RatePermit
 
 namespace celerykeel {
 
@@ -27,15 +27,15 @@
   Duration deadline{};  // the answer is due
   std::string service;
   std::string preferred_endpoint;
-  std::set<std::string> tried;         // endpoints
-  OutConnectionPtr attempt;            // the connection in use
-  uint32_t tries = 0;                  // endpoints chosen
-  uint32_t runs = 0;                   // of these, those that may have run it
-  std::string last_event;              // relayed
-  uint64_t events = 0;                 // relayed
-  std::optional<RateTicket> ticket;    // until it is known whether it ran
-  Duration rate_retry{};               // after kOverRate
-  std::optional<Duration> sent_after;  // first sending, since its arrival
+  std::set<std::string> tried;  // endpoints
+  OutConnectionPtr attempt;     // the connection in use
+  uint32_t tries = 0;           // endpoints chosen
+  uint32_t runs = 0;            // of these, those that may have run it
+  std::string last_event;       // relayed
+  uint64_t events = 0;          // relayed
+  std::optional<RatePermit> rate_permit;  // until it is known whether it ran
+  Duration rate_retry{};                  // after kOverRate
+  std::optional<Duration> sent_after;     // first sending, since its arrival
   std::optional<Duration> first_event_after;  // since its arrival
 };
 using CallPtr = std::shared_ptr<Call>;
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -55,6 +55,7 @@
 
   // Before the loop: calls that end with it count themselves out here.
   EndpointTable endpoints;
+  size_t buffered_answer_bytes = 0;  // of answers that are not complete yet
 
   asio::io_context io{1};
   NodeOptions options;
@@ -64,7 +65,6 @@
 
   std::shared_ptr<const Deployment> deployment;  // null until one is known
   OutPool endpoint_pool;
-  size_t buffered_answer_bytes = 0;  // of answers that are not complete yet
   StoreClient store;
 
   KnownFleet fleet;
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -21,32 +21,32 @@
 };
 
 /// @brief One request's part of its team's rate.
-struct RateTicket {
+struct RatePermit {
   std::string team;
   std::optional<ReservedToken> token;  // of a loan
   bool without_home = false;           // of what passes while no home answers
 };
 
 /// @brief Sets one request of a team's rate aside, or says when to come back.
-/// What is set aside ends with UseTicket or ReturnTicket.
+/// What is set aside ends with UsePermit or ReturnPermit.
 /// @param program that the request is part of; empty if of none.
-Task<tl::expected<RateTicket, Duration>> TakeFromRate(Node& node,
+Task<tl::expected<RatePermit, Duration>> TakeFromRate(Node& node,
                                                       DeployedTeam team,
                                                       std::string program,
                                                       ProgramStart start);
 
-/// @brief The ticket, or another one if it has expired while the call waited or
+/// @brief The permit, or another one if it has expired while the call waited or
 /// this process was paused.
-Task<tl::expected<RateTicket, Duration>> RenewTicket(Node& node,
+Task<tl::expected<RatePermit, Duration>> RenewPermit(Node& node,
                                                      DeployedTeam team,
                                                      std::string program,
-                                                     RateTicket ticket);
+                                                     RatePermit permit);
 
 /// @brief The request ran, or may have run.
-void UseTicket(Node& node, const RateTicket& ticket);
+void UsePermit(Node& node, const RatePermit& permit);
 
 /// @brief No endpoint ran the request, so its team may send another one.
-void ReturnTicket(Node& node, const RateTicket& ticket);
+void ReturnPermit(Node& node, const RatePermit& permit);
 
 /// @brief Forgets programs that were not served of late.
 void ForgetPrograms(Node& node);
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -174,17 +174,17 @@
 // A call may have waited for its holder, the store or a connection for longer
 // than its part of the rate holds.
 Task<bool> MaySend(Node& node, CallPtr call) {
-  if (call->team == nullptr || !call->ticket) {
+  if (call->team == nullptr || !call->rate_permit) {
     co_return true;
   }
   auto renewed =
-      co_await RenewTicket(node, *call->team, call->request.facts.program,
-                           *std::exchange(call->ticket, std::nullopt));
+      co_await RenewPermit(node, *call->team, call->request.facts.program,
+                           *std::exchange(call->rate_permit, std::nullopt));
   if (!renewed) {
     call->rate_retry = renewed.error();
     co_return false;
   }
-  call->ticket = std::move(*renewed);
+  call->rate_permit = std::move(*renewed);
   co_return true;
 }
 
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -60,11 +60,11 @@
 }
 
 void SettleRate(Node& node, Call& call) {
-  if (const auto ticket = std::exchange(call.ticket, std::nullopt)) {
+  if (const auto permit = std::exchange(call.rate_permit, std::nullopt)) {
     if (call.runs > 0) {
-      UseTicket(node, *ticket);
+      UsePermit(node, *permit);
     } else {
-      ReturnTicket(node, *ticket);
+      ReturnPermit(node, *permit);
     }
   }
 }
@@ -126,7 +126,7 @@
                       {kTooMany, "the team's rate is used up", taken.error()});
       co_return;
     }
-    call->ticket = std::move(*taken);
+    call->rate_permit = std::move(*taken);
   }
   call->service = ServiceAt(*call->route, SplitPoint(call->request));
   if (is_turn) {
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -154,13 +154,13 @@
   }
 }
 
-std::optional<RateTicket> TakeAny(Node& node, const DeployedTeam& team) {
+std::optional<RatePermit> TakeAny(Node& node, const DeployedTeam& team) {
   const Duration now = Now();
   if (auto token = ReserveToken(node.rates.borrower, ShareOf(team.name), now)) {
-    return RateTicket{team.name, std::move(token), false};
+    return RatePermit{team.name, std::move(token), false};
   }
   if (TakeWithoutHome(node, team, now)) {
-    return RateTicket{team.name, std::nullopt, true};
+    return RatePermit{team.name, std::nullopt, true};
   }
   return std::nullopt;
 }
@@ -184,12 +184,12 @@
   });
 }
 
-Task<tl::expected<RateTicket, Duration>> TakeFromRate(Node& node,
+Task<tl::expected<RatePermit, Duration>> TakeFromRate(Node& node,
                                                       DeployedTeam team,
                                                       std::string program,
                                                       ProgramStart start) {
   if (team.limits.rate <= 0) {
-    co_return RateTicket{};
+    co_return RatePermit{};
   }
   NoteDemand(node.rates.borrower, ShareOf(team.name), Now());
   const ProgramName name{team.name, program};
@@ -200,11 +200,11 @@
                       !node.rates.under_way.contains(name);
   const bool newcomer = begins && is_scarce;
   if (!newcomer) {
-    if (auto ticket = TakeAny(node, team)) {
+    if (auto permit = TakeAny(node, team)) {
       node.rates.under_way[name] = Now();
       node.rates.begun[team.name] += begins ? 1 : 0;
       AskAheadIfDue(node, team.name, Now());
-      co_return std::move(*ticket);
+      co_return std::move(*permit);
     }
   }
   const Duration until = Now() + kHomePatience;
@@ -217,10 +217,10 @@
     const bool turned_away =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
     if (!turned_away) {
-      if (auto ticket = TakeAny(node, team)) {
+      if (auto permit = TakeAny(node, team)) {
         node.rates.under_way[name] = Now();
         node.rates.begun[team.name] += begins && !newcomer ? 1 : 0;
-        co_return std::move(*ticket);
+        co_return std::move(*permit);
       }
     }
     if (asked.answered || Now() + kAskAgain >= until) {
@@ -234,30 +234,30 @@
                                : kHomeSilentRetry);
 }
 
-Task<tl::expected<RateTicket, Duration>> RenewTicket(Node& node,
+Task<tl::expected<RatePermit, Duration>> RenewPermit(Node& node,
                                                      DeployedTeam team,
                                                      std::string program,
-                                                     RateTicket ticket) {
-  if (!ticket.token ||
-      IsStillReserved(node.rates.borrower, *ticket.token, Now())) {
-    co_return ticket;
+                                                     RatePermit permit) {
+  if (!permit.token ||
+      IsStillReserved(node.rates.borrower, *permit.token, Now())) {
+    co_return permit;
   }
-  ReturnTicket(node, ticket);
+  ReturnPermit(node, permit);
   co_return co_await TakeFromRate(node, std::move(team), std::move(program),
                                   {});
 }
 
-void UseTicket(Node& node, const RateTicket& ticket) {
-  if (ticket.token) {
-    UseReserved(node.rates.borrower, *ticket.token);
+void UsePermit(Node& node, const RatePermit& permit) {
+  if (permit.token) {
+    UseReserved(node.rates.borrower, *permit.token);
   }
 }
 
-void ReturnTicket(Node& node, const RateTicket& ticket) {
-  if (ticket.token) {
-    ReturnReserved(node.rates.borrower, *ticket.token);
-  } else if (const auto bucket = node.rates.without_home.find(ticket.team);
-             ticket.without_home && bucket != node.rates.without_home.end()) {
+void ReturnPermit(Node& node, const RatePermit& permit) {
+  if (permit.token) {
+    ReturnReserved(node.rates.borrower, *permit.token);
+  } else if (const auto bucket = node.rates.without_home.find(permit.team);
+             permit.without_home && bucket != node.rates.without_home.end()) {
     bucket->second.level += 1;  // the next refill keeps it to its burst
   }
 }
