node: log and count the rate limits that endpoints name in their answers

An endpoint in need names in its answers how many calls a second it takes from all instances together. Logs and metrics did not show such a limit, so a call too many could not be told from one sent before the limit was known.

The header is decoded, and the newest answer of an endpoint's start decides (core/endpoint_limit). New: event 'endpoint limit', 'limit' in each 'attempt' line, gauge endpoints_limited, both events in 'celerykeelctl story'. Nothing is enforced yet.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -53,6 +53,9 @@
   bool sealed = false;     // has an endpoint's seal; no intermediary made it
   bool not_run = false;  // the endpoint guarantees that it did not run the call
   bool leaving = false;  // the endpoint takes no new calls
+  // Calls per second that the endpoint takes from all instances together.
+  std::optional<double> rate_limit;
+  bool has_unreadable_rate_limit = false;
 };
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -41,6 +41,8 @@
   std::shared_ptr<AnswerReader> reader;
   AnswerHead head;
   std::shared_ptr<InFlight> counted;
+  std::optional<double>
+      limit;  // calls per second, of the endpoint when it was chosen
 };
 
 /// @brief Chooses an endpoint, sends the call and reads the head of the
--- a/include/celerykeel/node/log_sink.h
+++ b/include/celerykeel/node/log_sink.h
@@ -27,6 +27,7 @@
   LogValue(std::string_view field_name, uint64_t number);
   LogValue(std::string_view field_name, uint32_t number);
   LogValue(std::string_view field_name, int number);
+  LogValue(std::string_view field_name, double number);
   LogValue(std::string_view field_name, bool flag);
   /// Whole milliseconds.
   LogValue(std::string_view field_name, Duration duration);
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -8,6 +8,7 @@
 #include <string>    // for std::string
 
 #include "celerykeel/core/deployment.h"         // for Deployment
+#include "celerykeel/core/endpoint_limit.h"     // for EndpointLimits
 #include "celerykeel/core/endpoint_table.h"     // for EndpointTable
 #include "celerykeel/core/program_admission.h"  // for ProgramAdmission
 #include "celerykeel/core/rate_borrower.h"      // for RateBorrower
@@ -63,6 +64,7 @@
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
+  EndpointLimits endpoint_limits;
   size_t buffered_answer_bytes = 0;  // of incomplete answers
 
   asio::io_context io{1};
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -3,10 +3,11 @@
 #include <algorithm>  // for std::min
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/node/endpoint_feed.h"  // for HandleDeparture
-#include "celerykeel/node/node.h"           // for Node
-#include "platform/headers.h"               // for platform::EncodeAttempt
+#include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/endpoint_feed.h"    // for HandleDeparture
+#include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
+#include "celerykeel/node/node.h"             // for Node
+#include "platform/headers.h"                 // for platform::EncodeAttempt
 
 namespace celerykeel {
 
@@ -138,6 +139,7 @@
     if (header_values.leaving) {
       HandleDeparture(node, endpoint);
     }
+    HandleNamedLimit(node, endpoint, header_values);
     // A refusal may lack a request id, but must not carry another request's.
     if (header_values.request_id == call.request.header_values.id ||
         (header_values.not_run && header_values.request_id.empty())) {
@@ -163,6 +165,7 @@
             {"endpoint", attempt.endpoint},
             {"try", call.tries},
             {"status", attempt.head.status},
+            {"limit", attempt.limit.value_or(0)},
             {"outcome", outcome},
             {"sent_ms", call.sent_after.value_or(Duration::zero())},
             {"after_ms", Now() - call.arrived_at}});
@@ -224,6 +227,7 @@
   const EndpointEntry endpoint = chosen->entry;
   attempt.endpoint = endpoint.id;
   attempt.address = endpoint.address;
+  attempt.limit = LimitOf(node.endpoint_limits, endpoint);
   attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
   call->tried.insert(endpoint.id);
   ++call->tries;
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -259,6 +259,7 @@
       SumLoads(node);
       ForgetLostMembers(node, now);
       DropLapsed(node.endpoints, now);
+      DropEndedLimits(node.endpoint_limits, node.endpoints, now);
       CloseExpiredIdle(node.endpoint_pool, now);
       CloseExpiredIdle(node.store.pool, now);
       ExpireSlots(node);
--- a/src/celerykeel/node/log_sink.cc
+++ b/src/celerykeel/node/log_sink.cc
@@ -59,6 +59,8 @@
     : name(field_name), json(std::to_string(number)) {}
 LogValue::LogValue(std::string_view field_name, int number)
     : name(field_name), json(std::to_string(number)) {}
+LogValue::LogValue(std::string_view field_name, double number)
+    : name(field_name), json(fmt::format("{:.6g}", number)) {}
 LogValue::LogValue(std::string_view field_name, bool flag)
     : name(field_name), json(flag ? "true" : "false") {}
 LogValue::LogValue(std::string_view field_name, Duration duration)
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -62,6 +62,12 @@
       [](const SlotHolder& holder) { return holder.instance.empty(); }));
 }
 
+size_t CountLimitedEndpoints(const Node& node) {
+  return static_cast<size_t>(std::count_if(
+      node.endpoint_limits.begin(), node.endpoint_limits.end(),
+      [](const auto& entry) { return entry.second.per_second.has_value(); }));
+}
+
 }  // namespace
 
 NodeMetrics::NodeMetrics()
@@ -126,6 +132,8 @@
            static_cast<double>(CountSlotsWithoutHolder(node)));
   SetGauge(metrics, "endpoints",
            static_cast<double>(node.endpoints.endpoints.size()));
+  SetGauge(metrics, "endpoints_limited",
+           static_cast<double>(CountLimitedEndpoints(node)));
   SetGauge(metrics, "entries_skipped",
            static_cast<double>(node.entries_skipped));
   SetGauge(metrics, "calls_under_way",
--- a/src/celerykeel/wire/log_story.cc
+++ b/src/celerykeel/wire/log_story.cc
@@ -24,9 +24,11 @@
 bool IsContext(const LogLine& line,
                const std::set<std::string>& instances,
                const std::set<std::string>& endpoints) {
-  if (line.event == "endpoint seen" || line.event == "attempt") {
-    return line.event == "endpoint seen" &&
-           endpoints.contains(line.fields.value("endpoint", ""));
+  if (line.event == "endpoint seen" || line.event == "endpoint limit") {
+    return endpoints.contains(line.fields.value("endpoint", ""));
+  }
+  if (line.event == "attempt") {
+    return false;
   }
   constexpr std::array<std::string_view, 9> kEvents = {
       "store lost", "store regained", "slot lost", "slot taken",
