node: failing test: instances exceed the rate limit of an endpoint

Three instances, two endpoints, one of which names a limit of 5 calls a second: it gets 70 calls in 4 s, 35 are allowed.

--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>  // for std::max
+
 #include <fmt/format.h>  // for fmt::format
 
 namespace celerykeel::testing {
@@ -17,6 +19,11 @@
   co_return !error;
 }
 
+void RecordArrival(EndpointStandin& endpoint) {
+  const std::lock_guard lock(endpoint.mutex);
+  endpoint.arrivals.push_back(std::chrono::steady_clock::now());
+}
+
 void RecordRun(EndpointStandin& endpoint,
                const std::string& id,
                const StandinRequest& request) {
@@ -29,6 +36,20 @@
   }
 }
 
+// Returns what the endpoint says about itself in each answer.
+std::vector<std::pair<std::string, std::string>> StatementsOf(
+    const EndpointStandin& endpoint) {
+  std::vector<std::pair<std::string, std::string>> statements;
+  if (endpoint.announces_leaving) {
+    statements.emplace_back("Server-Leaving", "1");
+  }
+  if (endpoint.rate_limit > 0) {
+    statements.emplace_back("Server-Limit",
+                            fmt::format("{}", endpoint.rate_limit.load()));
+  }
+  return statements;
+}
+
 // Streams the events after number `first`. Returns false to close the
 // connection.
 Task<bool> Stream(asio::io_context& loop,
@@ -39,9 +60,12 @@
   std::string head = fmt::format(
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
       "Content-Type: text/event-stream\r\nKeep-Alive: timeout=10\r\n"
-      "{}Transfer-Encoding: chunked\r\n\r\n",
-      id, endpoint.id,
-      endpoint.announces_leaving ? "Server-Leaving: 1\r\n" : "");
+      "Transfer-Encoding: chunked\r\n",
+      id, endpoint.id);
+  for (const auto& [name, value] : StatementsOf(endpoint)) {
+    head += fmt::format("{}: {}\r\n", name, value);
+  }
+  head += "\r\n";
   bool keep_open = co_await Write(connection, std::move(head));
   while (keep_open && endpoint.streams_only_comments) {
     keep_open = co_await Write(connection, "1\r\n:\r\n");
@@ -116,8 +140,8 @@
   response.set("X-Attempt-Id", id);
   response.set("X-Server-Seal", "s." + endpoint.id);
   response.set("Keep-Alive", "timeout=10");
-  if (endpoint.announces_leaving) {
-    response.set("Server-Leaving", "1");
+  for (const auto& [name, value] : StatementsOf(endpoint)) {
+    response.set(name, value);
   }
   response.body() = std::move(body);
   return response;
@@ -129,14 +153,15 @@
                   StandinRequest request) {
   const std::string id(request["X-Attempt-Id"]);
   const std::string expected(request["X-Expect-Instance"]);
+  RecordArrival(endpoint);
   if (endpoint.is_full || (!expected.empty() && expected != endpoint.id)) {
     StandinResponse refused(expected == endpoint.id
                                 ? http::status::service_unavailable
                                 : http::status::misdirected_request,
                             11);
     refused.set("X-Not-Executed", "1");
-    if (endpoint.announces_leaving) {
-      refused.set("Server-Leaving", "1");
+    for (const auto& [name, value] : StatementsOf(endpoint)) {
+      refused.set(name, value);
     }
     co_return co_await Respond(connection, std::move(refused));
   }
@@ -188,6 +213,21 @@
   return endpoint.runs[id];
 }
 
+int MostArrivals(EndpointStandin& endpoint,
+                 size_t skipped,
+                 std::chrono::milliseconds window) {
+  const std::lock_guard lock(endpoint.mutex);
+  const auto& arrivals = endpoint.arrivals;
+  size_t most = 0;
+  for (size_t first = skipped, next = skipped; next < arrivals.size(); ++next) {
+    while (arrivals[next] - arrivals[first] >= window) {
+      ++first;
+    }
+    most = std::max(most, next - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
 std::string BodyOf(EndpointStandin& endpoint, const std::string& id) {
   const std::lock_guard lock(endpoint.mutex);
   return endpoint.bodies[id];
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <atomic>   // for std::atomic
+#include <chrono>   // for std::chrono::steady_clock
 #include <cstdint>  // for uint64_t
 #include <map>      // for std::map
 #include <mutex>    // for std::mutex
 #include <string>   // for std::string
+#include <vector>   // for std::vector
 
 #include "celerykeel/testing/http_standin.h"  // for StandinRequest
 
@@ -38,6 +40,8 @@
   std::atomic<bool> is_unresponsive{false};
   // Announces its departure in each plain answer, refusal and stream.
   std::atomic<bool> announces_leaving{false};
+  // Named in each answer: calls per second, from all callers together; 0: none.
+  std::atomic<double> rate_limit{0};
   // Sends the answer to an earlier request before the expected one.
   std::atomic<bool> sends_stale_answer{false};
   // Sends the refusal of an earlier request before the expected answer.
@@ -46,6 +50,7 @@
   std::atomic<uint64_t> endless_bytes{0};  // sent on all connections
   std::mutex mutex;                        // guards the members below
   std::map<std::string, int> runs;         // by request id
+  std::vector<std::chrono::steady_clock::time_point> arrivals;  // of requests
   std::map<std::string, std::string> bodies;
   std::map<std::string, std::map<std::string, std::string>> headers;
 };
@@ -57,6 +62,12 @@
 /// @brief Returns how many times the endpoint ran a request.
 int RunsOf(EndpointStandin& endpoint, const std::string& id);
 
+/// @brief Returns the largest number of requests, run or refused, that arrived
+/// within `window` after the first `skipped` ones.
+int MostArrivals(EndpointStandin& endpoint,
+                 size_t skipped,
+                 std::chrono::milliseconds window);
+
 /// @brief Returns the body of a request.
 std::string BodyOf(EndpointStandin& endpoint, const std::string& id);
 
