node: programs on a limited endpoint get its calls first

A turn now waits up to 150 ms for the limit of its program's last endpoint, and other calls get only what is spare there (unused for half the burst time).

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -103,4 +103,9 @@
 /// may rewrite an entry that was removed.
 inline constexpr Duration kEntryReturnTime = std::chrono::milliseconds(2200);
 
+/// @brief A call on a subject waits up to this time for the rate limit of its
+/// last endpoint, which has read the subject's prompt, before it goes to
+/// another endpoint.
+inline constexpr Duration kPreferredLimitWait = std::chrono::milliseconds(150);
+
 }  // namespace celerykeel
--- a/include/celerykeel/core/limit_home.h
+++ b/include/celerykeel/core/limit_home.h
@@ -19,6 +19,8 @@
   std::string endpoint;
   double per_second = 0;  // limit; above 0
   Duration max_wait{};    // the call can't be sent later
+  // Grant only calls that the subjects whose last endpoint this is do not need.
+  bool spare_only = false;
 };
 
 struct LimitVerdict {
@@ -47,6 +49,8 @@
                                     Duration now);
 
 inline constexpr Duration kLimitBurstTime = std::chrono::milliseconds(250);
+/// @brief Calls are spare if this time's worth of them is unused.
+inline constexpr Duration kSpareTime = kLimitBurstTime / 2;
 
 /// @brief Fraction of the limit that all instances together may use without a
 /// home. Some instances may reach the home, which grants the complete limit.
--- a/include/celerykeel/node/endpoint_limits.h
+++ b/include/celerykeel/node/endpoint_limits.h
@@ -34,12 +34,7 @@
 
 /// @brief Reserves a call to an endpoint with a rate limit, at its home or, if
 /// the home does not answer, from this instance's share.
-/// @param per_second the limit.
-/// @param max_wait the call can't be sent later.
-Task<LimitVerdict> ReserveLimitedCall(Node& node,
-                                      EndpointEntry endpoint,
-                                      double per_second,
-                                      Duration max_wait);
+Task<LimitVerdict> ReserveLimitedCall(Node& node, LimitedCall call);
 
 /// @brief Answers a peer's request for a call to a limited endpoint.
 pb::LimitedCallGrant DecideAsHome(Node& node, const pb::LimitedCallWish& wish);
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -48,6 +48,16 @@
          now < *table.store_available_since + kEntryReturnTime;
 }
 
+// Returns the wait for the endpoint's rate limit; 0 if it is short enough to
+// keep the subject's last endpoint.
+Duration LimitWait(const EndpointStatus& endpoint,
+                   bool is_preferred,
+                   Duration now) {
+  const Duration wait =
+      std::max(endpoint.limited_until - now, Duration::zero());
+  return is_preferred && wait <= kPreferredLimitWait ? Duration::zero() : wait;
+}
+
 }  // namespace
 
 void RecordEntry(EndpointTable& table, const EndpointEntry& entry) {
@@ -151,7 +161,7 @@
     const std::tuple<bool, bool, Duration, double, bool, uint64_t> rank{
         endpoint.avoid_until > now,
         endpoint.lapsed_at.has_value(),
-        std::max(endpoint.limited_until - now, Duration::zero()),
+        LimitWait(endpoint, id == criteria.preferred, now),
         load < ignored_load ? 0 : load,
         criteria.prefers_subject ? id != criteria.preferred
                                  : endpoint.entry.zone != criteria.zone,
--- a/src/celerykeel/core/limit_home.cc
+++ b/src/celerykeel/core/limit_home.cc
@@ -28,6 +28,9 @@
   Duration& next =
       home.next_call_at.try_emplace(call.endpoint, now).first->second;
   next = std::max(next, now - kLimitBurstTime);
+  if (call.spare_only && next > now - kSpareTime) {
+    return {.granted = false, .wait = next + kSpareTime - now};
+  }
   return Reserve(next, AccrualTime(1, call.per_second), call.max_wait, now);
 }
 
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for std::min, std::max
 #include <set>        // for std::set
+#include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/node/endpoint_limits.h"  // for ReserveLimitedCall
@@ -59,9 +60,10 @@
 }
 
 // An endpoint whose limit allows a call at once, or that has no limit, ranks
-// before those that are known to require a wait. So the first request to a home
-// asks for a call without a wait; a wait is requested once every endpoint is
-// known to require one.
+// before those that are known to require a wait, except a short one at the
+// subject's last endpoint. So the first request to a home asks for a call
+// without a wait; a wait is requested once every endpoint is known to require
+// one.
 Task<tl::expected<EndpointChoice, NoChoice>> ChooseForCall(Node& node,
                                                            CallPtr call) {
   std::set<std::string> excluded = call->tried;
@@ -75,12 +77,22 @@
     if (!limit) {
       co_return EndpointChoice{endpoint, std::nullopt, std::nullopt};
     }
+    const bool is_preferred = endpoint.id == call->preferred_endpoint;
     Duration wait = std::max(status->limited_until - Now(), Duration::zero());
-    const bool waits = wait > Duration::zero();
+    const bool waits =
+        wait > (is_preferred ? kPreferredLimitWait : Duration::zero());
     if (wait <= max_wait && requests < kMaxLimitRequests) {
       ++requests;
-      const LimitVerdict verdict = co_await ReserveLimitedCall(
-          node, endpoint, *limit, waits ? max_wait : Duration::zero());
+      LimitedCall limited{
+          .endpoint = endpoint.id,
+          .per_second = *limit,
+          .max_wait = waits          ? max_wait
+                      : is_preferred ? kPreferredLimitWait
+                                     : Duration::zero(),
+          .spare_only = call->route->has_affinity && !is_preferred && !waits};
+      // GCC 12 destroys a temporary twice if it is created inside a co_await.
+      const LimitVerdict verdict =
+          co_await ReserveLimitedCall(node, std::move(limited));
       if (verdict.granted) {
         const LimitPermit permit = PermitAfter(verdict.wait, Now());
         if (verdict.wait > Duration::zero()) {
--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -120,24 +120,21 @@
   Record(node, news.endpoint(), FromNews(news), "a peer");
 }
 
-Task<LimitVerdict> ReserveLimitedCall(Node& node,
-                                      EndpointEntry endpoint,
-                                      double per_second,
-                                      Duration max_wait) {
+Task<LimitVerdict> ReserveLimitedCall(Node& node, LimitedCall call) {
   pb::LimitedCallWish wish;
   *wish.mutable_limit() =
-      ToNews(endpoint.id, node.endpoint_limits.limits.at(endpoint.id));
-  wish.set_max_wait_ns(static_cast<uint64_t>(max_wait.count()));
+      ToNews(call.endpoint, node.endpoint_limits.limits.at(call.endpoint));
+  wish.set_max_wait_ns(static_cast<uint64_t>(call.max_wait.count()));
+  wish.set_spare_only(call.spare_only);
   const auto verdict =
-      co_await AskHome(node, HomeSlotOf(node, endpoint.id), std::move(wish));
+      co_await AskHome(node, HomeSlotOf(node, call.endpoint), std::move(wish));
   if (verdict) {
-    node.endpoint_limits.without_home.next_call_at.erase(endpoint.id);
+    node.endpoint_limits.without_home.next_call_at.erase(call.endpoint);
     co_return *verdict;
   }
-  co_return ReserveCallWithoutHome(
-      node.endpoint_limits.without_home,
-      {.endpoint = endpoint.id, .per_second = per_second, .max_wait = max_wait},
-      node.fleet.members.size() + 1, drand48(), Now());
+  co_return ReserveCallWithoutHome(node.endpoint_limits.without_home, call,
+                                   node.fleet.members.size() + 1, drand48(),
+                                   Now());
 }
 
 pb::LimitedCallGrant DecideAsHome(Node& node, const pb::LimitedCallWish& wish) {
@@ -155,7 +152,8 @@
     verdict = ReserveCall(node.endpoint_limits.home,
                           {.endpoint = endpoint,
                            .per_second = *limit,
-                           .max_wait = Duration(wish.max_wait_ns())},
+                           .max_wait = Duration(wish.max_wait_ns()),
+                           .spare_only = wish.spare_only()},
                           Now());
   }
   grant.set_granted(verdict.granted);
