core: a full endpoint keeps its programs unless another is much less loaded

The last endpoint of a program now counts as less loaded by 0.3 calls per slot than it is. Tests: 'an overloaded service: programs stay at their last endpoint', 'a limited endpoint: calls of others get only what is spare'.

--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -18,6 +18,9 @@
 // Load (calls per slot) from which another endpoint is preferred to the
 // subject's last one.
 constexpr double kMaxPreferredLoad = 0.85;
+// A loaded endpoint keeps its subject unless another one has a load this much
+// lower, as a move costs reading the subject's prompt again.
+constexpr double kPreferredLoadMargin = 0.3;
 // Load from which a call that does not prefer its subject's endpoint goes to a
 // less loaded one. Below it, an endpoint in the own zone is preferred.
 constexpr double kMaxSameZoneLoad = 0.34;
@@ -157,7 +160,10 @@
     if (!TakesWork(table, endpoint, criteria)) {
       continue;
     }
-    const double load = Load(endpoint);
+    const bool keeps_subject =
+        criteria.prefers_subject && id == criteria.preferred;
+    const double load =
+        Load(endpoint) - (keeps_subject ? kPreferredLoadMargin : 0);
     const std::tuple<bool, bool, Duration, double, bool, uint64_t> rank{
         endpoint.avoid_until > now,
         endpoint.lapsed_at.has_value(),
--- a/src/celerykeel/core/endpoint_table_unittest.cc
+++ b/src/celerykeel/core/endpoint_table_unittest.cc
@@ -61,5 +61,44 @@
   }
 }
 
+// Guards against programs that move at every turn, and are read again each
+// time, while all endpoints are full.
+TEST_CASE("an overloaded service: programs stay at their last endpoint") {
+  EndpointTable table;
+  for (const char* id : {"e1", "e2", "e3"}) {
+    RecordEntry(table, Entry(id, std::string(id) + ":5", 1700));
+  }
+  const EndpointCriteria criteria{.service = "s",
+                                  .zone = "z",
+                                  .subject = "p",
+                                  .preferred = "e2",
+                                  .prefers_subject = true};
+  table.endpoints["e1"].in_flight = 4;
+  table.endpoints["e2"].in_flight = 5;
+  table.endpoints["e3"].in_flight = 6;
+  CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "e2");
+
+  SUBCASE("unless another one is much less loaded") {
+    table.endpoints["e2"].in_flight = 6;
+    CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "e1");
+  }
+  SUBCASE("also if its rate limit requires a short wait") {
+    RecordLimitedUntil(table, "e2", kNow + kPreferredLimitWait);
+    CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "e2");
+    RecordLimitedUntil(table, "e2", kNow + 2 * kPreferredLimitWait);
+    CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "e1");
+  }
+}
+
+TEST_CASE("an endpoint whose rate limit is used up is the last choice") {
+  EndpointTable table;
+  RecordEntry(table, Entry("e1", "1.2.3.4:5", 1700));
+  RecordEntry(table, Entry("e2", "1.2.3.5:5", 1700));
+  RecordLimitedUntil(table, "e1", kNow + seconds(1));
+  CHECK(Chosen(table)->entry.id == "e2");
+  RecordLimitedUntil(table, "e2", kNow + seconds(2));
+  CHECK(Chosen(table)->entry.id == "e1");
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/core/limit_home_unittest.cc
+++ b/src/celerykeel/core/limit_home_unittest.cc
@@ -46,6 +46,21 @@
   }
 }
 
+// Guards against programs that are pushed off a limited endpoint, and read
+// again elsewhere, since calls of others take its limit.
+TEST_CASE("a limited endpoint: calls of others get only what is spare") {
+  LimitHome home;
+  const LimitedCall own{.endpoint = "e", .per_second = 10, .max_wait = {}};
+  LimitedCall other = own;
+  other.spare_only = true;
+  CHECK_FALSE(ReserveCall(home, other, kNow).granted);
+  CHECK(ReserveCall(home, own, kNow).granted);
+  CHECK(ReserveCall(home, other, kNow + milliseconds(100)).wait == kSpareTime);
+  CHECK(ReserveCall(home, own, kNow + milliseconds(100)).granted);
+  CHECK(
+      ReserveCall(home, other, kNow + milliseconds(200) + kSpareTime).granted);
+}
+
 // What may differ between the runs of the simulation below.
 struct FleetRun {
   size_t instances = 13;
