node: a new connection to a peer carries what endpoints announced before

An instance that joined, restarted or was cut off never learned which endpoints had announced their departure or a rate limit to the others: such news was sent once, over the connections of that moment. It found out by a call of its own that the endpoint then had to refuse or serve.

Cause: the same as of the rate limits, an endpoint's statement that reaches one instance is state of all, and was treated as an event. The known announcements of the endpoints in the table now follow the first heartbeat on every new connection.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -68,6 +68,9 @@
                      std::string_view id,
                      WallMillis started_at);
 
+/// @brief True if the endpoint announced since its start that it is leaving.
+bool HasDeparted(const EndpointTable& table, const EndpointEntry& entry);
+
 /// @brief Drops lapsed endpoints once `kEntryReturnTime` is over.
 void DropLapsed(EndpointTable& table, Duration now);
 
--- a/include/celerykeel/node/endpoint_feed.h
+++ b/include/celerykeel/node/endpoint_feed.h
@@ -18,6 +18,10 @@
 /// @param endpoint its entry at the time when the answered call was sent.
 void HandleDeparture(Node& node, const EndpointEntry& endpoint);
 
+/// @brief Returns everything that the endpoints of the table announced in their
+/// answers, for a peer that has just been connected.
+pb::EndpointNews KnownAnnouncements(const Node& node);
+
 /// @brief Applies an update of a reader, or what a peer reports of an
 /// endpoint's answer.
 void ApplyEndpointNews(Node& node, const pb::EndpointNews& news);
--- a/include/celerykeel/node/endpoint_limits.h
+++ b/include/celerykeel/node/endpoint_limits.h
@@ -29,6 +29,9 @@
                       const EndpointEntry& endpoint,
                       const AnswerHeaderValues& answer);
 
+/// @brief Adds all known limits, and their ends, to `news`.
+void AddKnownLimits(const Node& node, pb::EndpointNews& news);
+
 /// @brief Applies a limit that a peer reports.
 void ApplyLimitNews(Node& node, const pb::EndpointLimitNews& news);
 
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -30,11 +30,6 @@
          std::max(endpoint.entry.slots, 1U);
 }
 
-bool HasDeparted(const EndpointTable& table, const EndpointEntry& entry) {
-  const auto found = table.departures.find(entry.id);
-  return found != table.departures.end() && entry.started_at <= found->second;
-}
-
 bool TakesWork(const EndpointTable& table,
                const EndpointStatus& endpoint,
                const EndpointCriteria& criteria) {
@@ -108,6 +103,11 @@
   return is_new_departure;
 }
 
+bool HasDeparted(const EndpointTable& table, const EndpointEntry& entry) {
+  const auto found = table.departures.find(entry.id);
+  return found != table.departures.end() && entry.started_at <= found->second;
+}
+
 void DropLapsed(EndpointTable& table, Duration now) {
   if (MayReappear(table, now)) {
     return;
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -114,6 +114,14 @@
                      });
 }
 
+void AddDeparture(pb::EndpointNews& news,
+                  const std::string& endpoint,
+                  WallMillis started_at) {
+  pb::EndpointDeparture& departure = *news.add_departures();
+  departure.set_endpoint(endpoint);
+  departure.set_started_at(started_at);
+}
+
 }  // namespace
 
 void HandleDeparture(Node& node, const EndpointEntry& endpoint) {
@@ -123,13 +131,22 @@
   WriteLog(node.log, LogLevel::kOrdinary, "endpoint leaves",
            {{"endpoint", endpoint.id}, {"source", "its answer"}});
   pb::NodeFrame frame;
-  pb::EndpointDeparture& departure =
-      *frame.mutable_endpoint_news()->add_departures();
-  departure.set_endpoint(endpoint.id);
-  departure.set_started_at(endpoint.started_at);
+  AddDeparture(*frame.mutable_endpoint_news(), endpoint.id,
+               endpoint.started_at);
   SendToAll(node.peers, frame);
 }
 
+pb::EndpointNews KnownAnnouncements(const Node& node) {
+  pb::EndpointNews news;
+  for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+    if (HasDeparted(node.endpoints, endpoint.entry)) {
+      AddDeparture(news, id, node.endpoints.departures.at(id));
+    }
+  }
+  AddKnownLimits(node, news);
+  return news;
+}
+
 void ApplyEndpointNews(Node& node, const pb::EndpointNews& news) {
   for (const pb::EndpointDeparture& departure : news.departures()) {
     if (RecordDeparture(node.endpoints, departure.endpoint(),
--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -116,6 +116,12 @@
   }
 }
 
+void AddKnownLimits(const Node& node, pb::EndpointNews& news) {
+  for (const auto& [endpoint, limit] : node.endpoint_limits.limits) {
+    *news.add_limits() = ToNews(endpoint, limit);
+  }
+}
+
 void ApplyLimitNews(Node& node, const pb::EndpointLimitNews& news) {
   Record(node, news.endpoint(), FromNews(news), "a peer");
 }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -2,11 +2,12 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"         // for Now
-#include "celerykeel/node/keyed_topic.h"   // for ReadAllKeys, WriteKey
-#include "celerykeel/node/node.h"          // for Node
-#include "celerykeel/node/rate_lending.h"  // for RewriteDriftedReserves
-#include "celerykeel/node/rates.h"         // for ReportLoans
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/endpoint_feed.h"  // for KnownAnnouncements
+#include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys, WriteKey
+#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/rate_lending.h"   // for RewriteDriftedReserves
+#include "celerykeel/node/rates.h"          // for ReportLoans
 
 namespace celerykeel {
 
@@ -79,6 +80,11 @@
   link->dialing = true;
   std::function<void()> on_connected = [&node, link] {
     SendFrame(link->socket, Heartbeat(node));
+    // Announcements are sent to the peers once, so a new peer, or one that was
+    // cut off, has missed those until now.
+    pb::NodeFrame known;
+    *known.mutable_endpoint_news() = KnownAnnouncements(node);
+    SendFrame(link->socket, known);
   };
   co_await RunLink(node.io, link, kDialTimeout, std::move(on_connected));
   link->dialing = false;
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -264,6 +264,13 @@
       });
 }
 
+bool NodeFleet::WaitUntilLimited(size_t endpoint) {
+  return this->WaitForAll(
+      [id = fmt::format("e{}", endpoint)](const Node& node) {
+        return LimitOf(node.endpoint_limits.limits, id, 0).has_value();
+      });
+}
+
 bool NodeFleet::WaitUntilServing() {
   return WaitFor([this] { return this->IsServing(); });
 }
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -61,6 +61,9 @@
   /// @brief Waits until all instances have recorded an endpoint's departure.
   bool WaitUntilDeparted(size_t endpoint);
 
+  /// @brief Waits until all instances know a rate limit of an endpoint.
+  bool WaitUntilLimited(size_t endpoint);
+
   /// @brief Returns the metrics of an instance.
   std::string MetricsOf(size_t index);
 
