node: a permit for a limited endpoint counts from its request

A process that was paused between its request and the home's answer took the answer for new and sent the call with a permit that had expired meanwhile. The permit's time now begins when the request is made; 'a permit expires in time, counted from the request'.

--- a/include/celerykeel/core/limit_home.h
+++ b/include/celerykeel/core/limit_home.h
@@ -62,6 +62,12 @@
   Duration valid_until{};
 };
 
+/// @brief Returns the permit for a granted call. It counts from the request:
+/// the process may have been paused before it read the answer.
+LimitPermit PermitFor(const LimitVerdict& granted, Duration requested_at);
+
+bool HasExpired(const LimitPermit& permit, Duration now);
+
 /// @brief A permit that is not used in this time has expired.
 inline constexpr Duration kLimitPermitValidity = std::chrono::milliseconds(200);
 
--- a/src/celerykeel/core/limit_home.cc
+++ b/src/celerykeel/core/limit_home.cc
@@ -50,4 +50,14 @@
   return Reserve(next, interval, call.max_wait, now);
 }
 
+LimitPermit PermitFor(const LimitVerdict& granted, Duration requested_at) {
+  const Duration valid_from = requested_at + granted.wait;
+  return {.valid_from = valid_from,
+          .valid_until = valid_from + kLimitPermitValidity};
+}
+
+bool HasExpired(const LimitPermit& permit, Duration now) {
+  return now >= permit.valid_until;
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/limit_home_unittest.cc
+++ b/src/celerykeel/core/limit_home_unittest.cc
@@ -46,6 +46,17 @@
   }
 }
 
+// Guards against an instance that is paused after its request and sends the
+// call when it goes on, although the home granted it seconds before.
+TEST_CASE("a permit expires in time, counted from the request") {
+  const LimitVerdict granted{.granted = true, .wait = milliseconds(100)};
+  const LimitPermit permit = PermitFor(granted, kNow);
+  CHECK(permit.valid_from == kNow + milliseconds(100));
+  CHECK_FALSE(HasExpired(permit, permit.valid_from));
+  CHECK(HasExpired(permit, permit.valid_from + kLimitPermitValidity));
+  CHECK(HasExpired(permit, kNow + seconds(3)));
+}
+
 // Guards against programs that are pushed off a limited endpoint, and read
 // again elsewhere, since calls of others take its limit.
 TEST_CASE("a limited endpoint: calls of others get only what is spare") {
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -48,15 +48,27 @@
                   call.tries == 0 ? kMaxLimitWait : kMaxLimitWaitAfterTry);
 }
 
-LimitPermit PermitAfter(Duration wait, Duration now) {
-  return {.valid_from = now + wait,
-          .valid_until = now + wait + kLimitPermitValidity};
+// @param waits whether all endpoints are known to require a wait.
+LimitedCall LimitedCallTo(const Call& call,
+                          const std::string& endpoint,
+                          double per_second,
+                          bool waits,
+                          Duration max_wait) {
+  LimitedCall limited{.endpoint = endpoint, .per_second = per_second};
+  if (waits) {
+    limited.max_wait = max_wait;
+  } else if (endpoint == call.preferred_endpoint) {
+    limited.max_wait = kPreferredLimitWait;
+  } else {
+    limited.spare_only = call.route->has_affinity;
+  }
+  return limited;
 }
 
 }  // namespace
 
 bool MaySend(const EndpointChoice& choice) {
-  return !choice.permit || Now() < choice.permit->valid_until;
+  return !choice.permit || !HasExpired(*choice.permit, Now());
 }
 
 // An endpoint whose limit allows a call at once, or that has no limit, ranks
@@ -83,20 +95,16 @@
         wait > (is_preferred ? kPreferredLimitWait : Duration::zero());
     if (wait <= max_wait && requests < kMaxLimitRequests) {
       ++requests;
-      LimitedCall limited{
-          .endpoint = endpoint.id,
-          .per_second = *limit,
-          .max_wait = waits          ? max_wait
-                      : is_preferred ? kPreferredLimitWait
-                                     : Duration::zero(),
-          .spare_only = call->route->has_affinity && !is_preferred && !waits};
+      const Duration requested_at = Now();
+      LimitedCall limited =
+          LimitedCallTo(*call, endpoint.id, *limit, waits, max_wait);
       // GCC 12 destroys a temporary twice if it is created inside a co_await.
       const LimitVerdict verdict =
           co_await ReserveLimitedCall(node, std::move(limited));
       if (verdict.granted) {
-        const LimitPermit permit = PermitAfter(verdict.wait, Now());
-        if (verdict.wait > Duration::zero()) {
-          co_await Sleep(node.io, verdict.wait);
+        const LimitPermit permit = PermitFor(verdict, requested_at);
+        if (permit.valid_from > Now()) {
+          co_await Sleep(node.io, permit.valid_from - Now());
         }
         co_return EndpointChoice{endpoint, limit, permit};
       }
