node: lines about unreadable endpoint limits are sampled under load

An endpoint with a malformed limit would have added a line for each answer, beyond the limit for ordinary lines.

--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -97,7 +97,7 @@
                       const EndpointEntry& endpoint,
                       const AnswerHeaderValues& answer) {
   if (answer.has_unreadable_rate_limit) {
-    WriteLog(node.log, LogLevel::kUnusual, "endpoint limit unreadable",
+    WriteLog(node.log, LogLevel::kOrdinary, "endpoint limit unreadable",
              {{"endpoint", endpoint.id}});
     return;
   }
