node: instances without an endpoint's home begin at different times

Found by reading. It now comes from the hash of instance and endpoint; 'instances without a home begin at different times'.

--- a/include/celerykeel/core/limit_home.h
+++ b/include/celerykeel/core/limit_home.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <map>     // for std::map
-#include <string>  // for std::string
+#include <map>          // for std::map
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
 
 #include "celerykeel/core/time.h"  // for Duration
 
@@ -40,14 +41,18 @@
 /// @brief Decides on a call of this instance while the endpoint's home does not
 /// answer. Each instance has an equal share of kLimitFractionWithoutHome.
 /// @param fleet_size number of instances, this one included.
-/// @param phase random number in [0, 1). It decides when the first call may be
-/// sent, since all instances may lose the home at the same time.
+/// @param phase see FirstCallPhase().
 LimitVerdict ReserveCallWithoutHome(LimitHome& own,
                                     const LimitedCall& call,
                                     size_t fleet_size,
                                     double phase,
                                     Duration now);
 
+/// @brief Returns a number in [0, 1) that differs between instances and
+/// endpoints: the part of its interval after which an instance without a home
+/// may send the first call. All instances may lose the home at the same time.
+double FirstCallPhase(std::string_view instance, std::string_view endpoint);
+
 inline constexpr Duration kLimitBurstTime = std::chrono::milliseconds(250);
 /// @brief Calls are spare if this time's worth of them is unused.
 inline constexpr Duration kSpareTime = kLimitBurstTime / 2;
--- a/src/celerykeel/core/limit_home.cc
+++ b/src/celerykeel/core/limit_home.cc
@@ -1,7 +1,9 @@
 #include "celerykeel/core/limit_home.h"
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::max, std::min
+#include <cmath>      // for std::nextafter
 
+#include "celerykeel/core/rendezvous.h"    // for RendezvousWeight
 #include "celerykeel/core/token_bucket.h"  // for AccrualTime
 
 namespace celerykeel {
@@ -50,6 +52,13 @@
   return Reserve(next, interval, call.max_wait, now);
 }
 
+double FirstCallPhase(std::string_view instance, std::string_view endpoint) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  // The largest weights round up to 2^64.
+  return std::min(double(RendezvousWeight(endpoint, instance)) / kRange,
+                  std::nextafter(1.0, 0.0));
+}
+
 LimitPermit PermitFor(const LimitVerdict& granted, Duration requested_at) {
   const Duration valid_from = requested_at + granted.wait;
   return {.valid_from = valid_from,
--- a/src/celerykeel/core/limit_home_unittest.cc
+++ b/src/celerykeel/core/limit_home_unittest.cc
@@ -57,6 +57,22 @@
   CHECK(HasExpired(permit, kNow + seconds(3)));
 }
 
+// Guards against instances that all send their first call at the same moment
+// when they lose the home.
+TEST_CASE("instances without a home begin at different times") {
+  std::vector<int> tenths(10);
+  for (int i = 0; i < 1000; ++i) {
+    const double phase = FirstCallPhase("edge-" + std::to_string(i), "e");
+    REQUIRE(phase >= 0);
+    REQUIRE(phase < 1);
+    ++tenths[static_cast<size_t>(phase * 10)];
+  }
+  for (const int instances : tenths) {
+    CHECK(instances > 60);
+    CHECK(instances < 140);
+  }
+}
+
 // Guards against programs that are pushed off a limited endpoint, and read
 // again elsewhere, since calls of others take its limit.
 TEST_CASE("a limited endpoint: calls of others get only what is spare") {
--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -1,6 +1,5 @@
 #include "celerykeel/node/endpoint_limits.h"
 
-#include <cstdlib>  // for drand48
 #include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"  // for Now
@@ -138,9 +137,9 @@
     node.endpoint_limits.without_home.next_call_at.erase(call.endpoint);
     co_return *verdict;
   }
-  co_return ReserveCallWithoutHome(node.endpoint_limits.without_home, call,
-                                   node.fleet.members.size() + 1, drand48(),
-                                   Now());
+  co_return ReserveCallWithoutHome(
+      node.endpoint_limits.without_home, call, node.fleet.members.size() + 1,
+      FirstCallPhase(node.options.instance, call.endpoint), Now());
 }
 
 pb::LimitedCallGrant DecideAsHome(Node& node, const pb::LimitedCallWish& wish) {
