node: the headers of an answer are decoded once

ReadHeadOfAnswer decoded the head for departures and limits, and StartAttempt decoded the same head again. The attempt now keeps the decoded values.

--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -34,16 +34,18 @@
   std::string endpoint;
 };
 
-/// @brief An attempt; `reader` and `head` are valid if `end` is kAnswered.
+/// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
+/// kAnswered.
 struct Attempt {
   AttemptEnd end = AttemptEnd::kNoEndpoint;
   std::string endpoint;  // id
   std::string address;
   std::shared_ptr<AnswerReader> reader;
   AnswerHead head;
+  AnswerHeaderValues answer;  // decoded from `head`
   std::shared_ptr<InFlight> counted;
-  std::optional<double>
-      limit;  // calls per second, of the endpoint when it was chosen
+  // Limit of the endpoint when it was chosen, in calls per second.
+  std::optional<double> limit;
 };
 
 /// @brief Chooses an endpoint, sends the call and reads the head of the
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -119,8 +119,8 @@
     if (!head) {
       co_return head;
     }
-    const AnswerHeaderValues header_values =
-        platform::DecodeAnswer(head->headers, head->status);
+    attempt.answer = platform::DecodeAnswer(head->headers, head->status);
+    const AnswerHeaderValues& header_values = attempt.answer;
     if (header_values.leaving) {
       HandleDeparture(node, endpoint);
     }
@@ -281,9 +281,7 @@
   if (unsent) {
     attempt.head.keep_alive = false;
   }
-  const AnswerHeaderValues header_values =
-      platform::DecodeAnswer(attempt.head.headers, attempt.head.status);
-  if (header_values.not_run) {
+  if (attempt.answer.not_run) {
     --call->runs;
     Close(*connection);
     call->attempt = nullptr;
@@ -294,7 +292,7 @@
   }
   const bool success = attempt.head.status >= kFirstSuccess &&
                        attempt.head.status < kFirstRedirect;
-  if (success && !header_values.sealed) {
+  if (success && !attempt.answer.sealed) {
     // Only the seal proves that an answer was made by the endpoint and not by
     // an intermediary.
     Close(*connection);
