node: one list of the ends after which a call is not tried elsewhere

Calls and turns each listed these ends, and the limit of endpoints had to be added to both. EndsCall() serves both. A call whose caller disconnected returned before the list and still does.

--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -61,6 +61,10 @@
 /// @return false if the body could not be read; nothing was sent then.
 Task<bool> RelayCompleteAnswer(Node& node, CallPtr call, Attempt& attempt);
 
+/// @brief Returns true if the call ends with this attempt, whatever its route
+/// allows to be repeated.
+bool EndsCall(AttemptEnd end);
+
 /// @brief Returns true if the limits on tries allow one more endpoint.
 bool MayTry(const Call& call);
 
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -328,6 +328,18 @@
   co_return true;
 }
 
+bool EndsCall(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kCallerDisconnected:
+    case AttemptEnd::kTimedOut:
+    case AttemptEnd::kOverRate:
+    case AttemptEnd::kOverLimit:
+      return true;
+    default:
+      return false;
+  }
+}
+
 bool MayTry(const Call& call) {
   return call.runs < call.route->max_tries && call.tries < kMaxEndpointTries;
 }
@@ -377,10 +389,8 @@
     if (call->caller->disconnected || end == AttemptEnd::kCallerDisconnected) {
       co_return;
     }
-    if (end == AttemptEnd::kTimedOut || end == AttemptEnd::kOverRate ||
-        end == AttemptEnd::kOverLimit ||
-        (end == AttemptEnd::kMayHaveRun &&
-         call->route->repeat != RepeatRule::kIdempotent)) {
+    if (EndsCall(end) || (end == AttemptEnd::kMayHaveRun &&
+                          call->route->repeat != RepeatRule::kIdempotent)) {
       break;
     }
   }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -297,9 +297,7 @@
         }
       }
     }
-    if (end == AttemptEnd::kCallerDisconnected ||
-        end == AttemptEnd::kTimedOut || end == AttemptEnd::kOverRate ||
-        end == AttemptEnd::kOverLimit ||
+    if (EndsCall(end) ||
         (end == AttemptEnd::kMayHaveRun && !MayResume(*call))) {
       break;
     }
