core: one function maps a hash to a fraction

The start of an instance without a home repeated the computation of a split route. FractionOfHash() serves both. The clamp below 1 goes: a hash within 2^-54 of the top starts after a whole interval, which is as good. Core and node tests pass as before.

--- a/include/celerykeel/core/limit_home.h
+++ b/include/celerykeel/core/limit_home.h
@@ -48,7 +48,7 @@
                                     double phase,
                                     Duration now);
 
-/// @brief Returns a number in [0, 1) that differs between instances and
+/// @brief Returns a number in [0, 1] that differs between instances and
 /// endpoints: the part of its interval after which an instance without a home
 /// may send the first call. All instances may lose the home at the same time.
 double FirstCallPhase(std::string_view instance, std::string_view endpoint);
--- a/include/celerykeel/core/rendezvous.h
+++ b/include/celerykeel/core/rendezvous.h
@@ -22,6 +22,9 @@
 /// @param instance the member's instance name.
 uint64_t RendezvousWeight(std::string_view subject, std::string_view instance);
 
+/// @brief Maps a hash to [0, 1].
+double FractionOfHash(uint64_t hash);
+
 /// @brief Returns the members of the roster, highest weight for `subject`
 /// first.
 std::vector<Incarnation> RankMembers(const FleetState& state,
--- a/src/celerykeel/core/limit_home.cc
+++ b/src/celerykeel/core/limit_home.cc
@@ -1,9 +1,8 @@
 #include "celerykeel/core/limit_home.h"
 
-#include <algorithm>  // for std::max, std::min
-#include <cmath>      // for std::nextafter
+#include <algorithm>  // for std::max
 
-#include "celerykeel/core/rendezvous.h"    // for RendezvousWeight
+#include "celerykeel/core/rendezvous.h"    // for FractionOfHash
 #include "celerykeel/core/token_bucket.h"  // for AccrualTime
 
 namespace celerykeel {
@@ -53,10 +52,7 @@
 }
 
 double FirstCallPhase(std::string_view instance, std::string_view endpoint) {
-  constexpr double kRange = 18446744073709551616.0;  // 2^64
-  // The largest weights round up to 2^64.
-  return std::min(double(RendezvousWeight(endpoint, instance)) / kRange,
-                  std::nextafter(1.0, 0.0));
+  return FractionOfHash(RendezvousWeight(endpoint, instance));
 }
 
 LimitPermit PermitFor(const LimitVerdict& granted, Duration requested_at) {
--- a/src/celerykeel/core/rendezvous.cc
+++ b/src/celerykeel/core/rendezvous.cc
@@ -30,6 +30,11 @@
   return Hash(instance, Hash(subject, 0));
 }
 
+double FractionOfHash(uint64_t hash) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  return double(hash) / kRange;
+}
+
 std::vector<Incarnation> RankMembers(const FleetState& state,
                                      std::string_view subject) {
   std::vector<std::pair<uint64_t, Incarnation>> ranked;
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -5,11 +5,12 @@
 
 #include <xxhash.h>  // for XXH3_64bits
 
-#include "celerykeel/base/clock.h"      // for Now
-#include "celerykeel/node/attempts.h"   // for RunAttempts
-#include "celerykeel/node/node.h"       // for Node
-#include "celerykeel/node/rates.h"      // for ReserveFromRate
-#include "celerykeel/node/turn_path.h"  // for ServeTurn
+#include "celerykeel/base/clock.h"       // for Now
+#include "celerykeel/core/rendezvous.h"  // for FractionOfHash
+#include "celerykeel/node/attempts.h"    // for RunAttempts
+#include "celerykeel/node/node.h"        // for Node
+#include "celerykeel/node/rates.h"       // for ReserveFromRate
+#include "celerykeel/node/turn_path.h"   // for ServeTurn
 
 namespace celerykeel {
 
@@ -28,9 +29,7 @@
   const std::string& subject = request.header_values.program.empty()
                                    ? request.header_values.id
                                    : request.header_values.program;
-  const uint64_t hash = XXH3_64bits(subject.data(), subject.size());
-  constexpr double kRange = 18446744073709551616.0;  // 2^64
-  return double(hash) / kRange;
+  return FractionOfHash(XXH3_64bits(subject.data(), subject.size()));
 }
 
 std::optional<CallRefusal> Check(const Node& node, Call& call) {
