testing: one count of the most arrivals within a window

The simulation of limits and the stand-in of endpoints each had this loop. Also: a loop bound that was a double is an int.

--- a/src/celerykeel/core/limit_home_unittest.cc
+++ b/src/celerykeel/core/limit_home_unittest.cc
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>  // for std::sort, std::max
+#include <algorithm>  // for std::sort
 #include <random>     // for std::mt19937
+#include <span>       // for std::span
 #include <vector>     // for std::vector
 
+#include "celerykeel/testing/arrival_window.h"  // for MostInWindow
+
 namespace celerykeel {
 namespace {
 
@@ -103,7 +106,7 @@
 std::vector<Duration> ArrivalsOf(const FleetRun& run, unsigned seed) {
   constexpr Duration kStep = milliseconds(5);
   constexpr Duration kEnd = seconds(40);
-  constexpr double kCallsPerStep = 2;
+  constexpr int kCallsPerStep = 2;
   std::mt19937 random(seed);
   std::uniform_real_distribution<double> uniform(0, 1);
   LimitHome home;
@@ -157,25 +160,16 @@
   return arrivals;
 }
 
-size_t MostInWindow(const std::vector<Duration>& arrivals) {
-  constexpr Duration kWindow = seconds(4);
-  size_t most = 0;
-  for (size_t first = 0, next = 0; next < arrivals.size(); ++next) {
-    while (arrivals[next] - arrivals[first] >= kWindow) {
-      ++first;
-    }
-    most = std::max(most, next - first + 1);
-  }
-  return most;
-}
-
 // Returns in how many of 30 seeds an endpoint gets more calls in 4 seconds than
 // the users allow: one and a half times its limit, and five more.
 int SeedsOverLimit(const FleetRun& run) {
   int over = 0;
   for (unsigned seed = 1; seed <= 30; ++seed) {
     const auto allowed = static_cast<size_t>(1.5 * 4 * run.limit + 5);
-    over += MostInWindow(ArrivalsOf(run, seed)) > allowed ? 1 : 0;
+    const std::vector<Duration> arrivals = ArrivalsOf(run, seed);
+    const size_t most =
+        testing::MostInWindow(std::span(arrivals), Duration(seconds(4)));
+    over += most > allowed ? 1 : 0;
   }
   return over;
 }
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -2,10 +2,13 @@
 
 #include <boost/asio/write.hpp>
 
-#include <algorithm>  // for std::max
+#include <span>     // for std::span
+#include <utility>  // for std::as_const
 
 #include <fmt/format.h>  // for fmt::format
 
+#include "celerykeel/testing/arrival_window.h"  // for MostInWindow
+
 namespace celerykeel::testing {
 
 namespace {
@@ -217,15 +220,8 @@
                  size_t skipped,
                  std::chrono::milliseconds window) {
   const std::lock_guard lock(endpoint.mutex);
-  const auto& arrivals = endpoint.arrivals;
-  size_t most = 0;
-  for (size_t first = skipped, next = skipped; next < arrivals.size(); ++next) {
-    while (arrivals[next] - arrivals[first] >= window) {
-      ++first;
-    }
-    most = std::max(most, next - first + 1);
-  }
-  return static_cast<int>(most);
+  return static_cast<int>(MostInWindow(
+      std::span(std::as_const(endpoint.arrivals)).subspan(skipped), window));
 }
 
 std::string BodyOf(EndpointStandin& endpoint, const std::string& id) {
