--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -160,16 +160,16 @@
     if (!TakesWork(table, endpoint, criteria)) {
       continue;
     }
-    const bool keeps_subject =
-        criteria.prefers_subject && id == criteria.preferred;
+    const bool is_preferred = id == criteria.preferred;
+    const bool keeps_subject = criteria.prefers_subject && is_preferred;
     const double load =
         Load(endpoint) - (keeps_subject ? kPreferredLoadMargin : 0);
     const std::tuple<bool, bool, Duration, double, bool, uint64_t> rank{
         endpoint.avoid_until > now,
         endpoint.lapsed_at.has_value(),
-        LimitWait(endpoint, id == criteria.preferred, now),
+        LimitWait(endpoint, is_preferred, now),
         load < ignored_load ? 0 : load,
-        criteria.prefers_subject ? id != criteria.preferred
+        criteria.prefers_subject ? !is_preferred
                                  : endpoint.entry.zone != criteria.zone,
         ~RendezvousWeight(criteria.subject, id)};
     if (best == nullptr || rank < lowest) {
