node, platform: the logs name the software version of endpoints and the streams taken up

Whether a stream is joined from two versions within one answer, or by a caller's take-up, could not be seen: no line named a version, and a take-up looked like any other request. An entry's `version` and the request's `Resumes` are decoded; attempt, turn and endpoint seen name the version, and each take-up has a line.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -21,6 +21,7 @@
   std::string previous_turn;
   std::string object;  // same value for calls on the same object
   std::string last_event;
+  std::string resumed_call;  // id of the request that began the resumed stream
   std::optional<uint64_t> token_budget;  // of the complete program
   uint64_t most_tokens = 0;           // max tokens that this call may generate
   std::optional<Duration> time_left;  // until the caller's timeout
--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -18,6 +18,7 @@
   std::string service;
   std::string address;  // IP:PORT
   std::string zone;
+  std::string version;   // of its software, not of its model's weights
   uint32_t slots = 1;    // concurrent calls; not a slot of the slot table
   bool leaving = false;  // finishes running calls, takes no new ones
   Duration warming{};    // how long it stays slow after its start
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -40,6 +40,7 @@
   AttemptEnd end = AttemptEnd::kNoEndpoint;
   std::string endpoint;  // id
   std::string address;
+  std::string version;  // of the endpoint's software
   std::shared_ptr<AnswerReader> reader;
   AnswerHead head;
   AnswerHeaderValues answer;  // decoded from `head`
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -148,6 +148,7 @@
             {"team", call.team == nullptr ? "" : call.team->name},
             {"program", call.request.header_values.program},
             {"endpoint", attempt.endpoint},
+            {"version", attempt.version},
             {"try", call.tries},
             {"status", attempt.head.status},
             {"limit", attempt.limit.value_or(0)},
@@ -216,6 +217,7 @@
   const EndpointEntry& endpoint = chosen->endpoint;
   attempt.endpoint = endpoint.id;
   attempt.address = endpoint.address;
+  attempt.version = endpoint.version;
   attempt.limit = chosen->limit;
   attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
   call->tried.insert(endpoint.id);
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -55,6 +55,7 @@
              {{"endpoint", entry->id},
               {"service", entry->service},
               {"address", entry->address},
+              {"version", entry->version},
               {"leaving", entry->leaving}});
   }
   return changed;
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -39,6 +39,7 @@
   uint64_t tokens = 0;  // of the relayed events
   uint32_t tokens_per_event = 1;
   std::string endpoint;
+  std::string version;  // of the endpoint's software
 };
 
 CallRefusal StoreUnavailable(const Call& call) {
@@ -214,6 +215,7 @@
        {"program", call.request.header_values.program},
        {"slot", relay.permit.slot},
        {"endpoint", relay.endpoint},
+       {"version", relay.version},
        {"events", call.events},
        {"tries", call.tries},
        {"outcome", outcome},
@@ -261,6 +263,7 @@
     end = attempt.end;
     if (end == AttemptEnd::kAnswered) {
       relay.endpoint = attempt.endpoint;
+      relay.version = attempt.version;
       const bool stream = attempt.head.status >= kFirstSuccess &&
                           attempt.head.status < kFirstRedirect &&
                           attempt.head.is_event_stream;
@@ -344,6 +347,22 @@
   }
 }
 
+// True if the caller resumes a stream that an earlier request of it began.
+bool IsTakeUp(const Call& call) {
+  const CallHeaderValues& header_values = call.request.header_values;
+  return !header_values.last_event.empty() ||
+         !header_values.resumed_call.empty();
+}
+
+void LogTakeUp(Node& node, const Call& call) {
+  const CallHeaderValues& header_values = call.request.header_values;
+  WriteLog(node.log, LogLevel::kOrdinary, "stream taken up",
+           {{"id", header_values.id},
+            {"program", header_values.program},
+            {"began_as", header_values.resumed_call},
+            {"after_event", header_values.last_event}});
+}
+
 }  // namespace
 
 std::optional<CallRefusal> RefusalIfBudgetSpent(Node& node, const Call& call) {
@@ -358,6 +377,9 @@
 }
 
 Task<> ServeTurn(Node& node, CallPtr call) {
+  if (IsTakeUp(*call)) {
+    LogTakeUp(node, *call);
+  }
   Relay relay;
   if (const auto service = call->deployment->services.find(call->service);
       service != call->deployment->services.end() && service->second.engine) {
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -136,6 +136,7 @@
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
   PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
            fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
+                       R"("version":"v1",)"
                        R"("slots":24,"state":"{}","sequence":1}})",
                        this->Ip(kEndpointHost + index), kEndpointPort, state));
 }
