--- /dev/null
+++ b/src/celerykeel/node/stream_versions_unittest.cc
@@ -0,0 +1,201 @@
+#include <doctest/doctest.h>
+
+#include <chrono>  // for std::chrono::milliseconds
+#include <future>  // for std::async
+#include <thread>  // for std::this_thread::sleep_for
+
+#include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, RunsOfBoth
+#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kLastEvents[] = "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n";
+
+// Headers of a request that resumes a stream after its second event.
+HeaderList TakeUpHeaders(const std::string& id,
+                         const std::string& program,
+                         const std::string& began_as) {
+  HeaderList headers = TurnHeaders(id, program, "", 9999);
+  headers.emplace_back("Last-Event-Id", "2");
+  if (!began_as.empty()) {
+    headers.emplace_back("Resumes", began_as);
+  }
+  return headers;
+}
+
+// Sends streams of new programs until one has begun at the endpoint.
+// @return the id of its program and of its request.
+std::string BeginAt(NodeFleet& fleet,
+                    size_t endpoint,
+                    const std::string& prefix) {
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = prefix + std::to_string(i);
+    fleet.Send(0, "POST", "/stream/plain/x", TurnHeaders(id, id, "", 9999), "");
+    const std::lock_guard lock(fleet.endpoints[endpoint].mutex);
+    if (const auto& headers = fleet.endpoints[endpoint].headers;
+        headers.contains(id) && !headers.at(id).contains("Last-Event-ID") &&
+        !headers.at(id).contains("Last-Event-Id")) {
+      return id;
+    }
+  }
+  FAIL("no stream began at the endpoint");
+  return "";
+}
+
+// Guards against an answer whose events come from two software versions, whose
+// texts do not fit together.
+TEST_CASE("a broken stream continues only at the version that began it") {
+  NodeFleet fleet(1, {"v1", "v2"});
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.endpoints[0].close_after_events = 2;
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    const CallerAnswer answer =
+        fleet.Send(0, "POST", "/stream/plain/x",
+                   TurnHeaders(id, "p" + std::to_string(i), "", 9999), "");
+    CHECK(RunsOfBoth(fleet, id) == 1);
+    // The first endpoint breaks all of its streams off.
+    CHECK(answer.status == (RunsOf(fleet.endpoints[1], id) == 1 ? 200 : 0));
+  }
+}
+
+// Guards against a caller's take-up that gets the rest of its stream from the
+// other version, since it reaches an instance that did not begin the stream.
+TEST_CASE("a stream taken up goes on at the version that began it") {
+  NodeFleet fleet(2, {"v1", "v2"});
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.close_after_events = 2;
+  }
+  std::string programs[2];
+  for (size_t began_at = 0; began_at < 2; ++began_at) {
+    programs[began_at] =
+        BeginAt(fleet, began_at, "s" + std::to_string(began_at));
+  }
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.close_after_events = -1;
+  }
+  for (size_t began_at = 0; began_at < 2; ++began_at) {
+    const std::string& began = programs[began_at];
+    for (size_t instance = 0; instance < 2; ++instance) {
+      const std::string id = began + "-again" + std::to_string(instance);
+      const CallerAnswer answer =
+          fleet.Send(instance, "POST", "/stream/plain/x",
+                     TakeUpHeaders(id, began, began), "");
+      CHECK(answer.status == 200);
+      CHECK(answer.body == kLastEvents);
+      CHECK(RunsOf(fleet.endpoints[began_at], id) == 1);
+      CHECK(RunsOf(fleet.endpoints[1 - began_at], id) == 0);
+    }
+  }
+  // Nobody knows what began these streams.
+  for (const char* began_as : {"never-sent", ""}) {
+    const std::string id = std::string("unknown") + began_as;
+    CHECK(fleet
+              .Send(0, "POST", "/stream/plain/x",
+                    TakeUpHeaders(id, programs[0], began_as), "")
+              .status == 503);
+    CHECK(RunsOfBoth(fleet, id) == 0);
+  }
+  // The version that began the stream serves no more.
+  REQUIRE(fleet.Drain(0));
+  CHECK(fleet
+            .Send(1, "POST", "/stream/plain/x",
+                  TakeUpHeaders("late", programs[0], programs[0]), "")
+            .status == 503);
+  CHECK(RunsOfBoth(fleet, "late") == 0);
+}
+
+// Begins six streams at both endpoints and stops all instances while they run.
+void BeginAndLoseAllInstances(NodeFleet& fleet) {
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.pause_ms = 700;
+  }
+  std::vector<std::future<CallerAnswer>> answers;
+  for (int i = 0; i < 6; ++i) {
+    answers.push_back(std::async(std::launch::async, [&fleet, i] {
+      const std::string id = "a" + std::to_string(i);
+      return fleet.Send(static_cast<size_t>(i % 2), "POST", "/stream/plain/x",
+                        TurnHeaders(id, id, "", 9999), "");
+    }));
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  fleet.Kill(0);
+  fleet.Kill(1);
+  for (std::future<CallerAnswer>& answer : answers) {
+    CHECK(answer.get().status == 0);
+  }
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.pause_ms = 3;
+  }
+}
+
+// Takes the six streams up again.
+// @return how many went on to their end.
+int TakeUpAll(NodeFleet& fleet) {
+  int served = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string began = "a" + std::to_string(i);
+    const std::string id = "again" + std::to_string(i);
+    const CallerAnswer answer =
+        fleet.Send(static_cast<size_t>(i % 2), "POST", "/stream/plain/x",
+                   TakeUpHeaders(id, began, began), "");
+    CHECK((answer.status == 200 || answer.status == 503));
+    served += answer.status == 200 ? 1 : 0;
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      // An endpoint continues only the streams that it began.
+      CHECK(RunsOf(endpoint, id) <= RunsOf(endpoint, began));
+    }
+    CHECK(RunsOfBoth(fleet, id) == (answer.status == 200 ? 1 : 0));
+  }
+  return served;
+}
+
+// Guards against streams that are joined from two versions after all instances
+// have lost what they knew, and against refusing all of them instead.
+TEST_CASE("streams taken up after the loss of all instances") {
+  SUBCASE("go on at the version that began them") {
+    NodeFleet fleet(2, {"v1", "v2"});
+    REQUIRE(fleet.WaitUntilServing());
+    BeginAndLoseAllInstances(fleet);
+    fleet.Start(0);
+    fleet.Start(1);
+    REQUIRE(fleet.WaitUntilServing());
+    CHECK(TakeUpAll(fleet) == 6);
+  }
+  SUBCASE("do not go on if the version that began them has left") {
+    NodeFleet fleet(2, {"v1", "v2"});
+    REQUIRE(fleet.WaitUntilServing());
+    BeginAndLoseAllInstances(fleet);
+    fleet.RemoveEntry(0);
+    fleet.Start(0);
+    fleet.Start(1);
+    REQUIRE(fleet.WaitUntilServing());
+    int began_at_the_other = 0;
+    for (int i = 0; i < 6; ++i) {
+      began_at_the_other += RunsOf(fleet.endpoints[1], "a" + std::to_string(i));
+    }
+    CHECK(TakeUpAll(fleet) == began_at_the_other);
+  }
+  SUBCASE("go on if only one version has served") {
+    NodeFleet fleet(2);
+    REQUIRE(fleet.WaitUntilServing());
+    BeginAndLoseAllInstances(fleet);
+    fleet.Start(0);
+    fleet.Start(1);
+    REQUIRE(fleet.WaitUntilServing());
+    for (int i = 0; i < 6; ++i) {
+      const std::string began = "a" + std::to_string(i);
+      CHECK(fleet
+                .Send(static_cast<size_t>(i % 2), "POST", "/stream/plain/x",
+                      TakeUpHeaders("again-" + began, began, began), "")
+                .status == 200);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -50,8 +50,9 @@
 
 // Leaves room for eight fleets of a process before the subnets of the next
 // process id.
-NodeFleet::NodeFleet(int count)
-    : subnet((getpid() * 8 + next_fleet++) % 60000) {
+NodeFleet::NodeFleet(int count, std::array<std::string, 2> endpoint_versions)
+    : subnet((getpid() * 8 + next_fleet++) % 60000),
+      versions(std::move(endpoint_versions)) {
   this->PutDeployment();
   for (size_t i = 0; i < std::size(this->store_access); ++i) {
     Spawn(this->standin_loop,
@@ -136,9 +137,16 @@
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
   PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
            fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                       R"("version":"v1",)"
+                       R"("version":"{}",)"
                        R"("slots":24,"state":"{}","sequence":1}})",
-                       this->Ip(kEndpointHost + index), kEndpointPort, state));
+                       this->Ip(kEndpointHost + index), kEndpointPort,
+                       this->versions[index], state));
+}
+
+void NodeFleet::RemoveEntry(size_t endpoint) {
+  this->RunOnStandinLoop([&] {
+    PutKeyed(this->store, "keyed.servers", fmt::format("e{}", endpoint), "");
+  });
 }
 
 void NodeFleet::Start(size_t index) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>       // for std::array
 #include <cstdio>      // for std::FILE
 #include <functional>  // for std::function
 #include <memory>      // for std::unique_ptr
@@ -25,7 +26,9 @@
 /// has its own subnet of the loopback range, 127.<x>.<y>.0/24.
 class NodeFleet {
  public:
-  explicit NodeFleet(int instances);
+  /// @param versions software versions of the two endpoints.
+  explicit NodeFleet(int instances,
+                     std::array<std::string, 2> versions = {"v1", "v1"});
   ~NodeFleet();
   NodeFleet(const NodeFleet&) = delete;
   NodeFleet& operator=(const NodeFleet&) = delete;
@@ -58,6 +61,10 @@
   /// instances have received the change, from the store or from a reader.
   bool Drain(size_t endpoint);
 
+  /// @brief Removes an endpoint's entry from the store. Instances that are
+  /// started later do not know the endpoint.
+  void RemoveEntry(size_t endpoint);
+
   /// @brief Waits until all instances have recorded an endpoint's departure.
   bool WaitUntilDeparted(size_t endpoint);
 
@@ -107,6 +114,7 @@
   bool IsServing();
 
   int subnet = 0;
+  std::array<std::string, 2> versions;
   asio::io_context standin_loop{1};
   std::thread standin_thread;
   std::vector<Instance> instances;
