node, core: a broken stream continues only at the version that began it

Callers got an answer whose first events came from one software version of an endpoint and the rest from another: a broken stream was resumed at any endpoint of the service.

The first relayed event fixes the version; only endpoints of that version are chosen for the rest. Without one the answer is broken off, and the caller may take it up.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -94,6 +94,7 @@
   std::string_view subject;      // calls on a subject prefer the same endpoint
   std::string_view preferred;    // id of the subject's last endpoint, if known
   bool prefers_subject = false;  // otherwise low load matters more
+  std::string_view version{};    // required software version; empty: any
   const std::set<std::string>* excluded = nullptr;  // already tried
 };
 
--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -7,6 +7,7 @@
 
 #include "celerykeel/core/call_request.h"    // for CallRequest
 #include "celerykeel/core/deployment.h"      // for Deployment, CallRoute
+#include "celerykeel/core/stream_origin.h"   // for StreamOrigin
 #include "celerykeel/node/asio.h"            // for Task
 #include "celerykeel/node/caller_stream.h"   // for CallerStreamPtr
 #include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
@@ -31,8 +32,10 @@
   OutConnectionPtr attempt;     // connection of the current attempt
   uint32_t tries = 0;           // attempts, including those not run
   uint32_t runs = 0;            // tries in which the endpoint may have run it
-  std::string last_event;       // id of the last relayed event
-  uint64_t events = 0;          // relayed events
+  // Set once the first event is relayed; only the same version continues.
+  std::optional<StreamOrigin> origin;
+  std::string last_event;                 // id of the last relayed event
+  uint64_t events = 0;                    // relayed events
   std::optional<RatePermit> rate_permit;  // until SettleRate
   Duration rate_retry{};               // delay before a retry after kOverRate
   Duration limit_retry{};              // likewise after kOverLimit
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -35,6 +35,8 @@
                const EndpointCriteria& criteria) {
   return endpoint.entry.service == criteria.service &&
          !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
+         (criteria.version.empty() ||
+          endpoint.entry.version == criteria.version) &&
          (criteria.excluded == nullptr ||
           !criteria.excluded->contains(endpoint.entry.id));
 }
--- a/src/celerykeel/core/endpoint_table_unittest.cc
+++ b/src/celerykeel/core/endpoint_table_unittest.cc
@@ -101,5 +101,31 @@
   CHECK(Chosen(table)->entry.id == "e1");
 }
 
+// Guards against a stream whose rest comes from another software version.
+TEST_CASE("a release: a stream stays at the version that began it") {
+  EndpointTable table;
+  for (const char* id : {"e1", "e2", "e3", "e4"}) {
+    EndpointEntry entry = Entry(id, std::string(id) + ":5", 1700);
+    entry.version = entry.id < "e3" ? "v1" : "v2";
+    RecordEntry(table, entry);
+  }
+  EndpointCriteria criteria{
+      .service = "s", .zone = "z", .subject = "p", .preferred = "e3"};
+  criteria.prefers_subject = true;
+  CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "e3");
+  criteria.version = "v1";
+  std::set<std::string> tried;
+  criteria.excluded = &tried;
+  table.endpoints["e1"].in_flight = 9;
+  table.endpoints["e2"].in_flight = 9;
+  for (int i = 0; i < 2; ++i) {
+    const EndpointStatus* chosen = ChooseEndpoint(table, criteria, kNow);
+    REQUIRE(chosen != nullptr);
+    CHECK(chosen->entry.version == "v1");
+    tried.insert(chosen->entry.id);
+  }
+  CHECK(ChooseEndpoint(table, criteria, kNow) == nullptr);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -39,6 +39,7 @@
                                                  : header_values.id,
       .preferred = call.preferred_endpoint,
       .prefers_subject = by_subject,
+      .version = call.origin ? call.origin->version : std::string_view(),
       .excluded = &excluded};
   return ChooseEndpoint(node.endpoints, criteria, Now());
 }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -180,6 +180,9 @@
       co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
                                               : StreamEnd::kNotCovered;
     }
+    if (!call->origin) {
+      call->origin = StreamOrigin{call->service, attempt.version};
+    }
     std::string piece = RecordRelayed(*call, relay, events);
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
