node, core: a stream taken up goes on at the version that began it, or not at all

A caller whose stream broke off takes it up with a new request, which reaches any instance. That instance sent it to any endpoint of the service, so the answer was joined from two software versions. Cause: `Resumes` was not used, and only the instance that began a stream knew its version.

The holder of the program's slot now learns what began a stream with the first event, and again with its end, and tells the instance that serves the take-up. Without that knowledge, the take-up goes on if the service has a single version in use: a version is recorded in a topic of the store before an endpoint of it begins a resumable stream, and is dropped a minute after its last endpoint, and the record is read afresh. Else it is refused as not run. So is one whose version has left.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -8,7 +8,9 @@
 #include <string_view>  // for std::string_view
 #include <vector>       // for std::vector
 
-#include "celerykeel/core/time.h"  // for Duration, WallMillis
+#include "celerykeel/core/service_versions.h"  // for ServiceVersions
+#include "celerykeel/core/stream_origin.h"     // for StreamOrigin
+#include "celerykeel/core/time.h"              // for Duration, WallMillis
 
 namespace celerykeel {
 
@@ -95,9 +97,14 @@
   std::string_view preferred;    // id of the subject's last endpoint, if known
   bool prefers_subject = false;  // otherwise low load matters more
   std::string_view version{};    // required software version; empty: any
+  // If set, only endpoints of versions in use may begin the stream.
+  const ServiceVersions* recorded_versions = nullptr;
   const std::set<std::string>* excluded = nullptr;  // already tried
 };
 
+/// @brief True if an endpoint of this service and version takes new calls.
+bool TakesWork(const EndpointTable& table, const StreamOrigin& origin);
+
 /// @brief Chooses an endpoint; nullptr if the service has none that takes new
 /// calls and is not excluded.
 EndpointStatus* ChooseEndpoint(EndpointTable& table,
--- a/include/celerykeel/node/endpoint_feed.h
+++ b/include/celerykeel/node/endpoint_feed.h
@@ -19,7 +19,8 @@
 void HandleDeparture(Node& node, const EndpointEntry& endpoint);
 
 /// @brief Returns everything that the endpoints of the table announced in their
-/// answers, for a peer that has just been connected.
+/// answers, and the recorded software versions, for a peer that has just been
+/// connected.
 pb::EndpointNews KnownAnnouncements(const Node& node);
 
 /// @brief Applies an update of a reader, or what a peer reports of an
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -24,6 +24,7 @@
 #include "celerykeel/node/peer_link.h"          // for PeerNetwork
 #include "celerykeel/node/slot_host.h"          // for SlotHost
 #include "celerykeel/node/store_client.h"       // for StoreClient
+#include "celerykeel/node/version_feed.h"       // for VersionFeed
 
 namespace celerykeel {
 
@@ -83,6 +84,7 @@
   SpentPrograms spent_programs;
   TeamRateState rates;
   EndpointLimitState endpoint_limits;
+  VersionFeed version_feed;
 
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
   bool catching_up = false;      // with a peer's newer configuration
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -8,9 +8,10 @@
 #include <set>         // for std::set
 #include <string>      // for std::string
 
-#include "celerykeel/core/turn_ledger.h"  // for TurnLedger, SlotRecord
-#include "celerykeel/node.pb.h"           // for pb::TurnAdmission
-#include "celerykeel/node/asio.h"         // for Task
+#include "celerykeel/core/stream_origin.h"  // for StreamOrigins
+#include "celerykeel/core/turn_ledger.h"    // for TurnLedger, SlotRecord
+#include "celerykeel/node.pb.h"             // for pb::TurnAdmission
+#include "celerykeel/node/asio.h"           // for Task
 
 namespace celerykeel {
 
@@ -46,6 +47,7 @@
   TurnLedger ledger;
   std::map<std::string, RateReserve> rates;      // by team
   std::map<ProgramName, std::string> endpoints;  // that served each last
+  StreamOrigins origins;                         // of recent resumable streams
   std::deque<QueuedRecord> queue;
   bool writing = false;
   // Delays records that are not urgent, to batch them.
@@ -92,7 +94,8 @@
 /// append succeeds only if no other instance has taken the slot.
 void ConfirmSlots(Node& node);
 
-/// @brief Drops expired turns, idle programs and their last endpoints.
+/// @brief Drops expired turns, idle programs and their last endpoints, and the
+/// origins of streams that no caller can resume any more.
 void ExpireSlots(Node& node);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/turn_holder.h
+++ b/include/celerykeel/node/turn_holder.h
@@ -17,6 +17,9 @@
   bool may_be_counted = false;
 };
 
+/// @brief Returns the slot of the call's program.
+uint32_t SlotOfCall(const Node& node, const Call& call);
+
 /// @brief Requests admission from the slot's current holder until it decides,
 /// `timeout` ends or the caller disconnects. In the latter two cases the
 /// verdict is NOT_HOLDER or BUDGET_HELD.
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/endpoint_table.h"
 
-#include <algorithm>  // for std::min, std::max
+#include <algorithm>  // for std::any_of, std::min, std::max
 #include <cstddef>    // for size_t
 #include <tuple>      // for std::tuple
 
@@ -37,6 +37,9 @@
          !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
          (criteria.version.empty() ||
           endpoint.entry.version == criteria.version) &&
+         (criteria.recorded_versions == nullptr ||
+          IsVersionInUse(*criteria.recorded_versions, endpoint.entry.service,
+                         endpoint.entry.version)) &&
          (criteria.excluded == nullptr ||
           !criteria.excluded->contains(endpoint.entry.id));
 }
@@ -146,6 +149,18 @@
   }
 }
 
+bool TakesWork(const EndpointTable& table, const StreamOrigin& origin) {
+  const EndpointCriteria criteria{.service = origin.service,
+                                  .zone = {},
+                                  .subject = {},
+                                  .preferred = {},
+                                  .version = origin.version};
+  return std::any_of(table.endpoints.begin(), table.endpoints.end(),
+                     [&](const auto& entry) {
+                       return TakesWork(table, entry.second, criteria);
+                     });
+}
+
 // Ranks endpoints by recent failures, a lapsed entry, the wait for their rate
 // limit, load above the limit, the subject's last endpoint or the zone, and the
 // subject's rendezvous weight, in this order. Endpoints to avoid rank last
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -40,6 +40,9 @@
       .preferred = call.preferred_endpoint,
       .prefers_subject = by_subject,
       .version = call.origin ? call.origin->version : std::string_view(),
+      .recorded_versions = call.route->resumable && !call.origin
+                               ? &node.version_feed.versions
+                               : nullptr,
       .excluded = &excluded};
   return ChooseEndpoint(node.endpoints, criteria, Now());
 }
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -34,6 +34,7 @@
   }
   if (record.dropped) {
     RecordRemoval(node.endpoints, record.key, Now());
+    node.version_feed.endpoints_changed = true;
     return true;
   }
   const auto entry = platform::DecodeEndpoint(record.key, record.value);
@@ -47,10 +48,12 @@
   const bool changed = known == node.endpoints.endpoints.end() ||
                        known->second.entry.leaving != entry->leaving ||
                        known->second.entry.address != entry->address ||
+                       known->second.entry.version != entry->version ||
                        known->second.entry.started_at != entry->started_at ||
                        known->second.lapsed_at.has_value();
   RecordEntry(node.endpoints, *entry);
   if (changed) {
+    node.version_feed.endpoints_changed = true;
     WriteLog(node.log, LogLevel::kOrdinary, "endpoint seen",
              {{"endpoint", entry->id},
               {"service", entry->service},
@@ -145,6 +148,7 @@
     }
   }
   AddKnownLimits(node, news);
+  AddKnownVersions(node, news);
   return news;
 }
 
@@ -159,6 +163,9 @@
   for (const pb::EndpointLimitNews& limit : news.limits()) {
     ApplyLimitNews(node, limit);
   }
+  for (const pb::ServiceVersionNews& version : news.versions()) {
+    ApplyVersionNews(node, version);
+  }
   for (const pb::EndpointChange& change : news.changes()) {
     ApplyEndpointRecord(node, {.key = change.endpoint(),
                                .value = change.entry(),
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
+#include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 
 namespace celerykeel {
 
@@ -155,6 +156,9 @@
           DecideAsHome(node, frame.limited_call_wish());
       SendFrame(peer, answer);
       return;
+    case pb::NodeFrame::kStreamBegan:
+      RecordStreamBegan(node, frame.stream_began());
+      return;
     case pb::NodeFrame::kRateNews:
       ApplyLoanReports(node, frame.rate_news());
       return;
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -3,9 +3,10 @@
 #include <algorithm>  // for std::min
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"     // for Now, WallNow
-#include "celerykeel/node/node.h"      // for Node
-#include "celerykeel/node/slot_log.h"  // for Enqueue
+#include "celerykeel/base/clock.h"          // for Now, WallNow
+#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/slot_log.h"       // for Enqueue
+#include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 
 namespace celerykeel {
 
@@ -250,6 +251,11 @@
       endpoint != slot->endpoints.end()) {
     grant.set_endpoint(endpoint->second);
   }
+  if (const StreamOrigin* origin = FindOrigin(
+          slot->origins, {admission.team(), admission.resumed_call()})) {
+    grant.mutable_origin()->set_service(origin->service);
+    grant.mutable_origin()->set_version(origin->version);
+  }
   if (!admission.has_budget()) {
     grant.set_covered(true);
     co_return grant;
@@ -281,7 +287,10 @@
     co_return done;
   }
   const ProgramName program{end.team(), end.program()};
-  if (!end.endpoint().empty() &&
+  if (end.has_began()) {
+    RecordStreamBegan(node, end.began());
+  }
+  if (!end.endpoint().empty() && !end.program().empty() &&
       slot->endpoints.size() < kMaxRememberedEndpoints) {
     slot->endpoints[program] = end.endpoint();
   }
@@ -335,6 +344,7 @@
   const WallMillis wall = WallNow();
   for (auto& [number, slot] : node.slots.held) {
     Expire(slot->ledger, wall, now, kProgramIdle);
+    ExpireOrigins(slot->origins, now);
     std::erase_if(slot->endpoints, [&slot = *slot](const auto& entry) {
       return !slot.ledger.programs.contains(entry.first);
     });
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -9,6 +9,7 @@
 #include "celerykeel/node/fleet.h"          // for RunFleet
 #include "celerykeel/node/peer_answer.h"    // for ServePeers
 #include "celerykeel/node/store_client.h"   // for ProbeStore
+#include "celerykeel/node/version_feed.h"   // for FollowVersions
 
 namespace celerykeel {
 
@@ -35,6 +36,7 @@
   Spawn(node.io, ServePeers(node));
   Spawn(node.io, FollowDeployment(node));
   Spawn(node.io, FollowEndpoints(node));
+  Spawn(node.io, FollowVersions(node));
   Spawn(node.io, RunMembership(node));
   Spawn(node.io, ProbeStore(node));
   Spawn(node.io, RunFleet(node));
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -27,20 +27,13 @@
                                               : "");
   admission.set_most_tokens(header_values.most_tokens);
   admission.set_kept(call.route->retained);
+  admission.set_resumed_call(header_values.resumed_call);
   if (header_values.token_budget) {
     admission.set_budget(*header_values.token_budget);
   }
   return admission;
 }
 
-uint32_t SlotOfCall(const Node& node, const Call& call) {
-  const CallHeaderValues& header_values = call.request.header_values;
-  return SlotOfSubject(
-      call.team == nullptr ? "" : call.team->name,
-      header_values.program.empty() ? header_values.id : header_values.program,
-      static_cast<uint32_t>(node.fleet.slots.size()));
-}
-
 Task<std::optional<pb::TurnGrant>> RequestAdmissionFromPeer(
     Node& node,
     PeerLinkPtr link,
@@ -78,6 +71,18 @@
 
 }  // namespace
 
+// A stream without a program, and the requests that resume it, share the slot
+// of the request that began it.
+uint32_t SlotOfCall(const Node& node, const Call& call) {
+  const CallHeaderValues& header_values = call.request.header_values;
+  const std::string& subject =
+      !header_values.program.empty()        ? header_values.program
+      : !header_values.resumed_call.empty() ? header_values.resumed_call
+                                            : header_values.id;
+  return SlotOfSubject(call.team == nullptr ? "" : call.team->name, subject,
+                       static_cast<uint32_t>(node.fleet.slots.size()));
+}
+
 Task<TurnPermit> RequestTurnPermit(Node& node, CallPtr call, Duration timeout) {
   const Duration until = Now() + timeout;
   TurnPermit permit;
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -3,12 +3,13 @@
 #include <algorithm>  // for std::min
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"         // for Now
-#include "celerykeel/core/event_stream.h"  // for EventSplitter
-#include "celerykeel/node/attempts.h"      // for StartAttempt
-#include "celerykeel/node/node.h"          // for Node
-#include "celerykeel/node/store_client.h"  // for AwaitStore
-#include "celerykeel/node/turn_holder.h"   // for RequestTurnPermit
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/core/event_stream.h"   // for EventSplitter
+#include "celerykeel/node/attempts.h"       // for StartAttempt
+#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/store_client.h"   // for AwaitStore
+#include "celerykeel/node/stream_takeup.h"  // for FindOriginOfTakeUp
+#include "celerykeel/node/turn_holder.h"    // for RequestTurnPermit
 
 namespace celerykeel {
 
@@ -69,7 +70,7 @@
 
 bool NeedsHolder(const Call& call) {
   return call.route->retained ||
-         call.request.header_values.token_budget.has_value();
+         call.request.header_values.token_budget.has_value() || IsTakeUp(call);
 }
 
 pb::TurnEnd TurnEndOf(const Call& call, const Relay& relay, bool complete) {
@@ -84,6 +85,9 @@
   if (header_values.token_budget) {
     end.set_most_tokens(header_values.most_tokens);
   }
+  if (call.route->resumable && call.origin) {
+    *end.mutable_began() = StreamBeganOf(call, relay.permit.slot);
+  }
   if (complete && call.route->retained) {
     end.set_kept(true);
     end.set_previous(header_values.previous_turn);
@@ -182,6 +186,9 @@
     }
     if (!call->origin) {
       call->origin = StreamOrigin{call->service, attempt.version};
+      if (call->route->resumable) {
+        ReportStreamBegan(node, StreamBeganOf(*call, relay.permit.slot));
+      }
     }
     std::string piece = RecordRelayed(*call, relay, events);
     if (!call->caller->head_sent) {
@@ -247,7 +254,7 @@
 }
 
 void ReportAbortedTurn(Node& node, const Call& call, const Relay& relay) {
-  if (NeedsHolder(call)) {
+  if (NeedsHolder(call) || (call.route->resumable && call.origin)) {
     ReportTurnEndInBackground(node, TurnEndOf(call, relay, false));
   }
 }
@@ -350,22 +357,6 @@
   }
 }
 
-// True if the caller resumes a stream that an earlier request of it began.
-bool IsTakeUp(const Call& call) {
-  const CallHeaderValues& header_values = call.request.header_values;
-  return !header_values.last_event.empty() ||
-         !header_values.resumed_call.empty();
-}
-
-void LogTakeUp(Node& node, const Call& call) {
-  const CallHeaderValues& header_values = call.request.header_values;
-  WriteLog(node.log, LogLevel::kOrdinary, "stream taken up",
-           {{"id", header_values.id},
-            {"program", header_values.program},
-            {"began_as", header_values.resumed_call},
-            {"after_event", header_values.last_event}});
-}
-
 }  // namespace
 
 std::optional<CallRefusal> RefusalIfBudgetSpent(Node& node, const Call& call) {
@@ -380,10 +371,8 @@
 }
 
 Task<> ServeTurn(Node& node, CallPtr call) {
-  if (IsTakeUp(*call)) {
-    LogTakeUp(node, *call);
-  }
   Relay relay;
+  relay.permit.slot = SlotOfCall(node, *call);
   if (const auto service = call->deployment->services.find(call->service);
       service != call->deployment->services.end() && service->second.engine) {
     relay.tokens_per_event = service->second.engine->tokens_per_event;
@@ -409,6 +398,14 @@
       co_await Refuse(node, call, StoreUnavailable(*call));
       co_return;
     }
+    if (IsTakeUp(*call)) {
+      if (const auto refusal =
+              co_await FindOriginOfTakeUp(node, call, relay.permit.grant)) {
+        ReportAbortedTurn(node, *call, relay);
+        co_await Refuse(node, call, *refusal);
+        co_return;
+      }
+    }
     call->preferred_endpoint = relay.permit.grant.endpoint();
     relay.body = relay.permit.grant.history();
   }
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -230,6 +230,11 @@
           link != node.peers.links.end() && link->second->socket != nullptr;
       all = all && IsReady(node) && (mine || other);
     }
+    for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+      all =
+          all && IsVersionInUse(node.version_feed.versions,
+                                endpoint.entry.service, endpoint.entry.version);
+    }
   });
   return all;
 }
