node, core, wire: what began a stream is durable while two versions are in use

After a loss of all instances, callers took broken streams up again. Class of fault: knowledge that decides what a later request may do was kept only in memory.

The slot's holder writes a record of each resumable stream to the slot's log with its first event, while the service has more than one version in use; when a second version comes into use, it writes those of the last 30 s. A successor replays them. Nothing waits for the record, so a stream that began within milliseconds of the loss is unknown, and its take-up is refused. With one version in use, there is no record and no cost.

--- a/include/celerykeel/core/stream_origin.h
+++ b/include/celerykeel/core/stream_origin.h
@@ -5,7 +5,7 @@
 #include <string>   // for std::string
 #include <utility>  // for std::pair
 
-#include "celerykeel/core/time.h"  // for Duration
+#include "celerykeel/core/time.h"  // for Duration, WallMillis
 
 namespace celerykeel {
 
@@ -21,11 +21,19 @@
 /// @brief Team and id of the request that brought the first event of a stream.
 using StreamName = std::pair<std::string, std::string>;
 
+/// @brief The record of a stream's origin in its slot's log.
+struct StreamRecord {
+  StreamName stream;
+  StreamOrigin origin;
+  WallMillis began_at = 0;
+};
+
 /// @brief The origins of recent streams, kept for callers that resume them.
 struct StreamOrigins {
   struct Entry {
     StreamOrigin origin;
     Duration began_at{};  // time of the first report
+    bool in_log = false;  // a record of it is durable or queued
   };
   std::map<StreamName, Entry> streams;
 };
@@ -38,6 +46,14 @@
                   const StreamOrigin& origin,
                   Duration now);
 
+/// @brief Applies a record of the slot's log, unless it is of a stream that no
+/// caller can resume any more.
+/// @param wall,now the same time by both clocks.
+void ReplayOrigin(StreamOrigins& origins,
+                  const StreamRecord& record,
+                  WallMillis wall,
+                  Duration now);
+
 /// @brief Returns the origin of a stream; nullptr if it is not known.
 const StreamOrigin* FindOrigin(const StreamOrigins& origins,
                                const StreamName& stream);
--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -12,8 +12,9 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/identity.h"  // for ProgramName
-#include "celerykeel/core/time.h"      // for WallMillis, Duration
+#include "celerykeel/core/identity.h"       // for ProgramName
+#include "celerykeel/core/stream_origin.h"  // for StreamRecord
+#include "celerykeel/core/time.h"           // for WallMillis, Duration
 
 namespace celerykeel {
 
@@ -52,8 +53,8 @@
   double kept = 0;
 };
 
-using SlotRecord =
-    std::variant<ClaimRecord, SpendRecord, TurnRecord, RateRecord>;
+using SlotRecord = std::
+    variant<ClaimRecord, SpendRecord, TurnRecord, RateRecord, StreamRecord>;
 
 /// @brief A turn that can be continued. It owns the chain of earlier turns.
 struct StoredTurn {
@@ -129,7 +130,7 @@
 };
 
 /// @brief Applies a record of the slot's log. Records must be applied in order.
-/// Claims and team rates change nothing in the ledger.
+/// Claims, team rates and streams change nothing in the ledger.
 void Replay(TurnLedger& ledger, const SlotRecord& record);
 
 /// @brief Ends a replay. Counts all tokens up to each program's ceiling as
--- a/include/celerykeel/node/stream_takeup.h
+++ b/include/celerykeel/node/stream_takeup.h
@@ -27,8 +27,13 @@
 /// @brief Reports to the slot's holder, without an answer, that a stream began.
 void ReportStreamBegan(Node& node, const pb::StreamBegan& began);
 
-/// @brief Records, as the slot's holder, that a stream began. Does nothing if
-/// this instance does not hold the slot.
+/// @brief Records, as the slot's holder, that a stream began; durably, if its
+/// service has several versions in use. Does nothing if this instance does not
+/// hold the slot.
 void RecordStreamBegan(Node& node, const pb::StreamBegan& began);
 
+/// @brief Writes the origins that were recorded while their service had a
+/// single version in use, after another version came into use.
+void QueueOriginsNotInferable(Node& node);
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/stream_origin.cc
+++ b/src/celerykeel/core/stream_origin.cc
@@ -1,5 +1,7 @@
 #include "celerykeel/core/stream_origin.h"
 
+#include <algorithm>  // for std::max
+
 namespace celerykeel {
 
 bool RecordOrigin(StreamOrigins& origins,
@@ -9,16 +11,37 @@
   if (const auto found = origins.streams.find(stream);
       found != origins.streams.end()) {
     const bool differs = found->second.origin != origin;
-    found->second.origin = origin;
+    if (differs) {
+      found->second.origin = origin;
+      found->second.in_log = false;
+    }
     return differs;
   }
   if (origins.streams.size() >= kMaxStreamOrigins) {
     return false;
   }
-  origins.streams[stream] = {.origin = origin, .began_at = now};
+  origins.streams[stream] = {
+      .origin = origin, .began_at = now, .in_log = false};
   return true;
 }
 
+void ReplayOrigin(StreamOrigins& origins,
+                  const StreamRecord& record,
+                  WallMillis wall,
+                  Duration now) {
+  // The clock of the writer may be ahead.
+  const Duration age = std::chrono::milliseconds(
+      std::max<WallMillis>(wall - record.began_at, 0));
+  if (age > kStreamOriginLifetime) {
+    return;
+  }
+  RecordOrigin(origins, record.stream, record.origin, now - age);
+  if (const auto found = origins.streams.find(record.stream);
+      found != origins.streams.end()) {
+    found->second.in_log = true;
+  }
+}
+
 const StreamOrigin* FindOrigin(const StreamOrigins& origins,
                                const StreamName& stream) {
   const auto found = origins.streams.find(stream);
--- a/src/celerykeel/core/stream_origin_unittest.cc
+++ b/src/celerykeel/core/stream_origin_unittest.cc
@@ -25,14 +25,36 @@
 
 TEST_CASE("many streams: further ones are not recorded, known ones stay") {
   StreamOrigins origins;
+  size_t recorded = 0;
   for (size_t i = 0; i < kMaxStreamOrigins; ++i) {
-    CHECK(
-        RecordOrigin(origins, {"team", std::to_string(i)}, {"s", "v1"}, kNow));
+    const StreamName stream{"team", std::to_string(i)};
+    recorded += RecordOrigin(origins, stream, {"s", "v1"}, kNow) ? 1 : 0;
   }
+  CHECK(recorded == kMaxStreamOrigins);
   CHECK_FALSE(RecordOrigin(origins, {"team", "more"}, {"s", "v1"}, kNow));
   CHECK(FindOrigin(origins, {"team", "more"}) == nullptr);
   CHECK(FindOrigin(origins, {"team", "0"}) != nullptr);
 }
 
+TEST_CASE("a replay keeps the origins of streams that may be resumed") {
+  constexpr WallMillis kWall = 1'000'000;
+  StreamOrigins origins;
+  const StreamName recent{"team", "a1"};
+  const StreamName old{"team", "a0"};
+  ReplayOrigin(origins, {old, {"s", "v1"}, kWall - 31'000}, kWall, kNow);
+  ReplayOrigin(origins, {recent, {"s", "v1"}, kWall - 20'000}, kWall, kNow);
+  CHECK(FindOrigin(origins, old) == nullptr);
+  REQUIRE(FindOrigin(origins, recent) != nullptr);
+  CHECK(origins.streams.at(recent).in_log);
+  // The stream began anew at another version before it had an event.
+  ReplayOrigin(origins, {recent, {"s", "v2"}, kWall - 19'000}, kWall, kNow);
+  CHECK(*FindOrigin(origins, recent) == StreamOrigin{"s", "v2"});
+  ExpireOrigins(origins, kNow + std::chrono::seconds(11));
+  CHECK(FindOrigin(origins, recent) == nullptr);
+  // A writer's clock may be ahead of this one.
+  ReplayOrigin(origins, {old, {"s", "v1"}, kWall + 5'000}, kWall, kNow);
+  CHECK(FindOrigin(origins, old) != nullptr);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -4,7 +4,7 @@
 #include <random>     // for std::mt19937_64
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"       // for Now
+#include "celerykeel/base/clock.h"       // for Now, WallNow
 #include "celerykeel/node/fleet.h"       // for AnnounceSoon
 #include "celerykeel/node/node.h"        // for Node
 #include "celerykeel/wire/slot_codec.h"  // for EncodeSlotRecord
@@ -122,6 +122,10 @@
     kept.recorded = true;
     return;
   }
+  if (const auto* stream = std::get_if<StreamRecord>(&record)) {
+    ReplayOrigin(slot.origins, *stream, WallNow(), Now());
+    return;
+  }
   Replay(slot.ledger, record);
 }
 
--- a/src/celerykeel/node/stream_takeup.cc
+++ b/src/celerykeel/node/stream_takeup.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>  // for std::any_of, std::min
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/fleet.h"  // for LinkToHolder
-#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/base/clock.h"     // for Now, WallNow
+#include "celerykeel/node/fleet.h"     // for LinkToHolder
+#include "celerykeel/node/node.h"      // for Node
+#include "celerykeel/node/slot_log.h"  // for Enqueue
 
 namespace celerykeel {
 
@@ -58,6 +59,30 @@
   co_return StreamOrigin{call->service, *only};
 }
 
+// Queues the record of an origin for the slot's log, unless an instance without
+// the record would infer the same origin from the versions in use.
+void QueueIfNotInferable(Node& node,
+                         const HeldSlotPtr& slot,
+                         const StreamName& stream,
+                         StreamOrigins::Entry& entry) {
+  if (entry.in_log ||
+      OnlyVersion(node.version_feed.versions, entry.origin.service) ==
+          entry.origin.version) {
+    return;
+  }
+  entry.in_log = true;
+  const Duration age = Now() - entry.began_at;
+  const StreamRecord record{
+      .stream = stream,
+      .origin = entry.origin,
+      .began_at =
+          WallNow() -
+          std::chrono::duration_cast<std::chrono::milliseconds>(age).count()};
+  // Urgent, as all instances may be lost while the stream runs. If the slot is
+  // lost, a report of the stream's end reaches the next holder.
+  Enqueue(node, slot, record, true, [](bool) {});
+}
+
 }  // namespace
 
 bool IsTakeUp(const Call& call) {
@@ -118,9 +143,23 @@
 }
 
 void RecordStreamBegan(Node& node, const pb::StreamBegan& began) {
-  if (const HeldSlotPtr slot = ActiveSlot(node, began.slot())) {
-    RecordOrigin(slot->origins, {began.team(), began.call()},
-                 {began.origin().service(), began.origin().version()}, Now());
+  const HeldSlotPtr slot = ActiveSlot(node, began.slot());
+  if (slot == nullptr) {
+    return;
+  }
+  const StreamName stream{began.team(), began.call()};
+  if (RecordOrigin(slot->origins, stream,
+                   {began.origin().service(), began.origin().version()},
+                   Now())) {
+    QueueIfNotInferable(node, slot, stream, slot->origins.streams.at(stream));
+  }
+}
+
+void QueueOriginsNotInferable(Node& node) {
+  for (const auto& [number, slot] : node.slots.held) {
+    for (auto& [stream, entry] : slot->origins.streams) {
+      QueueIfNotInferable(node, slot, stream, entry);
+    }
   }
 }
 
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/core/reader_choice.h"  // for IsReader
 #include "celerykeel/core/stream_origin.h"  // for kStreamOriginLifetime
 #include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/stream_takeup.h"  // for QueueOriginsNotInferable
 
 namespace celerykeel {
 
@@ -46,6 +47,7 @@
               {"version", version.second},
               {"in_use", record.in_use},
               {"source", source}});
+    QueueOriginsNotInferable(node);
   }
 }
 
--- a/src/celerykeel/wire/slot_codec.cc
+++ b/src/celerykeel/wire/slot_codec.cc
@@ -29,6 +29,15 @@
     this->entry.mutable_rate()->set_kept(record.kept);
   }
 
+  void operator()(const StreamRecord& record) const {
+    pb::SlotStream& stream = *this->entry.mutable_stream();
+    stream.set_team(record.stream.first);
+    stream.set_call(record.stream.second);
+    stream.mutable_origin()->set_service(record.origin.service);
+    stream.mutable_origin()->set_version(record.origin.version);
+    stream.set_began_at(record.began_at);
+  }
+
   void operator()(const TurnRecord& record) const {
     pb::SlotTurn& turn = *this->entry.mutable_turn();
     turn.set_team(record.program.team);
@@ -82,6 +91,13 @@
     }
     case pb::SlotEntry::kRate:
       return RateRecord{entry.rate().team(), entry.rate().kept()};
+    case pb::SlotEntry::kStream: {
+      const pb::SlotStream& stream = entry.stream();
+      return StreamRecord{
+          .stream = {stream.team(), stream.call()},
+          .origin = {stream.origin().service(), stream.origin().version()},
+          .began_at = stream.began_at()};
+    }
     case pb::SlotEntry::RECORD_NOT_SET:
       break;
   }
