node, core: an instance tells apart its own way to the endpoints from their failures

A cut-off instance logged the same as one whose endpoints fail: "not connected", one endpoint after the other. New connections that fail at two endpoints in a row, with none that succeeds in between, mean that the instance is cut off: event `endpoints lost`, until three endpoints in a row are reached (`endpoints regained`), and a gauge. Older connections may live on and are no evidence. Nothing acts on it yet.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -8,6 +8,7 @@
 #include <string>    // for std::string
 
 #include "celerykeel/core/deployment.h"         // for Deployment
+#include "celerykeel/core/endpoint_path.h"      // for EndpointPath
 #include "celerykeel/core/endpoint_table.h"     // for EndpointTable
 #include "celerykeel/core/program_admission.h"  // for ProgramAdmission
 #include "celerykeel/core/rate_borrower.h"      // for RateBorrower
@@ -84,6 +85,7 @@
   SpentPrograms spent_programs;
   TeamRateState rates;
   EndpointLimitState endpoint_limits;
+  EndpointPath endpoint_path;
   VersionFeed version_feed;
 
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -30,6 +30,7 @@
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
+  bool was_idle = false;  // taken from the pool
   Duration idle_since{};
   Duration idle_limit{};      // idle time after which it is closed
   Duration sent_at{};         // when Exchange began to send its request
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -1,12 +1,13 @@
 #include "celerykeel/node/attempts.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseForCall
 #include "celerykeel/node/endpoint_feed.h"    // for HandleDeparture
 #include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
+#include "celerykeel/node/endpoint_link.h"    // for ConnectToEndpoint
 #include "celerykeel/node/node.h"             // for Node
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
@@ -21,7 +22,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 // A call that is not idempotent uses only a recently used connection, as the
 // endpoint could close a longer idle one just when the call is sent.
 constexpr Duration kMaxIdleUnlessIdempotent = std::chrono::milliseconds(300);
@@ -223,10 +223,9 @@
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
-  const auto connection =
-      co_await Connect(node.io, node.endpoint_pool, endpoint.address,
-                       once ? kMaxIdleUnlessIdempotent : kMaxIdleIfIdempotent,
-                       std::min(kConnectTimeout, TimeLeft(*call)));
+  const auto connection = co_await ConnectToEndpoint(
+      node, endpoint, once ? kMaxIdleUnlessIdempotent : kMaxIdleIfIdempotent,
+      TimeLeft(*call));
   if (connection == nullptr) {
     RecordFailure(node.endpoints, endpoint.id, Now());
     attempt.end = AttemptEndOfError(*call, ExchangeError::kNotConnected);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -132,6 +132,7 @@
            static_cast<double>(CountSlotsWithoutHolder(node)));
   SetGauge(metrics, "endpoints",
            static_cast<double>(node.endpoints.endpoints.size()));
+  SetGauge(metrics, "endpoints_reached", node.endpoint_path.is_cut_off ? 0 : 1);
   SetGauge(metrics, "endpoints_limited",
            static_cast<double>(CountLimitedEndpoints(node)));
   SetGauge(metrics, "entries_skipped",
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -63,6 +63,7 @@
     const Duration idle = now - connection->idle_since;
     if (idle < std::min(max_idle, connection->idle_limit) &&
         IsOpenAndIdle(*connection)) {
+      connection->was_idle = true;
       return connection;
     }
     Close(*connection);
