node: failing tests: an instance without a way to the endpoints refuses its calls

An instance whose new connections to endpoints fail, in two ways, beside two instances that reach all endpoints: all 32 calls are refused. OutPool::fault lets new connections fail in tests; on the loopback interface an endpoint can't refuse one instance alone.

--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -38,11 +38,15 @@
 };
 using OutConnectionPtr = std::shared_ptr<OutConnection>;
 
+/// @brief How new connections fail, for fault injection in tests.
+enum class ConnectFault { kNone, kRefused, kSilent };
+
 /// @brief Idle connections by address, and those in use by Exchange.
 struct OutPool {
   std::map<std::string, std::deque<OutConnectionPtr>, std::less<>> idle;
   std::set<OutConnectionPtr> busy;  // in use by Exchange
   uint64_t opened = 0;              // connections opened since the start
+  ConnectFault fault = ConnectFault::kNone;
 };
 
 struct OutRequest {
--- /dev/null
+++ b/src/celerykeel/node/endpoint_link_unittest.cc
@@ -0,0 +1,108 @@
+#include <doctest/doctest.h>
+
+#include <future>  // for std::async
+#include <thread>  // for std::this_thread::sleep_for
+
+#include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, ToolHeaders
+#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kEvents[] =
+    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+    "id: 4\ndata: e4\n\n";
+
+// Sends calls of each kind to an instance, and checks that all are served.
+void CheckServesAllKinds(NodeFleet& fleet, size_t instance) {
+  for (int i = 0; i < 8; ++i) {
+    const std::string n = std::to_string(i);
+    CHECK(fleet.Send(instance, "GET", "/look/x", ToolHeaders("look" + n), "")
+              .body == "done look" + n);
+    CHECK(fleet.Send(instance, "POST", "/pay/x", ToolHeaders("pay" + n), "x")
+              .body == "done pay" + n);
+    CHECK(RunsOfBoth(fleet, "pay" + n) == 1);
+    for (const char* kind : {"plain", "kept"}) {
+      const std::string id = kind + n;
+      const CallerAnswer answer =
+          fleet.Send(instance, "POST", std::string("/stream/") + kind + "/x",
+                     TurnHeaders(id, "p" + id, "", 9999), "in" + n);
+      CHECK(answer.status == 200);
+      CHECK(answer.body == kEvents);
+      CHECK(RunsOfBoth(fleet, id) == 1);
+    }
+  }
+}
+
+// Guards against instances that refuse all calls while they alone have lost
+// their connections to the endpoints.
+TEST_CASE("an instance that is cut off from the endpoints serves its callers") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  SUBCASE("if its connections are refused") {
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  SUBCASE("if its connections hang, after it has noticed that") {
+    fleet.CutOff(0, ConnectFault::kSilent);
+    fleet.Send(0, "POST", "/stream/plain/x", TurnHeaders("n", "n", "", 9999),
+               "");
+  }
+  SUBCASE("if most instances are cut off") {
+    fleet.CutOff(0, ConnectFault::kRefused);
+    fleet.CutOff(1, ConnectFault::kRefused);
+    // The second instance may be asked before it knows that it is cut off.
+    fleet.Send(1, "GET", "/look/x", ToolHeaders("n"), "");
+  }
+  CheckServesAllKinds(fleet, 0);
+  fleet.CutOff(0, ConnectFault::kNone);
+  CHECK(fleet.WaitUntilReachingEndpoints(0));
+  CHECK(fleet.Send(0, "GET", "/look/x", ToolHeaders("direct"), "").status ==
+        200);
+}
+
+TEST_CASE("calls are refused at once if no instance reaches the endpoints") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.CutOff(0, ConnectFault::kRefused);
+  fleet.CutOff(1, ConnectFault::kRefused);
+  for (size_t i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const CallerAnswer answer =
+        fleet.Send(i % 2, "GET", "/look/x", ToolHeaders(id), "");
+    CHECK(answer.status == 503);
+    CHECK_FALSE(answer.retry_after.empty());
+    CHECK(RunsOfBoth(fleet, id) == 0);
+  }
+}
+
+// Guards against streams that end early, or look complete, because the
+// instance in between stops or dies.
+TEST_CASE("a stream over another instance when that instance goes") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.CutOff(0, ConnectFault::kRefused);
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.pause_ms = 400;
+  }
+  auto answer = std::async(std::launch::async, [&fleet] {
+    return fleet.Send(0, "POST", "/stream/plain/x",
+                      TurnHeaders("s", "s", "", 9999), "");
+  });
+  std::this_thread::sleep_for(milliseconds(700));
+  REQUIRE(RunsOfBoth(fleet, "s") == 1);
+  SUBCASE("a planned stop lets it end") {
+    fleet.Stop(1);
+    const CallerAnswer got = answer.get();
+    CHECK(got.status == 200);
+    CHECK(got.body == kEvents);
+  }
+  SUBCASE("a kill breaks it off") {
+    fleet.Kill(1);
+    CHECK(answer.get().status == 0);
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -87,7 +87,10 @@
     co_return idle;
   }
   const auto endpoint = ParseAddress(address);
-  if (!endpoint) {
+  if (pool.fault == ConnectFault::kSilent) {
+    co_await Sleep(loop, timeout);
+  }
+  if (!endpoint || pool.fault != ConnectFault::kNone) {
     co_return nullptr;
   }
   auto connection = std::make_shared<OutConnection>(loop);
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -189,6 +189,27 @@
              [time] { std::this_thread::sleep_for(time); });
 }
 
+void NodeFleet::CutOff(size_t index, ConnectFault fault) {
+  Node& node = *this->instances[index].node;
+  std::promise<void> done;
+  asio::post(node.io, [&] {
+    node.endpoint_pool.fault = fault;
+    node.endpoint_pool.idle.clear();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+bool NodeFleet::WaitUntilReachingEndpoints(size_t index) {
+  return WaitFor([&] {
+    std::promise<bool> reaches;
+    Node& node = *this->instances[index].node;
+    asio::post(node.io,
+               [&] { reaches.set_value(!node.endpoint_path.is_cut_off); });
+    return reaches.get_future().get();
+  });
+}
+
 bool NodeFleet::Holds(size_t index, const std::string& program) {
   std::promise<bool> holds;
   Node& node = *this->instances[index].node;
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -48,6 +48,11 @@
   /// @brief Blocks the event loop of an instance for `time` and returns
   /// immediately.
   void Freeze(size_t index, std::chrono::milliseconds time);
+  /// @brief Lets new connections of an instance to endpoints fail, and closes
+  /// its idle ones; kNone lets them succeed again.
+  void CutOff(size_t index, ConnectFault fault);
+  /// @brief Waits until an instance connects to endpoints itself again.
+  bool WaitUntilReachingEndpoints(size_t index);
   /// @brief True if the instance holds the program's slot.
   bool Holds(size_t index, const std::string& program);
 
