node, core: an instance that is cut off from the endpoints reaches them over its peers

Callers of instances that had lost their way to the endpoints were refused: an instance tried four endpoints, 400 ms each, and gave up, although other instances reached all of them. Class of fault: a resource that only its own way can reach, and a failure of that way counted against the resource.

While cut off, an instance opens a connection to a peer that reaches the endpoints (its heartbeat says so); the peer connects to the endpoint and relays the bytes. All decisions stay where they were: order, budgets, rates, limits, versions, what may be repeated. Nothing is sent before the tunnel is open, so "not run" stays true. A reset of the endpoint's connection is passed on as a reset. Tunnels are spread by their number, the own zone first. Probes detect the return. Without such a peer, calls are tried directly as before, since then the endpoints may be what failed.

--- a/include/celerykeel/core/endpoint_path.h
+++ b/include/celerykeel/core/endpoint_path.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>      // for size_t
+#include <cstdint>      // for uint32_t
 #include <map>          // for std::map
 #include <set>          // for std::set
+#include <span>         // for std::span
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 
@@ -39,6 +41,20 @@
                           std::string_view endpoint,
                           size_t endpoints);
 
+/// @brief A peer that reaches the endpoints.
+struct TunnelPeer {
+  std::string instance;
+  bool is_in_zone = false;  // of this instance
+  uint32_t tunnels = 0;     // open from this instance
+};
+
+/// @brief Chooses the peer for a tunnel: few open tunnels, preferably in the
+/// own availability zone.
+/// @param subject differs between tunnels, so that equal peers are used evenly.
+/// @return nullptr if there is none.
+const TunnelPeer* ChooseTunnelPeer(std::span<const TunnelPeer> peers,
+                                   std::string_view subject);
+
 inline constexpr size_t kCutOffFailures = 2;
 inline constexpr size_t kReturnSuccesses = 3;
 /// @brief Earlier failures are not counted.
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -41,6 +41,7 @@
   std::string endpoint;  // id
   std::string address;
   std::string version;  // of the endpoint's software
+  std::string over;     // peer that relays the bytes; empty: connected directly
   std::shared_ptr<AnswerReader> reader;
   AnswerHead head;
   AnswerHeaderValues answer;  // decoded from `head`
--- a/include/celerykeel/node/endpoint_link.h
+++ b/include/celerykeel/node/endpoint_link.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>  // for std::string
+
 #include "celerykeel/core/endpoint_table.h"  // for EndpointEntry
 #include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
 
@@ -7,13 +9,32 @@
 
 struct Node;
 
-/// @brief Connects to an endpoint within `timeout`, or takes a connection that
-/// was idle for less than `max_idle`.
+struct EndpointConnect {
+  OutConnectionPtr connection;   // null: the call was not sent
+  std::string peer;              // that relays the bytes; empty: none
+  bool endpoint_failed = false;  // not this instance's way to it
+};
+
+/// @brief Connects to an endpoint, or takes a connection that was idle for less
+/// than `max_idle`. While this instance is cut off from the endpoints, connects
+/// over a peer that reaches them.
+/// @param time_left until the call's deadline.
+Task<EndpointConnect> ConnectToEndpoint(Node& node,
+                                        EndpointEntry endpoint,
+                                        Duration max_idle,
+                                        Duration time_left);
+
+/// @brief Connects to an endpoint without a peer, within `timeout` and
+/// kConnectTimeout, and records whether it was reached.
 /// @return null if the endpoint can't be connected to.
-Task<OutConnectionPtr> ConnectToEndpoint(Node& node,
-                                         EndpointEntry endpoint,
-                                         Duration max_idle,
-                                         Duration timeout);
+Task<OutConnectionPtr> ConnectDirectly(Node& node,
+                                       EndpointEntry endpoint,
+                                       Duration max_idle,
+                                       Duration timeout);
+
+/// @brief While this instance is cut off, connects to one endpoint after the
+/// other to detect the end of it.
+Task<> ProbeEndpoints(Node& node);
 
 /// @brief Longest time for a new connection to an endpoint.
 inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -34,6 +34,7 @@
 struct PeerState {
   uint64_t deployment_version = 0;
   bool store_reached = false;
+  bool opens_tunnels = false;             // reaches the endpoints
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
   // Set if the peer is a reader: when it read the endpoints that it reported.
   std::optional<Duration> endpoints_read_at;
@@ -66,7 +67,9 @@
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
-  size_t buffered_answer_bytes = 0;  // of incomplete answers
+  size_t buffered_answer_bytes = 0;         // of incomplete answers
+  uint32_t tunnels_for_peers = 0;           // open for other instances
+  std::map<std::string, uint32_t> tunnels;  // open over each peer
 
   asio::io_context io{1};
   NodeOptions options;
@@ -76,6 +79,7 @@
 
   std::shared_ptr<const Deployment> deployment;  // null until the first read
   OutPool endpoint_pool;
+  OutPool tunnel_pool;  // connections to peers; none is idle
   StoreClient store;
 
   KnownFleet fleet;
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -24,6 +24,20 @@
 /// head, or the framing of a body. An answer that needs more fails.
 inline constexpr size_t kMaxUnparsedBytes = 256UL * 1024;
 
+/// @brief Counts a tunnel in `count` during the lifetime of this object.
+class TunnelUse {
+ public:
+  explicit TunnelUse(uint32_t& tunnel_count) : count(tunnel_count) {
+    ++this->count;
+  }
+  ~TunnelUse() { --this->count; }
+  TunnelUse(const TunnelUse&) = delete;
+  TunnelUse& operator=(const TunnelUse&) = delete;
+
+ private:
+  uint32_t& count;
+};
+
 /// @brief A connection to an endpoint or to the store.
 struct OutConnection {
   explicit OutConnection(asio::io_context& loop) : stream(loop) {}
@@ -31,6 +45,8 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   bool was_idle = false;  // taken from the pool
+  // Set if the connection goes to a peer, which relays its bytes; used once.
+  std::shared_ptr<const TunnelUse> tunnel;
   Duration idle_since{};
   Duration idle_limit{};      // idle time after which it is closed
   Duration sent_at{};         // when Exchange began to send its request
--- a/include/celerykeel/node/peer_link.h
+++ b/include/celerykeel/node/peer_link.h
@@ -22,6 +22,8 @@
   std::string writing;
   bool is_writing = false;
   bool closed = false;
+  // It carries the bytes of another connection from now on, and no frames.
+  bool is_tunnel = false;
 };
 using PeerSocketPtr = std::shared_ptr<PeerSocket>;
 
@@ -48,6 +50,12 @@
   std::map<std::string, PeerLinkPtr> links;  // by instance
 };
 
+/// @brief Bytes of the length before each frame, big-endian.
+inline constexpr size_t kFrameLengthBytes = 4;
+
+/// @brief Returns the bytes of a frame, its length included.
+std::string EncodeFrame(const pb::NodeFrame& frame);
+
 /// @brief Queues a frame. Frames queued in one iteration of the event loop are
 /// sent in one write.
 void SendFrame(const PeerSocketPtr& socket, const pb::NodeFrame& frame);
@@ -55,7 +63,7 @@
 /// @brief Queues a frame for every connected peer.
 void SendToAll(const PeerNetwork& network, const pb::NodeFrame& frame);
 
-/// @brief Reads frames until the connection ends.
+/// @brief Reads frames until the connection ends or becomes a tunnel.
 Task<> ReadFrames(PeerSocketPtr socket,
                   std::function<void(const pb::NodeFrame&)> on_frame);
 
--- a/src/celerykeel/core/endpoint_path.cc
+++ b/src/celerykeel/core/endpoint_path.cc
@@ -1,11 +1,18 @@
 #include "celerykeel/core/endpoint_path.h"
 
 #include <algorithm>  // for std::min, std::max
+#include <utility>    // for std::pair
+
+#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
 
 namespace celerykeel {
 
 namespace {
 
+// A peer in another zone is used once those of the own zone have this many more
+// tunnels: bytes between zones cost the users, and an overloaded peer more.
+constexpr uint32_t kOtherZoneTunnels = 6;
+
 // At least one, also if no endpoint is known any more.
 size_t Threshold(size_t count, size_t endpoints) {
   return std::max<size_t>(std::min(count, endpoints), 1);
@@ -45,4 +52,20 @@
   return true;
 }
 
+const TunnelPeer* ChooseTunnelPeer(std::span<const TunnelPeer> peers,
+                                   std::string_view subject) {
+  const TunnelPeer* best = nullptr;
+  std::pair<uint32_t, uint64_t> lowest;
+  for (const TunnelPeer& peer : peers) {
+    const std::pair<uint32_t, uint64_t> rank{
+        peer.tunnels + (peer.is_in_zone ? 0 : kOtherZoneTunnels),
+        RendezvousWeight(subject, peer.instance)};
+    if (best == nullptr || rank < lowest) {
+      best = &peer;
+      lowest = rank;
+    }
+  }
+  return best;
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/endpoint_path_unittest.cc
+++ b/src/celerykeel/core/endpoint_path_unittest.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <vector>  // for std::vector
+
 #include "celerykeel/core/endpoint_path.h"  // for EndpointPath
 
 namespace celerykeel {
@@ -43,5 +45,29 @@
   }
 }
 
+TEST_CASE("tunnels of a cut-off zone are spread over the other zones") {
+  std::vector<TunnelPeer> peers;
+  CHECK(ChooseTunnelPeer(peers, "c") == nullptr);
+  for (const char* instance : {"a", "b", "c", "d"}) {
+    peers.push_back({.instance = instance, .is_in_zone = false});
+  }
+  for (int i = 0; i < 40; ++i) {
+    const TunnelPeer* peer = ChooseTunnelPeer(peers, std::to_string(i));
+    ++peers[static_cast<size_t>(peer - peers.data())].tunnels;
+  }
+  for (const TunnelPeer& peer : peers) {
+    CHECK(peer.tunnels == 10);
+  }
+}
+
+TEST_CASE("a peer in the zone is preferred unless it has many tunnels") {
+  std::vector<TunnelPeer> peers{{.instance = "far", .is_in_zone = false},
+                                {.instance = "near", .is_in_zone = true}};
+  peers[1].tunnels = 3;
+  CHECK(ChooseTunnelPeer(peers, "c")->instance == "near");
+  peers[1].tunnels = 20;
+  CHECK(ChooseTunnelPeer(peers, "c")->instance == "far");
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -152,6 +152,7 @@
             {"try", call.tries},
             {"status", attempt.head.status},
             {"limit", attempt.limit.value_or(0)},
+            {"over", attempt.over},
             {"outcome", outcome},
             {"sent_ms", call.sent_after.value_or(Duration::zero())},
             {"after_ms", Now() - call.arrived_at}});
@@ -223,11 +224,14 @@
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
-  const auto connection = co_await ConnectToEndpoint(
+  const EndpointConnect connected = co_await ConnectToEndpoint(
       node, endpoint, once ? kMaxIdleUnlessIdempotent : kMaxIdleIfIdempotent,
       TimeLeft(*call));
+  const OutConnectionPtr& connection = connected.connection;
   if (connection == nullptr) {
-    RecordFailure(node.endpoints, endpoint.id, Now());
+    if (connected.endpoint_failed) {
+      RecordFailure(node.endpoints, endpoint.id, Now());
+    }
     attempt.end = AttemptEndOfError(*call, ExchangeError::kNotConnected);
     LogAttempt(node, *call, attempt, "not connected");
     co_return attempt;
@@ -250,6 +254,7 @@
     LogAttempt(node, *call, attempt, "late for the endpoint's limit");
     co_return attempt;
   }
+  attempt.over = connected.peer;
   call->attempt = connection;
   const OutRequest out{.method = call->request.method,
                        .target = call->request.target,
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -298,7 +298,7 @@
       caller->stream.socket().close(ignored);
     }
   }
-  while (!node.callers.empty() &&
+  while ((!node.callers.empty() || node.tunnels_for_peers > 0) &&
          Now() < began + node.options.stop_time - kShutdownReserve) {
     co_await Sleep(node.io, kStopPollInterval);
   }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -60,6 +60,7 @@
   beat.set_store_reached(!node.store.unavailable &&
                          node.store.last_answer_at.has_value());
   beat.set_leaving(node.stopping);
+  beat.set_opens_tunnels(!node.endpoint_path.is_cut_off && !node.stopping);
   if (node.endpoints_read_at) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         Now() - *node.endpoints_read_at);
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -114,8 +114,8 @@
                   const OutConnectionPtr& connection,
                   const AnswerHead& head) {
   auto& idle = pool.idle[address];
-  if (!head.keep_alive || connection->buffer.size() > 0 ||
-      head.idle_limit <= Duration::zero() ||
+  if (!head.keep_alive || connection->tunnel != nullptr ||
+      connection->buffer.size() > 0 || head.idle_limit <= Duration::zero() ||
       idle.size() >= kMaxIdleConnections) {
     Close(*connection);
     return;
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
+#include "celerykeel/node/tunnel.h"         // for ServeTunnel
 
 namespace celerykeel {
 
@@ -52,6 +53,7 @@
   PeerState& state = node.peer_states[heartbeat.instance()];
   state.deployment_version = heartbeat.deployment_version();
   state.store_reached = heartbeat.store_reached();
+  state.opens_tunnels = heartbeat.opens_tunnels();
   state.endpoints_read_at.reset();
   if (heartbeat.has_endpoints_age_ms()) {
     state.endpoints_read_at =
@@ -156,6 +158,10 @@
           DecideAsHome(node, frame.limited_call_wish());
       SendFrame(peer, answer);
       return;
+    case pb::NodeFrame::kTunnelOpen:
+      peer->is_tunnel = true;
+      Spawn(node.io, ServeTunnel(node, peer, frame.tunnel_open()));
+      return;
     case pb::NodeFrame::kStreamBegan:
       RecordStreamBegan(node, frame.stream_began());
       return;
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr size_t kLengthBytes = 4;
 constexpr uint32_t kMaxFrameBytes = 64 * 1024 * 1024;
 constexpr size_t kMaxQueuedBytes = 64UL * 1024 * 1024;
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
@@ -65,6 +64,16 @@
   peer->socket.close(ignored);
 }
 
+std::string EncodeFrame(const pb::NodeFrame& frame) {
+  std::array<unsigned char, kFrameLengthBytes> length{};
+  boost::endian::store_big_u32(length.data(),
+                               static_cast<uint32_t>(frame.ByteSizeLong()));
+  std::string bytes(reinterpret_cast<const char*>(length.data()),
+                    length.size());
+  frame.AppendToString(&bytes);
+  return bytes;
+}
+
 void SendFrame(const PeerSocketPtr& peer, const pb::NodeFrame& frame) {
   if (peer == nullptr || peer->closed) {
     return;
@@ -74,12 +83,7 @@
     ClosePeer(peer);
     return;
   }
-  const size_t size = frame.ByteSizeLong();
-  std::array<unsigned char, kLengthBytes> length{};
-  boost::endian::store_big_u32(length.data(), static_cast<uint32_t>(size));
-  peer->outgoing.append(reinterpret_cast<const char*>(length.data()),
-                        length.size());
-  frame.AppendToString(&peer->outgoing);
+  peer->outgoing += EncodeFrame(frame);
   if (!peer->is_writing) {
     asio::post(peer->socket.get_executor(), [peer] { StartWrite(peer); });
   }
@@ -94,36 +98,38 @@
   std::string bytes;
   std::array<char, 16384> piece{};
   size_t used = 0;
-  while (!peer->closed) {
+  while (!peer->closed && !peer->is_tunnel) {
     const size_t count =
         co_await peer->socket.async_read_some(asio::buffer(piece), Into(error));
     if (error) {
       break;
     }
     bytes.append(piece.data(), count);
-    while (bytes.size() - used >= kLengthBytes) {
+    while (bytes.size() - used >= kFrameLengthBytes) {
       const uint32_t size = boost::endian::load_big_u32(
           reinterpret_cast<const unsigned char*>(bytes.data() + used));
       if (size > kMaxFrameBytes) {
         ClosePeer(peer);
         co_return;
       }
-      if (bytes.size() - used < kLengthBytes + size) {
+      if (bytes.size() - used < kFrameLengthBytes + size) {
         break;
       }
       pb::NodeFrame frame;
-      if (!frame.ParseFromArray(bytes.data() + used + kLengthBytes,
+      if (!frame.ParseFromArray(bytes.data() + used + kFrameLengthBytes,
                                 static_cast<int>(size))) {
         ClosePeer(peer);
         co_return;
       }
-      used += kLengthBytes + size;
+      used += kFrameLengthBytes + size;
       on_frame(frame);
     }
     bytes.erase(0, used);
     used = 0;
   }
-  ClosePeer(peer);
+  if (!peer->is_tunnel) {
+    ClosePeer(peer);
+  }
 }
 
 void SendToAll(const PeerNetwork& network, const pb::NodeFrame& frame) {
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -5,6 +5,7 @@
 #include "celerykeel/node/asio.h"           // for Spawn
 #include "celerykeel/node/caller_server.h"  // for ServeCallers
 #include "celerykeel/node/endpoint_feed.h"  // for FollowEndpoints
+#include "celerykeel/node/endpoint_link.h"  // for ProbeEndpoints
 #include "celerykeel/node/feeds.h"          // for FollowDeployment
 #include "celerykeel/node/fleet.h"          // for RunFleet
 #include "celerykeel/node/peer_answer.h"    // for ServePeers
@@ -37,6 +38,7 @@
   Spawn(node.io, FollowDeployment(node));
   Spawn(node.io, FollowEndpoints(node));
   Spawn(node.io, FollowVersions(node));
+  Spawn(node.io, ProbeEndpoints(node));
   Spawn(node.io, RunMembership(node));
   Spawn(node.io, ProbeStore(node));
   Spawn(node.io, RunFleet(node));
--- /dev/null
+++ b/src/celerykeel/node/tunnel.cc
@@ -0,0 +1,244 @@
+#include "celerykeel/node/tunnel.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>  // for std::min
+#include <array>      // for std::array
+#include <set>        // for std::set
+#include <utility>    // for std::move
+#include <vector>     // for std::vector
+
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/endpoint_link.h"  // for ConnectDirectly
+#include "celerykeel/node/node.h"           // for Node
+
+namespace celerykeel {
+
+namespace {
+
+constexpr int kMaxPeersAsked = 2;
+// Covers the peer's connection to the endpoint and a round trip to the peer.
+constexpr Duration kOpenTimeout = kConnectTimeout + kConnectTimeout / 2;
+// The caller of a tunnel closes it at its deadline; the peer somewhat later.
+constexpr Duration kLifetimeMargin = std::chrono::seconds(1);
+// Two descriptors each; the smallest instance has 3,000.
+constexpr uint32_t kMaxTunnels = 500;
+constexpr size_t kPieceBytes = 16384;
+constexpr uint32_t kMaxAnswerBytes = 4096;
+
+uint32_t Millis(Duration duration) {
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::max(duration, Duration::zero()))
+          .count());
+}
+
+std::vector<TunnelPeer> TunnelPeers(const Node& node,
+                                    const std::set<std::string>& excluded) {
+  std::vector<TunnelPeer> peers;
+  for (const auto& [instance, state] : node.peer_states) {
+    const auto link = node.peers.links.find(instance);
+    const auto member = node.fleet.members.find(instance);
+    if (!state.opens_tunnels || excluded.contains(instance) ||
+        link == node.peers.links.end() || link->second->socket == nullptr ||
+        member == node.fleet.members.end()) {
+      continue;
+    }
+    const auto tunnels = node.tunnels.find(instance);
+    peers.push_back(
+        {.instance = instance,
+         .is_in_zone = member->second.zone == node.options.zone,
+         .tunnels = tunnels == node.tunnels.end() ? 0 : tunnels->second});
+  }
+  return peers;
+}
+
+// Reads the answer to a request for a tunnel.
+Task<std::optional<pb::TunnelOpened>> ReadOpened(OutConnectionPtr connection) {
+  std::array<unsigned char, kFrameLengthBytes> length{};
+  ErrorCode error;
+  co_await asio::async_read(connection->stream, asio::buffer(length),
+                            Into(error));
+  const uint32_t size = boost::endian::load_big_u32(length.data());
+  if (error || size > kMaxAnswerBytes) {
+    co_return std::nullopt;
+  }
+  std::string bytes(size, '\0');
+  co_await asio::async_read(connection->stream, asio::buffer(bytes),
+                            Into(error));
+  pb::NodeFrame frame;
+  if (error || !frame.ParseFromString(bytes) || !frame.has_tunnel_opened()) {
+    co_return std::nullopt;
+  }
+  co_return frame.tunnel_opened();
+}
+
+// @return the peer's verdict; nothing if the peer does not answer.
+Task<std::optional<pb::TunnelOpened>> AskPeer(OutConnectionPtr connection,
+                                              pb::TunnelOpen open) {
+  pb::NodeFrame frame;
+  *frame.mutable_tunnel_open() = std::move(open);
+  const std::string bytes = EncodeFrame(frame);
+  connection->stream.expires_after(ToSteadyDuration(kOpenTimeout));
+  ErrorCode error;
+  co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                             Into(error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  co_return co_await ReadOpened(connection);
+}
+
+// The peer's end of a tunnel.
+struct RelayedTunnel {
+  RelayedTunnel(Node& node, PeerSocketPtr from, OutConnectionPtr to)
+      : use(node.tunnels_for_peers),
+        peer(std::move(from)),
+        endpoint(std::move(to)),
+        limit(node.io) {}
+
+  TunnelUse use;
+  PeerSocketPtr peer;
+  OutConnectionPtr endpoint;
+  asio::steady_timer limit;
+};
+using RelayedTunnelPtr = std::shared_ptr<RelayedTunnel>;
+
+enum class Direction { kToEndpoint, kToPeer };
+
+// @return the error of either side that ended it.
+Task<ErrorCode> Copy(RelayedTunnelPtr tunnel, Direction direction) {
+  Tcp::socket& endpoint = tunnel->endpoint->stream.socket();
+  Tcp::socket& peer = tunnel->peer->socket;
+  Tcp::socket& from = direction == Direction::kToEndpoint ? peer : endpoint;
+  Tcp::socket& to = direction == Direction::kToEndpoint ? endpoint : peer;
+  std::array<char, kPieceBytes> piece{};
+  ErrorCode error;
+  while (!error) {
+    const size_t count =
+        co_await from.async_read_some(asio::buffer(piece), Into(error));
+    if (!error) {
+      co_await asio::async_write(to, asio::buffer(piece.data(), count),
+                                 Into(error));
+    }
+  }
+  co_return error;
+}
+
+void CloseTunnel(RelayedTunnel& tunnel) {
+  tunnel.limit.cancel();
+  Close(*tunnel.endpoint);
+  ClosePeer(tunnel.peer);
+}
+
+// The other instance closes its end when it needs no more bytes: after the
+// complete answer, or when its caller is gone.
+Task<> CopyToEndpoint(RelayedTunnelPtr tunnel) {
+  co_await Copy(tunnel, Direction::kToEndpoint);
+  CloseTunnel(*tunnel);
+}
+
+// An answer may have no length and end with its connection. So a connection
+// that the endpoint reset must not look like one that it closed.
+Task<> CopyToPeer(RelayedTunnelPtr tunnel) {
+  const ErrorCode end = co_await Copy(tunnel, Direction::kToPeer);
+  ErrorCode ignored;  // the connection ends in any case
+  if (end == asio::error::eof) {
+    tunnel->peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    co_return;
+  }
+  tunnel->peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  CloseTunnel(*tunnel);
+}
+
+}  // namespace
+
+Task<Tunnel> OpenTunnel(Node& node,
+                        EndpointEntry endpoint,
+                        Duration max_idle,
+                        Duration time_left) {
+  const Duration until = Now() + time_left;
+  std::set<std::string> asked;
+  Tunnel tunnel;
+  while (asked.size() < kMaxPeersAsked && Now() < until) {
+    const std::vector<TunnelPeer> peers = TunnelPeers(node, asked);
+    const TunnelPeer* chosen = ChooseTunnelPeer(
+        peers, endpoint.id + std::to_string(node.tunnel_pool.opened));
+    if (chosen == nullptr) {
+      break;
+    }
+    tunnel.peer = chosen->instance;
+    asked.insert(tunnel.peer);
+    const std::string address = node.fleet.members.at(tunnel.peer).address;
+    OutConnectionPtr connection =
+        co_await Connect(node.io, node.tunnel_pool, address, Duration::zero(),
+                         std::min(kConnectTimeout, until - Now()));
+    if (connection == nullptr) {
+      continue;
+    }
+    pb::TunnelOpen open;
+    open.set_endpoint(endpoint.id);
+    open.set_connect_timeout_ms(Millis(kConnectTimeout));
+    open.set_max_idle_ms(Millis(max_idle));
+    open.set_lifetime_ms(Millis(until - Now() + kLifetimeMargin));
+    const auto opened = co_await AskPeer(connection, std::move(open));
+    if (opened && opened->verdict() == pb::TunnelOpened::OPENED) {
+      connection->stream.expires_never();
+      connection->tunnel =
+          std::make_shared<TunnelUse>(node.tunnels[tunnel.peer]);
+      tunnel.connection = std::move(connection);
+      co_return tunnel;
+    }
+    Close(*connection);
+    if (opened && opened->verdict() == pb::TunnelOpened::ENDPOINT_FAILED) {
+      tunnel.endpoint_failed = true;
+      break;
+    }
+  }
+  co_return tunnel;
+}
+
+Task<> ServeTunnel(Node& node, PeerSocketPtr peer, pb::TunnelOpen open) {
+  pb::NodeFrame frame;
+  pb::TunnelOpened& opened = *frame.mutable_tunnel_opened();
+  opened.set_verdict(pb::TunnelOpened::REFUSED);
+  OutConnectionPtr connection;
+  // Only to endpoints of the own table: an instance is no open proxy.
+  const auto found = node.endpoints.endpoints.find(open.endpoint());
+  if (found != node.endpoints.endpoints.end() &&
+      !node.endpoint_path.is_cut_off && node.tunnels_for_peers < kMaxTunnels) {
+    connection = co_await ConnectDirectly(
+        node, found->second.entry,
+        std::chrono::milliseconds(open.max_idle_ms()),
+        std::chrono::milliseconds(open.connect_timeout_ms()));
+    opened.set_verdict(connection != nullptr ? pb::TunnelOpened::OPENED
+                       : node.endpoint_path.is_cut_off
+                           ? pb::TunnelOpened::REFUSED
+                           : pb::TunnelOpened::ENDPOINT_FAILED);
+  }
+  const std::string bytes = EncodeFrame(frame);
+  ErrorCode error;
+  co_await asio::async_write(peer->socket, asio::buffer(bytes), Into(error));
+  if (connection == nullptr || error) {
+    if (connection != nullptr) {
+      Close(*connection);
+    }
+    ClosePeer(peer);
+    co_return;
+  }
+  connection->stream.expires_never();
+  const auto tunnel =
+      std::make_shared<RelayedTunnel>(node, peer, std::move(connection));
+  tunnel->limit.expires_after(std::chrono::milliseconds(open.lifetime_ms()));
+  tunnel->limit.async_wait([tunnel](const ErrorCode& cancelled) {
+    if (!cancelled) {
+      CloseTunnel(*tunnel);
+    }
+  });
+  Spawn(node.io, CopyToEndpoint(tunnel));
+  Spawn(node.io, CopyToPeer(tunnel));
+}
+
+}  // namespace celerykeel
