--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -4,6 +4,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/buffered_bytes.h"   // for BufferedBytes
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseForCall
 #include "celerykeel/node/endpoint_feed.h"    // for HandleDeparture
 #include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
@@ -26,10 +27,6 @@
 // endpoint could close a longer idle one just when the call is sent.
 constexpr Duration kMaxIdleUnlessIdempotent = std::chrono::milliseconds(300);
 constexpr Duration kMaxIdleIfIdempotent = std::chrono::seconds(60);
-constexpr size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
-// Limit for all complete answers being read at the same time: a quarter of the
-// memory of the smallest known instance, 88 MB.
-constexpr size_t kMaxBufferedBytes = 22UL * 1024 * 1024;
 // Answers to earlier requests that are skipped before the call's own answer.
 constexpr int kMaxStaleAnswers = 2;
 // Limits the attempts of a call, including those that the endpoint did not run.
@@ -60,27 +57,6 @@
           .resume_after = call.last_event};
 }
 
-// Counts the bytes of an answer that is being read, and includes them in the
-// total of all such answers during the lifetime of this object.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(size_t& total_bytes) : total(total_bytes) {}
-  ~BufferedBytes() { this->total -= this->own; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  // @return false if a limit is exceeded.
-  bool Add(size_t bytes) {
-    this->own += bytes;
-    this->total += bytes;
-    return this->own <= kMaxAnswerBytes && this->total <= kMaxBufferedBytes;
-  }
-
- private:
-  size_t& total;
-  size_t own = 0;
-};
-
 // Reads a complete body. Fails if it is too long, or if all bodies that are
 // being read take too much memory.
 Task<tl::expected<std::string, ExchangeError>> ReadCompleteBody(
--- a/src/celerykeel/node/endpoint_link_unittest.cc
+++ b/src/celerykeel/node/endpoint_link_unittest.cc
@@ -1,9 +1,13 @@
 #include <doctest/doctest.h>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <future>  // for std::async
 #include <thread>  // for std::this_thread::sleep_for
 
 #include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, ToolHeaders
+#include "celerykeel/node/peer_link.h"       // for EncodeFrame
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
 
 namespace celerykeel::testing {
@@ -77,6 +81,29 @@
   }
 }
 
+// Guards against an instance that opens connections to any address.
+TEST_CASE("a tunnel leads only to an endpoint") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  for (const char* endpoint : {"", "127.0.0.1:22", "unknown"}) {
+    pb::NodeFrame open;
+    open.mutable_tunnel_open()->set_endpoint(endpoint);
+    asio::io_context loop;
+    Tcp::socket socket(loop);
+    ErrorCode error;
+    socket.connect(fleet.PeerAddress(0), error);
+    REQUIRE_FALSE(error);
+    asio::write(socket, asio::buffer(EncodeFrame(open)), error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    CHECK(error == asio::error::eof);
+    pb::NodeFrame frame;
+    REQUIRE(answer.size() > kFrameLengthBytes);
+    CHECK(frame.ParseFromString(answer.substr(kFrameLengthBytes)));
+    CHECK(frame.tunnel_opened().verdict() == pb::TunnelOpened::REFUSED);
+  }
+}
+
 // Guards against streams that end early, or look complete, because the
 // instance in between stops or dies.
 TEST_CASE("a stream over another instance when that instance goes") {
--- a/src/celerykeel/node/stream_versions_unittest.cc
+++ b/src/celerykeel/node/stream_versions_unittest.cc
@@ -32,7 +32,7 @@
                     size_t endpoint,
                     const std::string& prefix) {
   for (int i = 0; i < 200; ++i) {
-    const std::string id = prefix + std::to_string(i);
+    std::string id = prefix + std::to_string(i);
     fleet.Send(0, "POST", "/stream/plain/x", TurnHeaders(id, id, "", 9999), "");
     const std::lock_guard lock(fleet.endpoints[endpoint].mutex);
     if (const auto& headers = fleet.endpoints[endpoint].headers;
@@ -115,6 +115,7 @@
     endpoint.pause_ms = 700;
   }
   std::vector<std::future<CallerAnswer>> answers;
+  answers.reserve(6);
   for (int i = 0; i < 6; ++i) {
     answers.push_back(std::async(std::launch::async, [&fleet, i] {
       const std::string id = "a" + std::to_string(i);
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -10,23 +10,16 @@
 #include "celerykeel/node/store_client.h"   // for AwaitStore
 #include "celerykeel/node/stream_takeup.h"  // for FindOriginOfTakeUp
 #include "celerykeel/node/turn_holder.h"    // for RequestTurnPermit
+#include "celerykeel/node/turn_refusal.h"   // for RefusalOfVerdict
 
 namespace celerykeel {
 
 namespace {
 
-constexpr int kPaymentRequired = 402;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 // A slot gets a new holder within about this time after its holder failed.
 constexpr Duration kHolderTimeout = std::chrono::milliseconds(1200);
-constexpr Duration kHolderRetry = std::chrono::milliseconds(500);
-// Callers retry after at most a third of the time that they have. A later retry
-// lets their program outlast a longer outage.
-constexpr int kRetryDivisor = 3;
-constexpr Duration kRetryMargin = std::chrono::milliseconds(40);
 // Outages last seconds, and a program ends with its third refusal.
 constexpr int kStoreWaitDivisor = 3;  // of the time left, before a refusal
 // Part of the time left that is reserved for sending the end of the answer.
@@ -43,31 +36,6 @@
   std::string version;  // of the endpoint's software
 };
 
-CallRefusal StoreUnavailable(const Call& call) {
-  return {
-      kUnavailable, "not run: the store is away",
-      std::max(TimeLeft(call) / kRetryDivisor - kRetryMargin, kHolderRetry)};
-}
-
-std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
-  switch (verdict) {
-    case pb::TurnGrant::GRANTED:
-      return std::nullopt;
-    case pb::TurnGrant::BUDGET_SPENT:
-      return CallRefusal{kPaymentRequired, "not run: the budget is spent", {}};
-    case pb::TurnGrant::NO_SUCH_TURN:
-      return CallRefusal{kNotFound, "not run: no such turn", {}};
-    case pb::TurnGrant::BUDGET_HELD:
-      return CallRefusal{kUnavailable,
-                         "not run: turns under way may need the rest of the "
-                         "budget",
-                         kHolderRetry};
-    default:
-      return CallRefusal{kUnavailable, "not run: the program has no holder now",
-                         kHolderRetry};
-  }
-}
-
 bool NeedsHolder(const Call& call) {
   return call.route->retained ||
          call.request.header_values.token_budget.has_value() || IsTakeUp(call);
--- /dev/null
+++ b/src/celerykeel/node/turn_refusal.cc
@@ -0,0 +1,45 @@
+#include "celerykeel/node/turn_refusal.h"
+
+#include <algorithm>  // for std::max
+
+namespace celerykeel {
+
+namespace {
+
+constexpr int kPaymentRequired = 402;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr Duration kHolderRetry = std::chrono::milliseconds(500);
+// Callers retry after at most a third of the time that they have. A later retry
+// lets their program outlast a longer outage.
+constexpr int kRetryDivisor = 3;
+constexpr Duration kRetryMargin = std::chrono::milliseconds(40);
+
+}  // namespace
+
+CallRefusal StoreUnavailable(const Call& call) {
+  return {
+      kUnavailable, "not run: the store is away",
+      std::max(TimeLeft(call) / kRetryDivisor - kRetryMargin, kHolderRetry)};
+}
+
+std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
+  switch (verdict) {
+    case pb::TurnGrant::GRANTED:
+      return std::nullopt;
+    case pb::TurnGrant::BUDGET_SPENT:
+      return CallRefusal{kPaymentRequired, "not run: the budget is spent", {}};
+    case pb::TurnGrant::NO_SUCH_TURN:
+      return CallRefusal{kNotFound, "not run: no such turn", {}};
+    case pb::TurnGrant::BUDGET_HELD:
+      return CallRefusal{kUnavailable,
+                         "not run: turns under way may need the rest of the "
+                         "budget",
+                         kHolderRetry};
+    default:
+      return CallRefusal{kUnavailable, "not run: the program has no holder now",
+                         kHolderRetry};
+  }
+}
+
+}  // namespace celerykeel
