node: version news are built in one place, and frames queued without a copy

ServiceVersionNews was filled field by field twice. SendFrame encoded each frame into a string of its own since tunnels came, and appended that: one copy more for every frame between instances. Both use one function now.

--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -19,6 +19,14 @@
 // unacknowledged for this long.
 constexpr unsigned kTcpUserTimeoutMillis = 1500;
 
+void AppendFrame(std::string& bytes, const pb::NodeFrame& frame) {
+  std::array<unsigned char, kFrameLengthBytes> length{};
+  boost::endian::store_big_u32(length.data(),
+                               static_cast<uint32_t>(frame.ByteSizeLong()));
+  bytes.append(reinterpret_cast<const char*>(length.data()), length.size());
+  frame.AppendToString(&bytes);
+}
+
 void StartWrite(const PeerSocketPtr& peer) {
   if (peer->is_writing || peer->outgoing.empty() || peer->closed) {
     return;
@@ -65,12 +73,8 @@
 }
 
 std::string EncodeFrame(const pb::NodeFrame& frame) {
-  std::array<unsigned char, kFrameLengthBytes> length{};
-  boost::endian::store_big_u32(length.data(),
-                               static_cast<uint32_t>(frame.ByteSizeLong()));
-  std::string bytes(reinterpret_cast<const char*>(length.data()),
-                    length.size());
-  frame.AppendToString(&bytes);
+  std::string bytes;
+  AppendFrame(bytes, frame);
   return bytes;
 }
 
@@ -83,7 +87,7 @@
     ClosePeer(peer);
     return;
   }
-  peer->outgoing += EncodeFrame(frame);
+  AppendFrame(peer->outgoing, frame);
   if (!peer->is_writing) {
     asio::post(peer->socket.get_executor(), [peer] { StartWrite(peer); });
   }
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -111,16 +111,15 @@
   return listed;
 }
 
-void SendToPeers(Node& node,
-                 const ServiceVersion& version,
-                 const VersionRecord& record) {
-  pb::NodeFrame frame;
-  pb::ServiceVersionNews& news = *frame.mutable_endpoint_news()->add_versions();
-  news.set_service(version.first);
-  news.set_version(version.second);
+pb::ServiceVersionNews ToNews(const std::string& service,
+                              const std::string& version,
+                              const VersionRecord& record) {
+  pb::ServiceVersionNews news;
+  news.set_service(service);
+  news.set_version(version);
   news.set_in_use(record.in_use);
   news.set_offset(record.offset);
-  SendToAll(node.peers, frame);
+  return news;
 }
 
 // The next review repeats a failed write.
@@ -137,7 +136,10 @@
   }
   const VersionRecord record{.in_use = in_use, .offset = done->offset};
   Apply(node, version, record, "this instance");
-  SendToPeers(node, version, record);
+  pb::NodeFrame frame;
+  *frame.mutable_endpoint_news()->add_versions() =
+      ToNews(version.first, version.second, record);
+  SendToAll(node.peers, frame);
 }
 
 // Returns the versions that this instance must record now.
@@ -233,11 +235,7 @@
 void AddKnownVersions(const Node& node, pb::EndpointNews& news) {
   for (const auto& [service, records] : node.version_feed.versions.records) {
     for (const auto& [version, record] : records) {
-      pb::ServiceVersionNews& added = *news.add_versions();
-      added.set_service(service);
-      added.set_version(version);
-      added.set_in_use(record.in_use);
-      added.set_offset(record.offset);
+      *news.add_versions() = ToNews(service, version, record);
     }
   }
 }
