node: one result for both ways to connect to an endpoint; a flat probe loop

OpenTunnel's result had the fields of ConnectToEndpoint's, copied one by one. The loop of probes was nested in a second one.

--- a/include/celerykeel/node/endpoint_link.h
+++ b/include/celerykeel/node/endpoint_link.h
@@ -11,7 +11,7 @@
 
 struct EndpointConnect {
   OutConnectionPtr connection;   // null: the call was not sent
-  std::string peer;              // that relays the bytes; empty: none
+  std::string peer;              // asked to relay the bytes; empty: none
   bool endpoint_failed = false;  // not this instance's way to it
 };
 
--- a/src/celerykeel/node/endpoint_link.cc
+++ b/src/celerykeel/node/endpoint_link.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>  // for std::min
 #include <optional>   // for std::optional
-#include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"   // for Now
 #include "celerykeel/node/fleet.h"   // for AnnounceSoon
@@ -88,12 +87,8 @@
       co_return done;
     }
   }
-  Tunnel tunnel = co_await OpenTunnel(node, endpoint, max_idle, until - Now());
-  done.endpoint_failed = tunnel.endpoint_failed;
-  if (tunnel.connection != nullptr) {
-    done.connection = std::move(tunnel.connection);
-    done.peer = std::move(tunnel.peer);
-  } else if (was_cut_off && tunnel.peer.empty()) {
+  done = co_await OpenTunnel(node, endpoint, max_idle, until - Now());
+  if (was_cut_off && done.peer.empty()) {
     done.connection =
         co_await ConnectDirectly(node, endpoint, max_idle, until - Now());
     done.endpoint_failed = done.connection == nullptr;
@@ -103,21 +98,23 @@
 
 Task<> ProbeEndpoints(Node& node) {
   std::string last;
+  bool is_reached = false;
   while (true) {
-    co_await Sleep(node.io, kProbeInterval);
-    bool is_reached = node.endpoint_path.is_cut_off;
-    while (is_reached && node.endpoint_path.is_cut_off) {
-      const auto endpoint = NextEndpoint(node, last);
-      if (!endpoint) {
-        break;
-      }
-      last = endpoint->id;
-      const OutConnectionPtr connection = co_await ConnectDirectly(
-          node, *endpoint, Duration::zero(), kConnectTimeout);
-      is_reached = connection != nullptr;
-      if (is_reached) {
-        Close(*connection);
-      }
+    if (!is_reached) {
+      co_await Sleep(node.io, kProbeInterval);
+    }
+    const auto endpoint =
+        node.endpoint_path.is_cut_off ? NextEndpoint(node, last) : std::nullopt;
+    is_reached = false;
+    if (!endpoint) {
+      continue;
+    }
+    last = endpoint->id;
+    const OutConnectionPtr connection = co_await ConnectDirectly(
+        node, *endpoint, Duration::zero(), kConnectTimeout);
+    if (connection != nullptr) {
+      is_reached = true;  // the next endpoint is tried at once
+      Close(*connection);
     }
   }
 }
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -155,13 +155,13 @@
 
 }  // namespace
 
-Task<Tunnel> OpenTunnel(Node& node,
-                        EndpointEntry endpoint,
-                        Duration max_idle,
-                        Duration time_left) {
+Task<EndpointConnect> OpenTunnel(Node& node,
+                                 EndpointEntry endpoint,
+                                 Duration max_idle,
+                                 Duration time_left) {
   const Duration until = Now() + time_left;
   std::set<std::string> asked;
-  Tunnel tunnel;
+  EndpointConnect tunnel;
   while (asked.size() < kMaxPeersAsked && Now() < until) {
     const std::vector<TunnelPeer> peers = TunnelPeers(node, asked);
     const TunnelPeer* chosen = ChooseTunnelPeer(
