node, core: attempts log which requests are equal, and why there was no answer

An attempt line now has a hash of method, path and body, and tells a closed connection from silence, and a refused connection from one that timed out.

--- /dev/null
+++ b/include/celerykeel/core/request_identity.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>      // for operator<=>
+#include <cstdint>      // for uint64_t
+#include <string>       // for std::string
+#include <string_view>  // for std::string_view
+
+namespace celerykeel {
+
+/// @brief Identifies equal requests of one team: those with the same method,
+/// path with query, and body. The hash is not cryptographic, so only the team
+/// itself could produce requests with a colliding identity.
+struct RequestIdentity {
+  std::string team;
+  uint64_t hash_high = 0;
+  uint64_t hash_low = 0;
+
+  friend auto operator<=>(const RequestIdentity&,
+                          const RequestIdentity&) = default;
+};
+
+/// @param target path with query.
+RequestIdentity IdentityOf(std::string_view team,
+                           std::string_view method,
+                           std::string_view target,
+                           std::string_view body);
+
+/// @brief Returns the hash as 32 hexadecimal digits.
+std::string HashText(const RequestIdentity& identity);
+
+}  // namespace celerykeel
--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -5,13 +5,14 @@
 #include <set>       // for std::set
 #include <string>    // for std::string
 
-#include "celerykeel/core/call_request.h"    // for CallRequest
-#include "celerykeel/core/deployment.h"      // for Deployment, CallRoute
-#include "celerykeel/core/stream_origin.h"   // for StreamOrigin
-#include "celerykeel/node/asio.h"            // for Task
-#include "celerykeel/node/caller_stream.h"   // for CallerStreamPtr
-#include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
-#include "celerykeel/node/rates.h"           // for RatePermit
+#include "celerykeel/core/call_request.h"      // for CallRequest
+#include "celerykeel/core/deployment.h"        // for Deployment, CallRoute
+#include "celerykeel/core/request_identity.h"  // for RequestIdentity
+#include "celerykeel/core/stream_origin.h"     // for StreamOrigin
+#include "celerykeel/node/asio.h"              // for Task
+#include "celerykeel/node/caller_stream.h"     // for CallerStreamPtr
+#include "celerykeel/node/out_connection.h"    // for OutConnectionPtr
+#include "celerykeel/node/rates.h"             // for RatePermit
 
 namespace celerykeel {
 
@@ -20,6 +21,7 @@
 /// @brief A caller's request while this instance serves it.
 struct Call {
   CallRequest request;
+  RequestIdentity identity;  // set once the team is known
   CallerStreamPtr caller;
   std::shared_ptr<const Deployment> deployment;  // in force at its arrival
   const CallRoute* route = nullptr;
--- a/include/celerykeel/node/endpoint_link.h
+++ b/include/celerykeel/node/endpoint_link.h
@@ -13,6 +13,7 @@
   OutConnectionPtr connection;   // null: the call was not sent
   std::string peer;              // asked to relay the bytes; empty: none
   bool endpoint_failed = false;  // not this instance's way to it
+  bool refused = false;          // nothing listens at its address
 };
 
 /// @brief Connects to an endpoint, or takes a connection that was idle for less
@@ -26,11 +27,11 @@
 
 /// @brief Connects to an endpoint without a peer, within `timeout` and
 /// kConnectTimeout, and records whether it was reached.
-/// @return null if the endpoint can't be connected to.
-Task<OutConnectionPtr> ConnectDirectly(Node& node,
-                                       EndpointEntry endpoint,
-                                       Duration max_idle,
-                                       Duration timeout);
+Task<tl::expected<OutConnectionPtr, ConnectError>> ConnectDirectly(
+    Node& node,
+    EndpointEntry endpoint,
+    Duration max_idle,
+    Duration timeout);
 
 /// @brief While this instance is cut off, connects to one endpoint after the
 /// other to detect the end of it.
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -92,14 +92,20 @@
   kAbandoned,     // ended by AbortExchangesBefore
 };
 
+enum class ConnectError {
+  kRefused,  // nothing listens at the address
+  kFailed,   // timed out, or the network failed
+  kInvalidAddress,
+};
+
 /// @brief Returns a connection that was idle for less than `max_idle`, or
 /// opens one within `timeout`.
-/// @return null if the address is invalid or can't be connected to.
-Task<OutConnectionPtr> Connect(asio::io_context& loop,
-                               OutPool& pool,
-                               const std::string& address,
-                               Duration max_idle,
-                               Duration timeout);
+Task<tl::expected<OutConnectionPtr, ConnectError>> Connect(
+    asio::io_context& loop,
+    OutPool& pool,
+    const std::string& address,
+    Duration max_idle,
+    Duration timeout);
 
 /// @brief Returns a connection to the pool after its answer was read
 /// completely. Closes it if bytes are left over, if the peer will close it, if
--- /dev/null
+++ b/src/celerykeel/core/request_identity_unittest.cc
@@ -0,0 +1,26 @@
+#include "celerykeel/core/request_identity.h"
+
+#include <doctest/doctest.h>
+
+namespace celerykeel {
+namespace {
+
+TEST_CASE("equal requests of a team have one identity") {
+  const RequestIdentity identity = IdentityOf("orchard", "POST", "/a", "body");
+  CHECK(identity == IdentityOf("orchard", "POST", "/a", "body"));
+  CHECK(identity != IdentityOf("small", "POST", "/a", "body"));
+  CHECK(identity != IdentityOf("orchard", "GET", "/a", "body"));
+  CHECK(identity != IdentityOf("orchard", "POST", "/ab", "ody"));
+  CHECK(identity != IdentityOf("orchard", "POST", "/a", "other"));
+  CHECK(HashText(identity).size() == 32);
+  CHECK(HashText(identity) == HashText(IdentityOf("x", "POST", "/a", "body")));
+}
+
+// Instances of two builds must agree on the identity of a request.
+TEST_CASE("the identity of a request does not change between builds") {
+  CHECK(HashText(IdentityOf("orchard", "POST", "/a/b?c", "body")) ==
+        "a4db6e8d5bff96e82b5e05a8f04de13c");
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -114,6 +114,17 @@
   co_return tl::unexpected(ExchangeError::kMalformed);
 }
 
+std::string_view OutcomeOf(ExchangeError error) {
+  switch (error) {
+    case ExchangeError::kClosed:
+      return "connection closed";
+    case ExchangeError::kMalformed:
+      return "malformed answer";
+    default:
+      return "no answer";
+  }
+}
+
 void LogAttempt(Node& node,
                 const Call& call,
                 const Attempt& attempt,
@@ -123,6 +134,7 @@
            {{"id", call.request.header_values.id},
             {"team", call.team == nullptr ? "" : call.team->name},
             {"program", call.request.header_values.program},
+            {"request", HashText(call.identity)},
             {"endpoint", attempt.endpoint},
             {"version", attempt.version},
             {"try", call.tries},
@@ -209,7 +221,8 @@
       RecordFailure(node.endpoints, endpoint.id, Now());
     }
     attempt.end = AttemptEndOfError(*call, ExchangeError::kNotConnected);
-    LogAttempt(node, *call, attempt, "not connected");
+    LogAttempt(node, *call, attempt,
+               connected.refused ? "connection refused" : "not connected");
     co_return attempt;
   }
   if (call->caller->disconnected || TimeLeft(*call) <= kMinTimeLeft) {
@@ -256,7 +269,7 @@
     if (attempt.end == AttemptEnd::kMayHaveRun) {
       RecordFailure(node.endpoints, endpoint.id, Now());
     }
-    LogAttempt(node, *call, attempt, "no answer");
+    LogAttempt(node, *call, attempt, OutcomeOf(head.error()));
     co_return attempt;
   }
   attempt.head = std::move(*head);
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -101,6 +101,9 @@
     co_await Refuse(node, call, *refusal);
     co_return;
   }
+  call->identity = IdentityOf(call->team == nullptr ? "" : call->team->name,
+                              call->request.method, call->request.target,
+                              call->request.body);
   call->deadline =
       call->arrived_at +
       std::min(
--- a/src/celerykeel/node/endpoint_link.cc
+++ b/src/celerykeel/node/endpoint_link.cc
@@ -37,6 +37,18 @@
   }
 }
 
+EndpointConnect ToEndpointConnect(
+    const tl::expected<OutConnectionPtr, ConnectError>& connected) {
+  EndpointConnect done;
+  if (connected) {
+    done.connection = *connected;
+  } else {
+    done.endpoint_failed = true;
+    done.refused = connected.error() == ConnectError::kRefused;
+  }
+  return done;
+}
+
 // Returns the endpoint after `last` in the table, the first one after the last.
 std::optional<EndpointEntry> NextEndpoint(const Node& node,
                                           const std::string& last) {
@@ -51,22 +63,23 @@
 
 }  // namespace
 
-Task<OutConnectionPtr> ConnectDirectly(Node& node,
-                                       EndpointEntry endpoint,
-                                       Duration max_idle,
-                                       Duration timeout) {
+Task<tl::expected<OutConnectionPtr, ConnectError>> ConnectDirectly(
+    Node& node,
+    EndpointEntry endpoint,
+    Duration max_idle,
+    Duration timeout) {
   const Duration began = Now();
-  OutConnectionPtr connection =
+  const auto connected =
       co_await Connect(node.io, node.endpoint_pool, endpoint.address, max_idle,
                        std::min(kConnectTimeout, timeout));
   // A call with little time left says nothing about the way to the endpoint.
   const bool had_time = timeout >= kConnectTimeout || Now() < began + timeout;
-  if (connection == nullptr && had_time) {
+  if (!connected && had_time) {
     RecordFailedConnect(node, endpoint);
-  } else if (connection != nullptr && !connection->was_idle) {
+  } else if (connected && !(*connected)->was_idle) {
     RecordNewConnection(node, endpoint);
   }
-  co_return connection;
+  co_return connected;
 }
 
 // Without a peer that reaches the endpoints, the endpoints may have failed and
@@ -79,19 +92,18 @@
   const bool was_cut_off = node.endpoint_path.is_cut_off;
   EndpointConnect done;
   if (!was_cut_off) {
-    done.connection =
+    const auto connected =
         co_await ConnectDirectly(node, endpoint, max_idle, time_left);
-    done.endpoint_failed =
-        done.connection == nullptr && !node.endpoint_path.is_cut_off;
-    if (done.connection != nullptr || done.endpoint_failed) {
+    done = ToEndpointConnect(connected);
+    done.endpoint_failed = !connected && !node.endpoint_path.is_cut_off;
+    if (connected || done.endpoint_failed) {
       co_return done;
     }
   }
   done = co_await OpenTunnel(node, endpoint, max_idle, until - Now());
   if (was_cut_off && done.peer.empty()) {
-    done.connection =
-        co_await ConnectDirectly(node, endpoint, max_idle, until - Now());
-    done.endpoint_failed = done.connection == nullptr;
+    done = ToEndpointConnect(
+        co_await ConnectDirectly(node, endpoint, max_idle, until - Now()));
   }
   co_return done;
 }
@@ -110,11 +122,11 @@
       continue;
     }
     last = endpoint->id;
-    const OutConnectionPtr connection = co_await ConnectDirectly(
+    const auto connected = co_await ConnectDirectly(
         node, *endpoint, Duration::zero(), kConnectTimeout);
-    if (connection != nullptr) {
+    if (connected) {
       is_reached = true;  // the next endpoint is tried at once
-      Close(*connection);
+      Close(**connected);
     }
   }
 }
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -78,11 +78,12 @@
   connection.stream.socket().close(ignored);
 }
 
-Task<OutConnectionPtr> Connect(asio::io_context& loop,
-                               OutPool& pool,
-                               const std::string& address,
-                               Duration max_idle,
-                               Duration timeout) {
+Task<tl::expected<OutConnectionPtr, ConnectError>> Connect(
+    asio::io_context& loop,
+    OutPool& pool,
+    const std::string& address,
+    Duration max_idle,
+    Duration timeout) {
   if (OutConnectionPtr idle = TakeIdle(pool, address, max_idle)) {
     co_return idle;
   }
@@ -90,15 +91,22 @@
   if (pool.fault == ConnectFault::kSilent) {
     co_await Sleep(loop, timeout);
   }
-  if (!endpoint || pool.fault != ConnectFault::kNone) {
-    co_return nullptr;
+  if (!endpoint) {
+    co_return tl::unexpected(ConnectError::kInvalidAddress);
+  }
+  if (pool.fault != ConnectFault::kNone) {
+    co_return tl::unexpected(pool.fault == ConnectFault::kRefused
+                                 ? ConnectError::kRefused
+                                 : ConnectError::kFailed);
   }
   auto connection = std::make_shared<OutConnection>(loop);
   connection->stream.expires_after(ToSteadyDuration(timeout));
   ErrorCode error;
   co_await connection->stream.async_connect(*endpoint, Into(error));
   if (error) {
-    co_return nullptr;
+    co_return tl::unexpected(error == asio::error::connection_refused
+                                 ? ConnectError::kRefused
+                                 : ConnectError::kFailed);
   }
   ++pool.opened;
   ErrorCode ignored;  // the connection works without these options
@@ -215,11 +223,12 @@
     OutRequest request,
     Duration timeout) {
   const auto until = Until(timeout);
-  auto connection =
+  const auto connected =
       co_await Connect(loop, pool, address, Duration::max(), timeout);
-  if (connection == nullptr) {
+  if (!connected) {
     co_return tl::unexpected(ExchangeError::kNotConnected);
   }
+  const OutConnectionPtr& connection = *connected;
   connection->sent_at = Now();
   pool.busy.insert(connection);
   auto answer = co_await ExchangeOver(connection, request, timeout, until);
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -172,12 +172,13 @@
     tunnel.peer = chosen->instance;
     asked.insert(tunnel.peer);
     const std::string address = node.fleet.members.at(tunnel.peer).address;
-    OutConnectionPtr connection =
+    const auto connected =
         co_await Connect(node.io, node.tunnel_pool, address, Duration::zero(),
                          std::min(kConnectTimeout, until - Now()));
-    if (connection == nullptr) {
+    if (!connected) {
       continue;
     }
+    const OutConnectionPtr& connection = *connected;
     pb::TunnelOpen open;
     open.set_endpoint(endpoint.id);
     open.set_connect_timeout_ms(Millis(kConnectTimeout));
@@ -188,7 +189,7 @@
       connection->stream.expires_never();
       connection->tunnel =
           std::make_shared<TunnelUse>(node.tunnels[tunnel.peer]);
-      tunnel.connection = std::move(connection);
+      tunnel.connection = connection;
       co_return tunnel;
     }
     Close(*connection);
@@ -209,10 +210,11 @@
   const auto found = node.endpoints.endpoints.find(open.endpoint());
   if (found != node.endpoints.endpoints.end() &&
       !node.endpoint_path.is_cut_off && node.tunnels_for_peers < kMaxTunnels) {
-    connection = co_await ConnectDirectly(
+    const auto connected = co_await ConnectDirectly(
         node, found->second.entry,
         std::chrono::milliseconds(open.max_idle_ms()),
         std::chrono::milliseconds(open.connect_timeout_ms()));
+    connection = connected.value_or(nullptr);
     opened.set_verdict(connection != nullptr ? pb::TunnelOpened::OPENED
                        : node.endpoint_path.is_cut_off
                            ? pb::TunnelOpened::REFUSED
