node: failing test: a request crashes each endpoint that runs it

The stand-in of an endpoint can crash: all its sockets close, it refuses connections for a while and starts again.

--- /dev/null
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -0,0 +1,92 @@
+#include <doctest/doctest.h>
+
+#include <chrono>  // for std::chrono::milliseconds
+#include <future>  // for std::async
+#include <thread>  // for std::this_thread::sleep_for
+#include <vector>  // for std::vector
+
+#include "celerykeel/node/calls_unittest.h"  // for ToolHeaders, TurnHeaders
+#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+// The users allow the three crashes and three retries.
+constexpr int kMostCrashes = 6;
+
+int CrashesOf(NodeFleet& fleet) {
+  return fleet.endpoints[0].crashes + fleet.endpoints[1].crashes;
+}
+
+void SetDeadly(NodeFleet& fleet) {
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.deadly_body = "deadly";
+  }
+}
+
+// Sends a request as a caller does that retries until it is answered.
+// @return the status of its last answer.
+int SendUntilServed(NodeFleet& fleet,
+                    const std::string& id,
+                    const std::string& target) {
+  constexpr int kMaxTries = 40;
+  CallerAnswer answer;
+  for (int i = 0; i < kMaxTries && answer.status != 200; ++i) {
+    const std::string attempt = id + "-" + std::to_string(i);
+    answer = fleet.Send(static_cast<size_t>(i) % 3, "POST", target,
+                        TurnHeaders(attempt, id, "", 9999), "in " + id);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  return answer.status;
+}
+
+// Sends the deadly request once to each of the three instances, `rounds` times.
+void SendDeadly(NodeFleet& fleet, const std::string& target, int rounds) {
+  static int next_id = 0;
+  for (int i = 0; i < rounds * 3; ++i) {
+    const std::string id = "d" + std::to_string(next_id++);
+    fleet.Send(static_cast<size_t>(i) % 3, "POST", target,
+               TurnHeaders(id, id, "", 9999), "deadly");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+}
+
+// Guards against a request that crashes each endpoint that runs it and comes
+// again at any instance until no endpoint is left.
+TEST_CASE("a deadly request crashes few endpoints, sound ones are served") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  SetDeadly(fleet);
+  std::string target;
+  SUBCASE("as a turn") {
+    target = "/stream/kept/x";
+  }
+  SUBCASE("as a stream that may be resumed") {
+    target = "/stream/plain/x";
+  }
+  SUBCASE("as a call that may be repeated") {
+    target = "/look/x";
+  }
+  SUBCASE("as a call that runs at most once") {
+    target = "/pay/x";
+  }
+  CAPTURE(target);
+  std::vector<std::future<int>> sound;
+  for (int i = 0; i < 6; ++i) {
+    sound.push_back(std::async(std::launch::async, [&fleet, i] {
+      const std::string id = "s" + std::to_string(i);
+      return SendUntilServed(fleet, id,
+                             i % 2 == 0 ? "/stream/kept/x" : "/stream/plain/x");
+    }));
+  }
+  SendDeadly(fleet, target, 8);
+  for (std::future<int>& answer : sound) {
+    CHECK(answer.get() == 200);
+  }
+  CHECK(CrashesOf(fleet) <= kMostCrashes);
+  CHECK(CrashesOf(fleet) > 0);
+  CHECK(SendUntilServed(fleet, "last", "/stream/kept/x") == 200);
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -169,6 +169,11 @@
     co_return co_await Respond(connection, std::move(refused));
   }
   RecordRun(endpoint, id, request);
+  if (!endpoint.deadly_body.empty() &&
+      request.body().ends_with(endpoint.deadly_body)) {
+    Crash(endpoint);
+    co_return false;
+  }
   if (endpoint.is_unresponsive) {
     co_return false;
   }
@@ -203,12 +208,22 @@
 
 Task<> ServeEndpoint(asio::io_context& loop,
                      EndpointStandin& endpoint,
-                     Tcp::endpoint address) {
+                     Tcp::endpoint address,
+                     std::function<void()> on_start) {
   StandinHandler handler = [&loop, &endpoint](StandinConnectionPtr connection,
                                               StandinRequest request) {
     return Handle(loop, endpoint, std::move(connection), std::move(request));
   };
-  co_await ServeStandin(loop, address, std::move(handler));
+  while (true) {
+    co_await ServeStandin(loop, address, handler, endpoint.sockets);
+    co_await Sleep(loop, std::chrono::milliseconds(endpoint.down_ms));
+    on_start();
+  }
+}
+
+void Crash(EndpointStandin& endpoint) {
+  ++endpoint.crashes;
+  CloseAll(endpoint.sockets);
 }
 
 int RunsOf(EndpointStandin& endpoint, const std::string& id) {
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include <atomic>   // for std::atomic
-#include <chrono>   // for std::chrono::steady_clock
-#include <cstdint>  // for uint64_t
-#include <map>      // for std::map
-#include <mutex>    // for std::mutex
-#include <string>   // for std::string
-#include <vector>   // for std::vector
+#include <atomic>      // for std::atomic
+#include <chrono>      // for std::chrono::steady_clock
+#include <cstdint>     // for uint64_t
+#include <functional>  // for std::function
+#include <map>         // for std::map
+#include <mutex>       // for std::mutex
+#include <string>      // for std::string
+#include <vector>      // for std::vector
 
 #include "celerykeel/testing/http_standin.h"  // for StandinRequest
 
@@ -48,16 +49,27 @@
   std::atomic<bool> sends_stale_refusal{false};
   std::atomic<Endless> endless{Endless::kNotEndless};
   std::atomic<uint64_t> endless_bytes{0};  // sent on all connections
-  std::mutex mutex;                        // guards the members below
-  std::map<std::string, int> runs;         // by request id
+  // A request with this body crashes the endpoint; it is down for `down_ms`.
+  // Set both before the first such request.
+  std::string deadly_body;
+  int down_ms = 300;
+  std::atomic<int> crashes{0};
+  StandinSockets sockets;
+  std::mutex mutex;                 // guards the members below
+  std::map<std::string, int> runs;  // by request id
   std::vector<std::chrono::steady_clock::time_point> arrivals;  // of requests
   std::map<std::string, std::string> bodies;
   std::map<std::string, std::map<std::string, std::string>> headers;
 };
 
+/// @param on_start called after each start that follows a crash.
 Task<> ServeEndpoint(asio::io_context& loop,
                      EndpointStandin& endpoint,
-                     Tcp::endpoint address);
+                     Tcp::endpoint address,
+                     std::function<void()> on_start);
+
+/// @brief Ends the endpoint's process; it starts again after `down_ms`.
+void Crash(EndpointStandin& endpoint);
 
 /// @brief Returns how many times the endpoint ran a request.
 int RunsOf(EndpointStandin& endpoint, const std::string& id);
--- a/src/celerykeel/testing/http_standin.h
+++ b/src/celerykeel/testing/http_standin.h
@@ -7,7 +7,8 @@
 #include <boost/beast/http/write.hpp>
 
 #include <functional>  // for std::function
-#include <memory>      // for std::shared_ptr
+#include <memory>      // for std::shared_ptr, std::unique_ptr
+#include <vector>      // for std::vector
 
 #include "celerykeel/node/asio.h"  // for Task
 
@@ -29,6 +30,24 @@
 using StandinHandler =
     std::function<Task<bool>(StandinConnectionPtr, StandinRequest)>;
 
+/// @brief The open sockets of a stand-in.
+struct StandinSockets {
+  std::unique_ptr<Tcp::acceptor> acceptor;
+  std::vector<std::weak_ptr<StandinConnection>> connections;
+};
+
+/// @brief Closes all sockets, as the end of a process does.
+inline void CloseAll(StandinSockets& sockets) {
+  ErrorCode ignored;  // the sockets end in any case
+  sockets.acceptor->close(ignored);
+  for (const auto& weak : sockets.connections) {
+    if (const StandinConnectionPtr connection = weak.lock()) {
+      connection->stream.socket().close(ignored);
+    }
+  }
+  sockets.connections.clear();
+}
+
 inline Task<> ServeStandinConnection(StandinConnectionPtr connection,
                                      StandinHandler handler) {
   while (true) {
@@ -47,16 +66,21 @@
   }
 }
 
+/// @brief Serves until CloseAll.
 inline Task<> ServeStandin(asio::io_context& loop,
                            Tcp::endpoint address,
-                           StandinHandler handler) {
-  Tcp::acceptor acceptor(loop, address);
-  while (true) {
+                           StandinHandler handler,
+                           StandinSockets& sockets) {
+  sockets.acceptor = std::make_unique<Tcp::acceptor>(loop, address);
+  while (sockets.acceptor->is_open()) {
     ErrorCode error;
     Tcp::socket socket(loop);
-    co_await acceptor.async_accept(socket, Into(error));
+    co_await sockets.acceptor->async_accept(socket, Into(error));
     if (!error) {
       auto connection = std::make_shared<StandinConnection>(std::move(socket));
+      std::erase_if(sockets.connections,
+                    [](const auto& weak) { return weak.expired(); });
+      sockets.connections.push_back(connection);
       Spawn(loop, ServeStandinConnection(connection, handler));
     }
   }
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -65,7 +65,11 @@
     Spawn(this->standin_loop,
           ServeEndpoint(this->standin_loop, this->endpoints[i],
                         {asio::ip::make_address(this->Ip(kEndpointHost + i)),
-                         kEndpointPort}));
+                         kEndpointPort},
+                        [this, i] {
+                          ++this->endpoint_starts[i];
+                          this->PutEndpoint(i, "ready");
+                        }));
   }
   this->standin_thread = std::thread([this] { this->standin_loop.run(); });
   this->instances.resize(static_cast<size_t>(count));
@@ -135,12 +139,13 @@
 }
 
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
-  PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
-           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                       R"("version":"{}",)"
-                       R"("slots":24,"state":"{}","sequence":1}})",
-                       this->Ip(kEndpointHost + index), kEndpointPort,
-                       this->versions[index], state));
+  PutKeyed(
+      this->store, "keyed.servers", fmt::format("e{}", index),
+      fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
+                  R"("version":"{}",)"
+                  R"("slots":24,"state":"{}","sequence":1,"born":{}}})",
+                  this->Ip(kEndpointHost + index), kEndpointPort,
+                  this->versions[index], state, this->endpoint_starts[index]));
 }
 
 void NodeFleet::RemoveEntry(size_t endpoint) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -121,6 +121,7 @@
 
   int subnet = 0;
   std::array<std::string, 2> versions;
+  std::array<WallMillis, 2> endpoint_starts{1, 1};  // increases with each
   asio::io_context standin_loop{1};
   std::thread standin_thread;
   std::vector<Instance> instances;
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -199,7 +199,8 @@
     return Handle(loop, store, access, std::move(connection),
                   std::move(request));
   };
-  co_await ServeStandin(loop, address, std::move(handler));
+  StandinSockets sockets;
+  co_await ServeStandin(loop, address, std::move(handler), sockets);
 }
 
 }  // namespace celerykeel::testing
