core: records of crashes and of the requests that may have caused them

A crash has a set of suspects: the requests that were unfinished there. A request that completes leaves all sets, so the cause of several crashes remains. Bounded by team and in all, so that made-up bodies displace only their team's.

--- /dev/null
+++ b/include/celerykeel/core/crash_records.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <compare>  // for operator<=>
+#include <cstddef>  // for size_t
+#include <map>      // for std::map
+#include <set>      // for std::set
+#include <string>   // for std::string
+#include <vector>   // for std::vector
+
+#include "celerykeel/core/request_identity.h"  // for RequestIdentity
+#include "celerykeel/core/time.h"              // for Duration, WallMillis
+
+namespace celerykeel {
+
+/// @brief One start of an endpoint.
+struct EndpointStart {
+  std::string endpoint;  // id
+  WallMillis started_at = 0;
+
+  friend auto operator<=>(const EndpointStart&, const EndpointStart&) = default;
+};
+
+/// @brief A request that was unfinished at an endpoint when it crashed.
+struct CrashedRun {
+  RequestIdentity request;
+  EndpointStart endpoint;
+  Duration crashed_at{};
+  // It began to run less than kBeginTime before the crash, or was sent then.
+  bool began_recently = false;
+  // Other requests that were unfinished there may be missing in the reports.
+  bool others_missing = false;
+  // When the request last crashed an endpoint or was refused as deadly.
+  Duration seen_at{};
+};
+
+/// @brief The crashes of endpoints at which requests were unfinished, as far as
+/// the request may have caused the crash. A request that completes has caused
+/// none, so it is removed, and the other requests of its crashes remain as the
+/// possible causes.
+struct CrashRecords {
+  struct Crash {
+    Duration at{};
+    bool others_missing = false;
+    // Unfinished there, and whether they began recently; not empty.
+    std::map<RequestIdentity, bool> suspects;
+  };
+  struct Request {
+    std::set<EndpointStart> crashes;  // keys of CrashRecords::crashes
+    Duration seen_at{};               // see CrashedRun
+  };
+
+  std::map<EndpointStart, Crash> crashes;
+  std::map<RequestIdentity, Request> requests;
+  // Suspects that completed recently, to ignore reports of earlier crashes.
+  std::map<RequestIdentity, Duration> completed_at;
+};
+
+/// @brief How likely a request crashes the endpoints that run it.
+enum class Suspicion {
+  kNone,
+  kSuspect,          // may have crashed an endpoint; should run alone
+  kRepeatedSuspect,  // may have crashed several; must run alone
+  kHeld,             // likely crashed several; must not run before a time
+  kDeadly,           // must not run
+};
+
+/// @brief Records a report.
+/// @return true if it is news: the peers do not know it from this instance yet.
+bool RecordCrashedRun(CrashRecords& records,
+                      const CrashedRun& run,
+                      Duration now);
+
+/// @brief Records that an endpoint ran a request to its end at `completed_at`,
+/// which clears the request of earlier crashes.
+/// @return true if the request was a suspect.
+bool RecordCompletion(CrashRecords& records,
+                      const RequestIdentity& request,
+                      Duration completed_at);
+
+/// @brief Records that a request was refused as deadly.
+/// @return true if the peers should be notified, for example by CrashedRunsOf.
+bool RecordDeadlyArrival(CrashRecords& records,
+                         const RequestIdentity& request,
+                         Duration now);
+
+Suspicion SuspicionOf(const CrashRecords& records,
+                      const RequestIdentity& request,
+                      Duration now);
+
+/// @brief Returns the time until a request that is held may run, or until the
+/// records of a deadly one expire.
+Duration TimeUntilAllowed(const CrashRecords& records,
+                          const RequestIdentity& request,
+                          Duration now);
+
+std::vector<CrashedRun> CrashedRunsOf(const CrashRecords& records,
+                                      const RequestIdentity& request);
+
+/// @brief Drops requests not seen for kCrashRecordLifetime.
+void DropExpiredCrashes(CrashRecords& records, Duration now);
+
+/// @brief A request that crashes an endpoint mostly does so within this time
+/// after it began to run there.
+inline constexpr Duration kBeginTime = std::chrono::milliseconds(200);
+
+inline constexpr Duration kCrashRecordLifetime = std::chrono::minutes(10);
+/// @brief Bounds of CrashRecords. A team that exceeds its bound replaces its
+/// own requests only.
+inline constexpr size_t kMaxSuspectsPerTeam = 128;
+inline constexpr size_t kMaxSuspects = 1024;
+inline constexpr size_t kMaxCrashesPerRequest = 8;
+
+}  // namespace celerykeel
--- a/include/celerykeel/core/request_identity.h
+++ b/include/celerykeel/core/request_identity.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include <compare>      // for operator<=>
+#include <cstddef>      // for size_t
 #include <cstdint>      // for uint64_t
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 
 namespace celerykeel {
 
-/// @brief Identifies equal requests of one team: those with the same method,
-/// path with query, and body. The hash is not cryptographic, so only the team
-/// itself could produce requests with a colliding identity.
+/// @brief Identifies the copies of one request of a team: those with the same
+/// method, path with query, and beginning of the body. A copy that is sent
+/// later in a conversation may have a longer body. The hash is not
+/// cryptographic, so only the team itself could produce requests with a
+/// colliding identity.
 struct RequestIdentity {
   std::string team;
   uint64_t hash_high = 0;
@@ -19,6 +22,9 @@
                           const RequestIdentity&) = default;
 };
 
+/// @brief Bytes of the body that count.
+inline constexpr size_t kIdentityBodyBytes = 256;
+
 /// @param target path with query.
 RequestIdentity IdentityOf(std::string_view team,
                            std::string_view method,
--- a/src/celerykeel/core/request_identity.cc
+++ b/src/celerykeel/core/request_identity.cc
@@ -15,8 +15,9 @@
   std::string head(method);
   head += ' ';
   head += target;
+  const std::string_view begin = body.substr(0, kIdentityBodyBytes);
   const XXH128_hash_t hash = XXH3_128bits_withSeed(
-      body.data(), body.size(), XXH3_64bits(head.data(), head.size()));
+      begin.data(), begin.size(), XXH3_64bits(head.data(), head.size()));
   return {.team = std::string(team),
           .hash_high = hash.high64,
           .hash_low = hash.low64};
--- a/src/celerykeel/core/request_identity_unittest.cc
+++ b/src/celerykeel/core/request_identity_unittest.cc
@@ -5,13 +5,16 @@
 namespace celerykeel {
 namespace {
 
-TEST_CASE("equal requests of a team have one identity") {
+TEST_CASE("copies of a request of a team have one identity") {
   const RequestIdentity identity = IdentityOf("orchard", "POST", "/a", "body");
   CHECK(identity == IdentityOf("orchard", "POST", "/a", "body"));
   CHECK(identity != IdentityOf("small", "POST", "/a", "body"));
   CHECK(identity != IdentityOf("orchard", "GET", "/a", "body"));
   CHECK(identity != IdentityOf("orchard", "POST", "/ab", "ody"));
   CHECK(identity != IdentityOf("orchard", "POST", "/a", "other"));
+  const std::string begin(kIdentityBodyBytes, 'b');
+  CHECK(IdentityOf("orchard", "POST", "/a", begin) ==
+        IdentityOf("orchard", "POST", "/a", begin + "more"));
   CHECK(HashText(identity).size() == 32);
   CHECK(HashText(identity) == HashText(IdentityOf("x", "POST", "/a", "body")));
 }
