node: a request that crashes its endpoints runs alone, then not at all

An instance whose connection to an endpoint breaks checks whether the endpoint refuses connections, while another one accepts them or a peer can't reach it either, and tells the peers which requests were unfinished there. Suspects that had begun shortly before run alone on a reserved endpoint, copies of repeated ones one at a time, and a deadly one is refused at once. All instances avoid the crashed endpoint. Crashes of repeated suspects are kept in the store.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -8,6 +8,7 @@
 #include <string_view>  // for std::string_view
 #include <vector>       // for std::vector
 
+#include "celerykeel/core/crash_records.h"     // for EndpointStart
 #include "celerykeel/core/service_versions.h"  // for ServiceVersions
 #include "celerykeel/core/stream_origin.h"     // for StreamOrigin
 #include "celerykeel/core/time.h"              // for Duration, WallMillis
@@ -41,6 +42,11 @@
   uint32_t failures = 0;   // in a row
   // Time before which its rate limit allows no further call.
   Duration limited_until{};
+  // Until then it gets only calls that must run alone, and others only if all
+  // endpoints of the service are failing or isolated.
+  Duration isolated_until{};
+  Duration runs_alone_until{};  // runs such a call until then at the latest
+  std::string isolated_by;      // instance that sent the call
 };
 
 /// @brief The endpoints of all services, by id.
@@ -83,6 +89,28 @@
 void RecordFailure(EndpointTable& table, std::string_view id, Duration now);
 void RecordSuccess(EndpointTable& table, std::string_view id);
 
+/// @brief Records that a start of an endpoint has crashed: it is avoided for as
+/// long as after many failures, unless it starts anew.
+void RecordCrash(EndpointTable& table,
+                 const EndpointStart& endpoint,
+                 Duration crashed_at);
+
+/// @brief Records that an instance reserves an endpoint for one call that must
+/// run alone. If two instances do so at once, the one whose name sorts first
+/// succeeds.
+/// @param runs_until 0: the call has ended.
+/// @return false if another instance has reserved the endpoint.
+bool RecordIsolation(EndpointTable& table,
+                     std::string_view id,
+                     const std::string& instance,
+                     Duration runs_until,
+                     Duration now);
+
+/// @brief An endpoint stays reserved this long after its call has ended: a
+/// crash leaves several requests that must run alone, and the next one need not
+/// wait for other calls to end.
+inline constexpr Duration kIsolationLinger = std::chrono::seconds(1);
+
 /// @brief Records that an endpoint's rate limit allows no call before `until`;
 /// 0 if it has no limit any more.
 void RecordLimitedUntil(EndpointTable& table,
@@ -100,6 +128,9 @@
   // If set, only endpoints of versions in use may begin the stream.
   const ServiceVersions* recorded_versions = nullptr;
   const std::set<std::string>* excluded = nullptr;  // already tried
+  std::string_view only{};  // id of the only endpoint allowed; empty: any
+  // The call may crash its endpoint: it goes where the fewest calls run.
+  bool is_suspect = false;
 };
 
 /// @brief True if an endpoint of this service and version takes new calls.
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -5,6 +5,7 @@
 
 #include "celerykeel/node/answer_reader.h"  // for AnswerReader
 #include "celerykeel/node/call_path.h"      // for CallPtr
+#include "celerykeel/node/crash_watch.h"    // for SentRun
 
 namespace celerykeel {
 
@@ -15,9 +16,11 @@
   kMayHaveRun,  // sent; whether it ran is unknown
   kNoEndpoint,  // no endpoint is available
   kCallerDisconnected,
-  kTimedOut,   // the deadline passed
-  kOverRate,   // not sent: its rate permit expired and was not renewed
-  kOverLimit,  // not sent: the rate limits of the endpoints are used up
+  kTimedOut,     // the deadline passed
+  kOverRate,     // not sent: its rate permit expired and was not renewed
+  kOverLimit,    // not sent: the rate limits of the endpoints are used up
+  kDeadly,       // not sent: the request has crashed endpoints
+  kNotIsolated,  // not sent: may be deadly, and no endpoint is free to try it
 };
 
 /// @brief Counts an attempt as in flight at its endpoint during the lifetime of
@@ -46,6 +49,7 @@
   AnswerHead head;
   AnswerHeaderValues answer;  // decoded from `head`
   std::shared_ptr<InFlight> counted;
+  std::shared_ptr<SentRun> run;  // set once sent
   // Limit of the endpoint when it was chosen, in calls per second.
   std::optional<double> limit;
 };
@@ -71,6 +75,6 @@
 bool MayTry(const Call& call);
 
 /// @brief Returns the refusal that the caller gets after the last attempt.
-CallRefusal RefusalAfter(const Call& call, AttemptEnd end);
+CallRefusal RefusalAfter(const Node& node, const Call& call, AttemptEnd end);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -17,6 +17,7 @@
 namespace celerykeel {
 
 struct Node;
+class Isolation;
 
 /// @brief A caller's request while this instance serves it.
 struct Call {
@@ -32,8 +33,10 @@
   std::string preferred_endpoint;
   std::set<std::string> tried;  // ids of the endpoints tried
   OutConnectionPtr attempt;     // connection of the current attempt
-  uint32_t tries = 0;           // attempts, including those not run
-  uint32_t runs = 0;            // tries in which the endpoint may have run it
+  // Set while the call runs alone on an endpoint that it may crash.
+  std::shared_ptr<Isolation> isolation;
+  uint32_t tries = 0;  // attempts, including those not run
+  uint32_t runs = 0;   // tries in which the endpoint may have run it
   // Set once the first event is relayed; only the same version continues.
   std::optional<StreamOrigin> origin;
   std::string last_event;                 // id of the last relayed event
@@ -41,6 +44,7 @@
   std::optional<RatePermit> rate_permit;  // until SettleRate
   Duration rate_retry{};               // delay before a retry after kOverRate
   Duration limit_retry{};              // likewise after kOverLimit
+  Duration suspect_retry{};            // likewise after kNotIsolated
   std::optional<Duration> sent_after;  // from arrival to the first sending
   std::optional<Duration> first_event_after;  // from arrival to the first event
 };
@@ -54,6 +58,10 @@
 /// and sends it unless the caller disconnected or an answer was aborted.
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal);
 
+/// @brief Returns the refusal of a request that must not run as it has crashed
+/// endpoints; nothing if it may run.
+std::optional<CallRefusal> RefusalIfDeadly(const Node& node, const Call& call);
+
 /// @brief Settles the call's rate permit: used if an endpoint may have run the
 /// call, otherwise returned to the team. Does nothing without a permit.
 void SettleRate(Node& node, Call& call);
--- a/include/celerykeel/node/endpoint_choice.h
+++ b/include/celerykeel/node/endpoint_choice.h
@@ -32,6 +32,10 @@
 Task<tl::expected<EndpointChoice, NoChoice>> ChooseForCall(Node& node,
                                                            CallPtr call);
 
+/// @brief Chooses an endpoint for a call that is to run alone: one with few
+/// calls that neither fails nor runs such a call. Null if there is none.
+const EndpointStatus* ChooseApart(Node& node, const Call& call);
+
 /// @brief Returns false if the endpoint has a rate limit and the permit has
 /// expired, for example because the process was paused.
 bool MaySend(const EndpointChoice& choice);
--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -34,6 +34,15 @@
                                   KeyedTopic& topic,
                                   uint64_t wait_ms);
 
+struct KeyedValue {
+  std::string key;
+  std::string value;  // empty: deletes the key
+};
+
+/// @brief Writes the newest values of keys, all or none.
+Task<tl::expected<AppendDone, StoreError>>
+WriteKeys(Node& node, std::string_view topic, std::vector<KeyedValue> values);
+
 /// @brief Writes a key's newest value; an empty value deletes the key.
 Task<tl::expected<AppendDone, StoreError>> WriteKey(Node& node,
                                                     std::string_view topic,
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -17,6 +17,8 @@
 #include "celerykeel/core/spent_programs.h"     // for SpentPrograms
 #include "celerykeel/node/asio.h"               // for asio::io_context
 #include "celerykeel/node/caller_stream.h"      // for CallerStream
+#include "celerykeel/node/crash_store.h"        // for CrashStore
+#include "celerykeel/node/crash_watch.h"        // for CrashWatch
 #include "celerykeel/node/endpoint_limits.h"    // for EndpointLimitState
 #include "celerykeel/node/log_sink.h"           // for LogSink
 #include "celerykeel/node/metrics.h"            // for NodeMetrics
@@ -67,7 +69,9 @@
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
-  size_t buffered_answer_bytes = 0;         // of incomplete answers
+  size_t buffered_answer_bytes = 0;  // of incomplete answers
+  SentRequestTable sent_requests;
+  std::set<std::string> ended_isolations;   // endpoints; not reported yet
   uint32_t tunnels_for_peers = 0;           // open for other instances
   std::map<std::string, uint32_t> tunnels;  // open over each peer
 
@@ -91,6 +95,10 @@
   EndpointLimitState endpoint_limits;
   EndpointPath endpoint_path;
   VersionFeed version_feed;
+  CrashWatch crash_watch;
+  CrashStore crash_store;
+  // When the next copy of a request may run, as its home or without one.
+  std::map<RequestIdentity, Duration> suspect_runs;
 
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
   bool catching_up = false;      // with a peer's newer configuration
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -34,6 +34,7 @@
                const EndpointStatus& endpoint,
                const EndpointCriteria& criteria) {
   return endpoint.entry.service == criteria.service &&
+         (criteria.only.empty() || endpoint.entry.id == criteria.only) &&
          !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
          (criteria.version.empty() ||
           endpoint.entry.version == criteria.version) &&
@@ -75,6 +76,8 @@
     endpoint.failures = 0;
     endpoint.avoid_until = {};
     endpoint.limited_until = {};
+    endpoint.isolated_until = {};
+    endpoint.runs_alone_until = {};
   }
   endpoint.entry = entry;
   endpoint.lapsed_at.reset();
@@ -140,6 +143,39 @@
   }
 }
 
+void RecordCrash(EndpointTable& table,
+                 const EndpointStart& endpoint,
+                 Duration crashed_at) {
+  if (const auto found = table.endpoints.find(endpoint.endpoint);
+      found != table.endpoints.end() &&
+      found->second.entry.started_at == endpoint.started_at) {
+    found->second.avoid_until =
+        std::max(found->second.avoid_until, crashed_at + kMaxAvoidance);
+  }
+}
+
+bool RecordIsolation(EndpointTable& table,
+                     std::string_view id,
+                     const std::string& instance,
+                     Duration runs_until,
+                     Duration now) {
+  const auto found = table.endpoints.find(id);
+  if (found == table.endpoints.end()) {
+    return false;
+  }
+  EndpointStatus& endpoint = found->second;
+  if (endpoint.runs_alone_until > now && endpoint.isolated_by < instance) {
+    return false;
+  }
+  if (runs_until <= now && endpoint.isolated_by != instance) {
+    return false;
+  }
+  endpoint.isolated_by = instance;
+  endpoint.runs_alone_until = runs_until;
+  endpoint.isolated_until = std::max(runs_until, now + kIsolationLinger);
+  return true;
+}
+
 void RecordLimitedUntil(EndpointTable& table,
                         std::string_view id,
                         Duration until) {
@@ -161,33 +197,36 @@
                      });
 }
 
-// Ranks endpoints by recent failures, a lapsed entry, the wait for their rate
-// limit, load above the limit, the subject's last endpoint or the zone, and the
-// subject's rendezvous weight, in this order. Endpoints to avoid rank last
-// instead of being excluded: if all of them fail, a call is still tried at one
-// of them.
+// Ranks endpoints by recent failures, a lapsed entry, an isolation, the wait
+// for their rate limit, load above the limit, the subject's last endpoint or
+// the zone, and the subject's rendezvous weight, in this order. Endpoints to
+// avoid rank last instead of being excluded: if all of them fail, a call is
+// still tried at one of them.
 EndpointStatus* ChooseEndpoint(EndpointTable& table,
                                const EndpointCriteria& criteria,
                                Duration now) {
-  const double ignored_load =
-      criteria.prefers_subject ? kMaxPreferredLoad : kMaxSameZoneLoad;
+  const bool prefers_subject = criteria.prefers_subject && !criteria.is_suspect;
+  const double ignored_load = criteria.is_suspect ? 0
+                              : prefers_subject   ? kMaxPreferredLoad
+                                                  : kMaxSameZoneLoad;
   EndpointStatus* best = nullptr;
-  std::tuple<bool, bool, Duration, double, bool, uint64_t> lowest;
+  std::tuple<bool, bool, bool, Duration, double, bool, uint64_t> lowest;
   for (auto& [id, endpoint] : table.endpoints) {
     if (!TakesWork(table, endpoint, criteria)) {
       continue;
     }
     const bool is_preferred = id == criteria.preferred;
-    const bool keeps_subject = criteria.prefers_subject && is_preferred;
+    const bool keeps_subject = prefers_subject && is_preferred;
     const double load =
         Load(endpoint) - (keeps_subject ? kPreferredLoadMargin : 0);
-    const std::tuple<bool, bool, Duration, double, bool, uint64_t> rank{
+    const std::tuple<bool, bool, bool, Duration, double, bool, uint64_t> rank{
         endpoint.avoid_until > now,
         endpoint.lapsed_at.has_value(),
+        criteria.is_suspect ? endpoint.runs_alone_until > now
+                            : endpoint.isolated_until > now,
         LimitWait(endpoint, is_preferred, now),
         load < ignored_load ? 0 : load,
-        criteria.prefers_subject ? !is_preferred
-                                 : endpoint.entry.zone != criteria.zone,
+        prefers_subject ? !is_preferred : endpoint.entry.zone != criteria.zone,
         ~RendezvousWeight(criteria.subject, id)};
     if (best == nullptr || rank < lowest) {
       best = &endpoint;
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -9,6 +9,7 @@
 #include "celerykeel/node/endpoint_feed.h"    // for HandleDeparture
 #include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
 #include "celerykeel/node/endpoint_link.h"    // for ConnectToEndpoint
+#include "celerykeel/node/isolation.h"        // for IsolateEndpoint
 #include "celerykeel/node/node.h"             // for Node
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
@@ -33,6 +34,7 @@
 // `max_tries` of a route counts only the others.
 constexpr uint32_t kMaxEndpointTries = 4;
 constexpr Duration kBusyRetry = std::chrono::milliseconds(250);
+constexpr Duration kIsolationRetry = std::chrono::milliseconds(500);
 // A call with at most this time left counts as timed out.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
@@ -175,6 +177,39 @@
   co_return true;
 }
 
+// Lets a request that was at a crash run alone, which shows whether it is the
+// cause, and harms no other call. After one crash it runs beside others rather
+// than be refused.
+// @return why the attempt can't be made; nothing if it can.
+Task<std::optional<AttemptEnd>> IsolateIfSuspect(Node& node, CallPtr call) {
+  call->isolation = nullptr;
+  const CrashRecords& records = node.crash_watch.records;
+  const Suspicion suspicion = SuspicionOf(records, call->identity, Now());
+  if (suspicion == Suspicion::kNone) {
+    co_return std::nullopt;
+  }
+  if (RefusalIfDeadly(node, *call)) {
+    co_return AttemptEnd::kDeadly;
+  }
+  if (suspicion == Suspicion::kRepeatedSuspect) {
+    call->suspect_retry = co_await RequestSuspectRun(node, call->identity);
+    if (call->suspect_retry > Duration::zero()) {
+      co_return AttemptEnd::kNotIsolated;
+    }
+  }
+  auto isolation = co_await IsolateEndpoint(node, call);
+  // Meanwhile the peers may have reported more.
+  if (RefusalIfDeadly(node, *call)) {
+    co_return AttemptEnd::kDeadly;
+  }
+  if (isolation) {
+    call->isolation = std::move(*isolation);
+  } else if (suspicion != Suspicion::kSuspect) {
+    co_return AttemptEnd::kNotIsolated;
+  }
+  co_return std::nullopt;
+}
+
 }  // namespace
 
 InFlight::InFlight(Node& counting_node, std::string endpoint_id)
@@ -195,6 +230,10 @@
 
 Task<Attempt> StartAttempt(Node& node, CallPtr call, std::string_view body) {
   Attempt attempt;
+  if (const auto end = co_await IsolateIfSuspect(node, call)) {
+    attempt.end = *end;
+    co_return attempt;
+  }
   const auto chosen = co_await ChooseForCall(node, call);
   if (!chosen) {
     if (const auto* limited = std::get_if<EndpointsLimited>(&chosen.error())) {
@@ -256,6 +295,7 @@
     Observe(node.metrics.before_send_seconds, *call->sent_after);
   }
   ++call->runs;  // decremented if the endpoint did not run it
+  attempt.run = std::make_shared<SentRun>(node, endpoint, call->identity);
   const auto until = Until(HeadTimeout(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
   // A server may answer before it has read the complete body, so the answer is
@@ -270,6 +310,9 @@
       RecordFailure(node.endpoints, endpoint.id, Now());
     }
     LogAttempt(node, *call, attempt, OutcomeOf(head.error()));
+    if (head.error() == ExchangeError::kClosed) {
+      co_await CheckForCrash(node, endpoint);
+    }
     co_return attempt;
   }
   attempt.head = std::move(*head);
@@ -278,6 +321,7 @@
   }
   if (attempt.answer.not_run) {
     --call->runs;
+    attempt.run->Finish();
     Close(*connection);
     call->attempt = nullptr;
     RecordFailure(node.endpoints, endpoint.id, Now());
@@ -296,6 +340,7 @@
     LogAttempt(node, *call, attempt, "unsealed");
     co_return attempt;
   }
+  attempt.run->Begin();
   SettleRate(node, *call);
   RecordSuccess(node.endpoints, endpoint.id);
   attempt.end = AttemptEnd::kAnswered;
@@ -313,9 +358,13 @@
       Close(*connection);
     }
     LogAttempt(node, *call, attempt, "broken off");
+    if (body.error() == ExchangeError::kClosed) {
+      co_await CheckForCrash(node, attempt.run->Endpoint());
+    }
     co_return false;
   }
   ReturnToPool(node.endpoint_pool, attempt.address, connection, attempt.head);
+  HandleCompletion(node, *attempt.run);
   if (!call->caller->disconnected) {
     co_await SendCompleteAnswer(call->caller, attempt.head.status,
                                 attempt.head.headers, std::move(*body));
@@ -329,6 +378,8 @@
     case AttemptEnd::kTimedOut:
     case AttemptEnd::kOverRate:
     case AttemptEnd::kOverLimit:
+    case AttemptEnd::kDeadly:
+    case AttemptEnd::kNotIsolated:
       return true;
     default:
       return false;
@@ -339,7 +390,7 @@
   return call.runs < call.route->max_tries && call.tries < kMaxEndpointTries;
 }
 
-CallRefusal RefusalAfter(const Call& call, AttemptEnd end) {
+CallRefusal RefusalAfter(const Node& node, const Call& call, AttemptEnd end) {
   if (end == AttemptEnd::kOverRate && call.runs == 0) {
     return {kTooMany, "the team's rate is used up", call.rate_retry};
   }
@@ -347,6 +398,15 @@
     return {kUnavailable, "not run: the endpoints' limits are used up",
             call.limit_retry};
   }
+  if (const auto refusal = RefusalIfDeadly(node, call);
+      refusal && end == AttemptEnd::kDeadly) {
+    return *refusal;
+  }
+  if (end == AttemptEnd::kNotIsolated) {
+    return {kUnavailable,
+            "not run: the request may crash endpoints, and can't run alone now",
+            std::max(call.suspect_retry, kIsolationRetry)};
+  }
   if (end == AttemptEnd::kTimedOut) {
     return call.runs > 0
                ? CallRefusal{kGatewayTimeout, "no answer in time", {}}
@@ -392,7 +452,7 @@
   if (end != AttemptEnd::kTimedOut && call->runs > 0) {
     end = AttemptEnd::kMayHaveRun;
   }
-  co_await Refuse(node, call, RefusalAfter(*call, end));
+  co_await Refuse(node, call, RefusalAfter(node, *call, end));
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -60,6 +60,22 @@
   return call.deadline - Now();
 }
 
+std::optional<CallRefusal> RefusalIfDeadly(const Node& node, const Call& call) {
+  const CrashRecords& records = node.crash_watch.records;
+  const Duration now = Now();
+  switch (SuspicionOf(records, call.identity, now)) {
+    case Suspicion::kDeadly:
+      return CallRefusal{kUnavailable, "not run: the request crashes endpoints",
+                         TimeUntilAllowed(records, call.identity, now)};
+    case Suspicion::kHeld:
+      return CallRefusal{kUnavailable,
+                         "not run: the request crashed an endpoint alone",
+                         TimeUntilAllowed(records, call.identity, now)};
+    default:
+      return std::nullopt;
+  }
+}
+
 void SettleRate(Node& node, Call& call) {
   if (const auto permit = std::exchange(call.rate_permit, std::nullopt)) {
     if (call.runs > 0) {
@@ -116,6 +132,11 @@
       Close(*call->attempt);
     }
   };
+  if (const auto refusal = RefusalIfDeadly(node, *call)) {
+    HandleDeadlyArrival(node, call->identity);
+    co_await Refuse(node, call, *refusal);
+    co_return;
+  }
   const bool is_turn = call->route->repeat == RepeatRule::kStream;
   if (const auto refusal =
           is_turn ? RefusalIfBudgetSpent(node, *call) : std::nullopt) {
--- /dev/null
+++ b/src/celerykeel/node/crash_watch.cc
@@ -0,0 +1,296 @@
+#include "celerykeel/node/crash_watch.h"
+
+#include <algorithm>  // for std::any_of
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/endpoint_link.h"  // for ConnectToEndpoint
+#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/tunnel.h"         // for OpenTunnel
+#include "celerykeel/wire/crash_codec.h"    // for ToProto, FromProto
+
+namespace celerykeel {
+
+namespace {
+
+// An endpoint that has crashed refuses connections within a round trip.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
+constexpr Duration kMaxCheckTime = 3 * kProbeTimeout;
+// A request that was given up for longer is not under way any more.
+constexpr Duration kAbandonedTime = std::chrono::seconds(1);
+// Crashes seen from here are remembered this long, for connections whose end
+// is noticed late.
+constexpr Duration kCrashMemory = std::chrono::seconds(5);
+// The news of an older crash says nothing about the endpoint's present state.
+constexpr Duration kMaxCrashAge = std::chrono::seconds(2);
+
+EndpointStart StartOf(const EndpointEntry& endpoint) {
+  return {.endpoint = endpoint.id, .started_at = endpoint.started_at};
+}
+
+// Returns another endpoint that is not known to fail.
+std::optional<EndpointEntry> OtherEndpoint(const Node& node,
+                                           const EndpointEntry& endpoint) {
+  const Duration now = Now();
+  for (const auto& [id, other] : node.endpoints.endpoints) {
+    if (id != endpoint.id && other.avoid_until <= now) {
+      return other.entry;
+    }
+  }
+  return std::nullopt;
+}
+
+bool IsReached(const EndpointConnect& connected) {
+  if (connected.connection != nullptr) {
+    Close(*connected.connection);
+    return true;
+  }
+  return false;
+}
+
+// A refused connection shows a crash unless this instance's own network refuses
+// all of them. That is ruled out by another endpoint that accepts one, or by a
+// peer that can't reach this endpoint either.
+Task<bool> HasCrashed(Node& node, EndpointEntry endpoint) {
+  const EndpointConnect connected = co_await ConnectToEndpoint(
+      node, endpoint, Duration::zero(), kProbeTimeout);
+  if (IsReached(connected) || !connected.endpoint_failed) {
+    co_return false;
+  }
+  if (!connected.peer.empty()) {
+    co_return true;
+  }
+  if (!connected.refused) {
+    co_return false;
+  }
+  if (const auto other = OtherEndpoint(node, endpoint)) {
+    const EndpointConnect reached = co_await ConnectToEndpoint(
+        node, *other, Duration::zero(), kProbeTimeout);
+    if (IsReached(reached) && reached.peer.empty()) {
+      co_return true;
+    }
+  }
+  const EndpointConnect over_peer =
+      co_await OpenTunnel(node, endpoint, Duration::zero(), kProbeTimeout);
+  co_return !IsReached(over_peer) && over_peer.endpoint_failed;
+}
+
+// Returns the requests that were unfinished there at `crashed_at`, and whether
+// they began recently then.
+std::map<RequestIdentity, bool> UnfinishedAt(const Node& node,
+                                             const EndpointStart& endpoint,
+                                             Duration crashed_at) {
+  std::map<RequestIdentity, bool> unfinished;
+  const auto sent = node.sent_requests.find(endpoint);
+  if (sent == node.sent_requests.end()) {
+    return unfinished;
+  }
+  for (const SentRun* run : sent->second.under_way) {
+    unfinished[run->Request()] |= run->BeganAt() + kBeginTime >= crashed_at;
+  }
+  for (const AbandonedRun& run : sent->second.abandoned) {
+    if (crashed_at < run.abandoned_at + kAbandonedTime) {
+      unfinished[run.request] |= run.began_at + kBeginTime >= crashed_at;
+    }
+  }
+  return unfinished;
+}
+
+void LogSuspicion(Node& node, const RequestIdentity& request) {
+  const auto found = node.crash_watch.records.requests.find(request);
+  if (found == node.crash_watch.records.requests.end()) {
+    return;
+  }
+  WriteLog(node.log, LogLevel::kOrdinary, "request suspected",
+           {{"request", HashText(request)},
+            {"team", request.team},
+            {"crashes", found->second.crashes.size()}});
+}
+
+void ReportCrash(Node& node,
+                 const EndpointStart& endpoint,
+                 Duration crashed_at) {
+  const Duration now = Now();
+  pb::NodeFrame frame;
+  pb::EndpointNews& news = *frame.mutable_endpoint_news();
+  for (const auto& [request, began_recently] :
+       UnfinishedAt(node, endpoint, crashed_at)) {
+    const CrashedRun run{.request = request,
+                         .endpoint = endpoint,
+                         .crashed_at = crashed_at,
+                         .began_recently = began_recently,
+                         .others_missing = false,
+                         .seen_at = now};
+    if (RecordCrashedRun(node.crash_watch.records, run, now)) {
+      *news.add_crashed_runs() = ToProto(run, now);
+      LogSuspicion(node, request);
+    }
+  }
+  if (node.crash_watch.crashed_at.emplace(endpoint, crashed_at).second) {
+    RecordCrash(node.endpoints, endpoint, crashed_at);
+    WriteLog(node.log, LogLevel::kUnusual, "endpoint crashed",
+             {{"endpoint", endpoint.endpoint},
+              {"unfinished", news.crashed_runs_size()}});
+  }
+  if (news.crashed_runs_size() > 0) {
+    SendToAll(node.peers, frame);
+  }
+}
+
+Task<> Check(Node& node, EndpointEntry endpoint) {
+  const EndpointStart start = StartOf(endpoint);
+  const bool has_crashed = co_await HasCrashed(node, std::move(endpoint));
+  const CrashCheck check = std::move(node.crash_watch.checks[start]);
+  node.crash_watch.checks.erase(start);
+  if (has_crashed) {
+    ReportCrash(node, start, check.broke_at);
+  }
+  for (const auto& done : check.waiting) {
+    done->SetValue(has_crashed);
+  }
+}
+
+void ForgetAbandoned(SentRequestTable& sent, Duration now) {
+  for (auto& [endpoint, requests] : sent) {
+    std::erase_if(requests.abandoned, [now](const AbandonedRun& run) {
+      return run.abandoned_at + kAbandonedTime <= now;
+    });
+  }
+  std::erase_if(sent, [](const auto& entry) {
+    return entry.second.under_way.empty() && entry.second.abandoned.empty();
+  });
+}
+
+}  // namespace
+
+SentRun::SentRun(Node& sending_node,
+                 EndpointEntry sent_to,
+                 RequestIdentity sent_request)
+    : node(sending_node),
+      endpoint(std::move(sent_to)),
+      request(std::move(sent_request)),
+      began_at(Now()) {
+  this->node.sent_requests[StartOf(this->endpoint)].under_way.insert(this);
+}
+
+SentRun::~SentRun() {
+  if (this->is_finished) {
+    return;
+  }
+  this->Finish();
+  this->node.sent_requests[StartOf(this->endpoint)].abandoned.push_back(
+      {.request = this->request,
+       .began_at = this->began_at,
+       .abandoned_at = Now()});
+}
+
+void SentRun::Begin() {
+  this->began_at = Now();
+}
+
+void SentRun::Finish() {
+  if (this->is_finished) {
+    return;
+  }
+  this->is_finished = true;
+  const auto sent = this->node.sent_requests.find(StartOf(this->endpoint));
+  sent->second.under_way.erase(this);
+  if (sent->second.under_way.empty() && sent->second.abandoned.empty()) {
+    this->node.sent_requests.erase(sent);
+  }
+}
+
+Task<> CheckForCrash(Node& node, EndpointEntry endpoint) {
+  // The end of an endpoint that leaves is no crash.
+  const auto known = node.endpoints.endpoints.find(endpoint.id);
+  const bool is_leaving =
+      known != node.endpoints.endpoints.end() && known->second.entry.leaving;
+  if (is_leaving || HasDeparted(node.endpoints, endpoint)) {
+    co_return;
+  }
+  const EndpointStart start = StartOf(endpoint);
+  if (const auto crashed = node.crash_watch.crashed_at.find(start);
+      crashed != node.crash_watch.crashed_at.end()) {
+    ReportCrash(node, start, crashed->second);
+    co_return;
+  }
+  const auto done = std::make_shared<Promise<bool>>(node.io);
+  const auto [check, is_new] = node.crash_watch.checks.try_emplace(
+      start, CrashCheck{.broke_at = Now(), .waiting = {}});
+  check->second.waiting.push_back(done);
+  if (is_new) {
+    Spawn(node.io, Check(node, std::move(endpoint)));
+  }
+  // Without a result in time, the call goes on as after a broken connection.
+  [[maybe_unused]] const auto result = co_await done->Wait(kMaxCheckTime);
+}
+
+void HandleCompletion(Node& node, SentRun& run) {
+  run.Finish();
+  if (!RecordCompletion(node.crash_watch.records, run.Request(), Now())) {
+    return;
+  }
+  pb::NodeFrame frame;
+  *frame.mutable_endpoint_news()->add_completed_runs() =
+      CompletedRunOf(run.Request());
+  SendToAll(node.peers, frame);
+}
+
+void HandleDeadlyArrival(Node& node, const RequestIdentity& request) {
+  const Duration now = Now();
+  if (!RecordDeadlyArrival(node.crash_watch.records, request, now)) {
+    return;
+  }
+  pb::NodeFrame frame;
+  for (const CrashedRun& run :
+       CrashedRunsOf(node.crash_watch.records, request)) {
+    *frame.mutable_endpoint_news()->add_crashed_runs() = ToProto(run, now);
+  }
+  SendToAll(node.peers, frame);
+}
+
+void AddKnownCrashes(const Node& node, pb::EndpointNews& news) {
+  const CrashRecords& records = node.crash_watch.records;
+  const Duration now = Now();
+  for (const auto& [request, record] : records.requests) {
+    for (const CrashedRun& run : CrashedRunsOf(records, request)) {
+      *news.add_crashed_runs() = ToProto(run, now);
+    }
+  }
+  for (const auto& [request, completed_at] : records.completed_at) {
+    pb::CompletedRun& run = *news.add_completed_runs();
+    run = CompletedRunOf(request);
+    run.set_age_ms(static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                              completed_at)
+            .count()));
+  }
+}
+
+void ApplyCrashNews(Node& node, const pb::EndpointNews& news) {
+  const Duration now = Now();
+  for (const pb::CrashedRun& one : news.crashed_runs()) {
+    const CrashedRun run = FromProto(one, now);
+    if (RecordCrashedRun(node.crash_watch.records, run, now)) {
+      LogSuspicion(node, run.request);
+    }
+    if (run.crashed_at + kMaxCrashAge > now) {
+      RecordCrash(node.endpoints, run.endpoint, run.crashed_at);
+    }
+  }
+  for (const pb::CompletedRun& one : news.completed_runs()) {
+    const auto [request, completed_at] = FromProto(one, now);
+    RecordCompletion(node.crash_watch.records, request, completed_at);
+  }
+}
+
+void ReviewCrashes(Node& node) {
+  const Duration now = Now();
+  DropExpiredCrashes(node.crash_watch.records, now);
+  std::erase_if(node.crash_watch.crashed_at, [now](const auto& entry) {
+    return entry.second + kCrashMemory <= now;
+  });
+  ForgetAbandoned(node.sent_requests, now);
+}
+
+}  // namespace celerykeel
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -6,6 +6,7 @@
 
 #include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/node/endpoint_limits.h"  // for ReserveLimitedCall
+#include "celerykeel/node/isolation.h"        // for Isolation
 #include "celerykeel/node/node.h"             // for Node
 
 namespace celerykeel {
@@ -28,6 +29,7 @@
 EndpointStatus* Choose(Node& node,
                        const Call& call,
                        const std::set<std::string>& excluded) {
+  const Duration now = Now();
   const bool by_subject = call.route->has_affinity;
   const CallHeaderValues& header_values = call.request.header_values;
   const EndpointCriteria criteria{
@@ -43,8 +45,12 @@
       .recorded_versions = call.route->resumable && !call.origin
                                ? &node.version_feed.versions
                                : nullptr,
-      .excluded = &excluded};
-  return ChooseEndpoint(node.endpoints, criteria, Now());
+      .excluded = &excluded,
+      .only = call.isolation == nullptr ? std::string_view()
+                                        : call.isolation->Endpoint(),
+      .is_suspect = SuspicionOf(node.crash_watch.records, call.identity, now) !=
+                    Suspicion::kNone};
+  return ChooseEndpoint(node.endpoints, criteria, now);
 }
 
 Duration MaxLimitWait(const Call& call) {
@@ -71,6 +77,15 @@
 
 }  // namespace
 
+const EndpointStatus* ChooseApart(Node& node, const Call& call) {
+  const EndpointStatus* chosen = Choose(node, call, call.tried);
+  const Duration now = Now();
+  return chosen == nullptr || chosen->avoid_until > now ||
+                 chosen->runs_alone_until > now
+             ? nullptr
+             : chosen;
+}
+
 bool MaySend(const EndpointChoice& choice) {
   return !choice.permit || !HasExpired(*choice.permit, Now());
 }
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -6,6 +6,7 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/reader_choice.h"  // for IsReader
+#include "celerykeel/node/isolation.h"      // for ApplyIsolationNews
 #include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys
 #include "celerykeel/node/node.h"           // for Node
 #include "platform/deployment_json.h"       // for platform::DecodeEndpoint
@@ -149,6 +150,7 @@
   }
   AddKnownLimits(node, news);
   AddKnownVersions(node, news);
+  AddKnownCrashes(node, news);
   return news;
 }
 
@@ -166,6 +168,10 @@
   for (const pb::ServiceVersionNews& version : news.versions()) {
     ApplyVersionNews(node, version);
   }
+  ApplyCrashNews(node, news);
+  for (const pb::IsolatedEndpoint& isolated : news.isolated_endpoints()) {
+    ApplyIsolationNews(node, isolated);
+  }
   for (const pb::EndpointChange& change : news.changes()) {
     ApplyEndpointRecord(node, {.key = change.endpoint(),
                                .value = change.entry(),
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -4,6 +4,7 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/node/endpoint_feed.h"  // for KnownAnnouncements
+#include "celerykeel/node/isolation.h"      // for ReportEndedIsolations
 #include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys, WriteKey
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for RewriteDriftedReserves
@@ -269,11 +270,15 @@
       ForgetEndedLimits(node);
       CloseExpiredIdle(node.endpoint_pool, now);
       CloseExpiredIdle(node.store.pool, now);
+      ReviewCrashes(node);
+      ForgetSuspectRuns(node);
       ExpireSlots(node);
       ConfirmSlots(node);
       ForgetPrograms(node);
       DropUnusedSpent(node.spent_programs, now);
     }
+    UpdateStoredCrashes(node);
+    ReportEndedIsolations(node);
     ClaimVacantSlots(node, now);
     RewriteDriftedReserves(node);
     if (now >= report_at) {
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -49,15 +49,25 @@
   co_return records;
 }
 
-Task<tl::expected<AppendDone, StoreError>> WriteKey(Node& node,
-                                                    std::string_view topic,
-                                                    std::string_view key,
-                                                    std::string value) {
+Task<tl::expected<AppendDone, StoreError>>
+WriteKeys(Node& node, std::string_view topic, std::vector<KeyedValue> values) {
   AppendCall call{.topic = std::string(topic),
                   .partition = 0,
                   .stamp = std::nullopt,
-                  .records = {platform::EncodeKeyed(key, value)}};
+                  .records = {}};
+  for (const KeyedValue& one : values) {
+    call.records.push_back(platform::EncodeKeyed(one.key, one.value));
+  }
   co_return co_await Append(node, std::move(call));
 }
 
+Task<tl::expected<AppendDone, StoreError>> WriteKey(Node& node,
+                                                    std::string_view topic,
+                                                    std::string_view key,
+                                                    std::string value) {
+  std::vector<KeyedValue> values;
+  values.push_back({.key = std::string(key), .value = std::move(value)});
+  co_return co_await WriteKeys(node, topic, std::move(values));
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -5,6 +5,7 @@
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/node/endpoint_feed.h"  // for ApplyEndpointNews
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
+#include "celerykeel/node/isolation.h"      // for DecideSuspectRun
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
@@ -158,6 +159,11 @@
           DecideAsHome(node, frame.limited_call_wish());
       SendFrame(peer, answer);
       return;
+    case pb::NodeFrame::kSuspectRunWish:
+      *answer.mutable_suspect_run_grant() =
+          DecideSuspectRun(node, frame.suspect_run_wish());
+      SendFrame(peer, answer);
+      return;
     case pb::NodeFrame::kTunnelOpen:
       peer->is_tunnel = true;
       Spawn(node.io, ServeTunnel(node, peer, frame.tunnel_open()));
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -38,6 +38,7 @@
   Spawn(node.io, FollowDeployment(node));
   Spawn(node.io, FollowEndpoints(node));
   Spawn(node.io, FollowVersions(node));
+  Spawn(node.io, ReadStoredCrashes(node));
   Spawn(node.io, ProbeEndpoints(node));
   Spawn(node.io, RunMembership(node));
   Spawn(node.io, ProbeStore(node));
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -6,6 +6,7 @@
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/event_stream.h"   // for EventSplitter
 #include "celerykeel/node/attempts.h"       // for StartAttempt
+#include "celerykeel/node/isolation.h"      // for Isolation
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/store_client.h"   // for AwaitStore
 #include "celerykeel/node/stream_takeup.h"  // for FindOriginOfTakeUp
@@ -158,6 +159,9 @@
         ReportStreamBegan(node, StreamBeganOf(*call, relay.permit.slot));
       }
     }
+    if (Now() > attempt.run->BeganAt() + kBeginTime) {
+      call->isolation = nullptr;  // the next suspect may begin there
+    }
     std::string piece = RecordRelayed(*call, relay, events);
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
@@ -258,6 +262,7 @@
             co_await RelayEvents(node, call, attempt, relay);
         const auto connection = std::exchange(call->attempt, nullptr);
         if (stream_end == StreamEnd::kComplete) {
+          HandleCompletion(node, *attempt.run);
           ReturnToPool(node.endpoint_pool, attempt.address, connection,
                        attempt.head);
           if (!call->caller->head_sent) {
@@ -272,6 +277,7 @@
         end = AttemptEndOfStream(stream_end);
         if (stream_end == StreamEnd::kAborted) {
           RecordFailure(node.endpoints, attempt.endpoint, Now());
+          co_await CheckForCrash(node, attempt.run->Endpoint());
         }
         if (stream_end == StreamEnd::kNotCovered) {
           break;
@@ -296,7 +302,7 @@
   if (end != AttemptEnd::kTimedOut && call->runs > 0) {
     end = AttemptEnd::kMayHaveRun;
   }
-  co_await Refuse(node, call, RefusalAfter(*call, end));
+  co_await Refuse(node, call, RefusalAfter(node, *call, end));
 }
 
 // Returns whether the turn may be sent: while the store is unavailable, only
