--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -58,10 +58,6 @@
 /// and sends it unless the caller disconnected or an answer was aborted.
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal);
 
-/// @brief Returns the refusal of a request that must not run as it has crashed
-/// endpoints; nothing if it may run.
-std::optional<CallRefusal> RefusalIfDeadly(const Node& node, const Call& call);
-
 /// @brief Settles the call's rate permit: used if an endpoint may have run the
 /// call, otherwise returned to the team. Does nothing without a permit.
 void SettleRate(Node& node, Call& call);
--- a/include/celerykeel/node/isolation.h
+++ b/include/celerykeel/node/isolation.h
@@ -42,17 +42,6 @@
 /// endpoint, it reports its load soon.
 void ApplyIsolationNews(Node& node, const pb::IsolatedEndpoint& news);
 
-/// @brief Asks the request's home for the run of one copy of a request that has
-/// been at several crashes, so that its copies do not run at once.
-/// @return zero if it may run, or how long it must wait.
-Task<Duration> RequestSuspectRun(Node& node, RequestIdentity request);
-
-/// @brief Answers a peer's request for the run of one copy.
-pb::SuspectRunGrant DecideSuspectRun(Node& node,
-                                     const pb::SuspectRunWish& wish);
-
-void ForgetSuspectRuns(Node& node);
-
 /// @brief Reports to the peers which isolations have ended.
 void ReportEndedIsolations(Node& node);
 
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -4,13 +4,14 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/attempt_log.h"      // for LogAttempt
 #include "celerykeel/node/buffered_bytes.h"   // for BufferedBytes
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseForCall
 #include "celerykeel/node/endpoint_feed.h"    // for HandleDeparture
 #include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
 #include "celerykeel/node/endpoint_link.h"    // for ConnectToEndpoint
-#include "celerykeel/node/isolation.h"        // for IsolateEndpoint
 #include "celerykeel/node/node.h"             // for Node
+#include "celerykeel/node/suspect_run.h"      // for PrepareSuspect
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
 namespace celerykeel {
@@ -116,38 +117,6 @@
   co_return tl::unexpected(ExchangeError::kMalformed);
 }
 
-std::string_view OutcomeOf(ExchangeError error) {
-  switch (error) {
-    case ExchangeError::kClosed:
-      return "connection closed";
-    case ExchangeError::kMalformed:
-      return "malformed answer";
-    default:
-      return "no answer";
-  }
-}
-
-void LogAttempt(Node& node,
-                const Call& call,
-                const Attempt& attempt,
-                std::string_view outcome) {
-  Count(node.metrics.attempts, "outcome", outcome);
-  WriteLog(node.log, LogLevel::kOrdinary, "attempt",
-           {{"id", call.request.header_values.id},
-            {"team", call.team == nullptr ? "" : call.team->name},
-            {"program", call.request.header_values.program},
-            {"request", HashText(call.identity)},
-            {"endpoint", attempt.endpoint},
-            {"version", attempt.version},
-            {"try", call.tries},
-            {"status", attempt.head.status},
-            {"limit", attempt.limit.value_or(0)},
-            {"over", attempt.over},
-            {"outcome", outcome},
-            {"sent_ms", call.sent_after.value_or(Duration::zero())},
-            {"after_ms", Now() - call.arrived_at}});
-}
-
 AttemptEnd AttemptEndOfError(const Call& call, ExchangeError error) {
   if (call.caller->disconnected) {
     return AttemptEnd::kCallerDisconnected;
@@ -177,39 +146,6 @@
   co_return true;
 }
 
-// Lets a request that was at a crash run alone, which shows whether it is the
-// cause, and harms no other call. After one crash it runs beside others rather
-// than be refused.
-// @return why the attempt can't be made; nothing if it can.
-Task<std::optional<AttemptEnd>> IsolateIfSuspect(Node& node, CallPtr call) {
-  call->isolation = nullptr;
-  const CrashRecords& records = node.crash_watch.records;
-  const Suspicion suspicion = SuspicionOf(records, call->identity, Now());
-  if (suspicion == Suspicion::kNone) {
-    co_return std::nullopt;
-  }
-  if (RefusalIfDeadly(node, *call)) {
-    co_return AttemptEnd::kDeadly;
-  }
-  if (suspicion == Suspicion::kRepeatedSuspect) {
-    call->suspect_retry = co_await RequestSuspectRun(node, call->identity);
-    if (call->suspect_retry > Duration::zero()) {
-      co_return AttemptEnd::kNotIsolated;
-    }
-  }
-  auto isolation = co_await IsolateEndpoint(node, call);
-  // Meanwhile the peers may have reported more.
-  if (RefusalIfDeadly(node, *call)) {
-    co_return AttemptEnd::kDeadly;
-  }
-  if (isolation) {
-    call->isolation = std::move(*isolation);
-  } else if (suspicion != Suspicion::kSuspect) {
-    co_return AttemptEnd::kNotIsolated;
-  }
-  co_return std::nullopt;
-}
-
 }  // namespace
 
 InFlight::InFlight(Node& counting_node, std::string endpoint_id)
@@ -230,7 +166,7 @@
 
 Task<Attempt> StartAttempt(Node& node, CallPtr call, std::string_view body) {
   Attempt attempt;
-  if (const auto end = co_await IsolateIfSuspect(node, call)) {
+  if (const auto end = co_await PrepareSuspect(node, call)) {
     attempt.end = *end;
     co_return attempt;
   }
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -5,12 +5,13 @@
 
 #include <xxhash.h>  // for XXH3_64bits
 
-#include "celerykeel/base/clock.h"       // for Now
-#include "celerykeel/core/rendezvous.h"  // for FractionOfHash
-#include "celerykeel/node/attempts.h"    // for RunAttempts
-#include "celerykeel/node/node.h"        // for Node
-#include "celerykeel/node/rates.h"       // for ReserveFromRate
-#include "celerykeel/node/turn_path.h"   // for ServeTurn
+#include "celerykeel/base/clock.h"        // for Now
+#include "celerykeel/core/rendezvous.h"   // for FractionOfHash
+#include "celerykeel/node/attempts.h"     // for RunAttempts
+#include "celerykeel/node/node.h"         // for Node
+#include "celerykeel/node/rates.h"        // for ReserveFromRate
+#include "celerykeel/node/suspect_run.h"  // for RefusalIfDeadly
+#include "celerykeel/node/turn_path.h"    // for ServeTurn
 
 namespace celerykeel {
 
@@ -60,22 +61,6 @@
   return call.deadline - Now();
 }
 
-std::optional<CallRefusal> RefusalIfDeadly(const Node& node, const Call& call) {
-  const CrashRecords& records = node.crash_watch.records;
-  const Duration now = Now();
-  switch (SuspicionOf(records, call.identity, now)) {
-    case Suspicion::kDeadly:
-      return CallRefusal{kUnavailable, "not run: the request crashes endpoints",
-                         TimeUntilAllowed(records, call.identity, now)};
-    case Suspicion::kHeld:
-      return CallRefusal{kUnavailable,
-                         "not run: the request crashed an endpoint alone",
-                         TimeUntilAllowed(records, call.identity, now)};
-    default:
-      return std::nullopt;
-  }
-}
-
 void SettleRate(Node& node, Call& call) {
   if (const auto permit = std::exchange(call.rate_permit, std::nullopt)) {
     if (call.runs > 0) {
--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -1,9 +1,10 @@
 #include <doctest/doctest.h>
 
-#include <chrono>  // for std::chrono::milliseconds
-#include <future>  // for std::async
-#include <thread>  // for std::this_thread::sleep_for
-#include <vector>  // for std::vector
+#include <chrono>   // for std::chrono::milliseconds
+#include <cstdlib>  // for std::atof
+#include <future>   // for std::async
+#include <thread>   // for std::this_thread::sleep_for
+#include <vector>   // for std::vector
 
 #include "celerykeel/node/calls_unittest.h"  // for ToolHeaders, TurnHeaders
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
@@ -51,6 +52,21 @@
   }
 }
 
+// Sends the deadly request until an instance refuses it for minutes.
+bool SendUntilKnown(NodeFleet& fleet) {
+  constexpr int kMaxTries = 200;
+  for (int i = 0; i < kMaxTries; ++i) {
+    const CallerAnswer answer =
+        fleet.Send(static_cast<size_t>(i) % 3, "POST", "/look/x",
+                   ToolHeaders("k" + std::to_string(i)), "deadly");
+    if (answer.status == 503 && std::atof(answer.retry_after.c_str()) > 60) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  return false;
+}
+
 // Guards against a request that crashes each endpoint that runs it and comes
 // again at any instance until no endpoint is left.
 TEST_CASE("a deadly request crashes few endpoints, sound ones are served") {
@@ -88,5 +104,57 @@
   CHECK(SendUntilServed(fleet, "last", "/stream/kept/x") == 200);
 }
 
+// Guards against instances that forget a deadly request while the store is
+// unavailable, or with the loss of all of them.
+TEST_CASE("a deadly request stays known after the loss of all instances") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  SetDeadly(fleet);
+  REQUIRE(SendUntilKnown(fleet));
+  const int crashes = CrashesOf(fleet);
+  CHECK(crashes <= kMostCrashes);
+  REQUIRE(fleet.WaitUntilDeadlyStored());
+  fleet.store.mode = StoreMode::kRefuses;
+  SendDeadly(fleet, "/look/x", 2);
+  CHECK(CrashesOf(fleet) == crashes);
+  fleet.store.mode = StoreMode::kServes;
+  for (size_t i = 0; i < 3; ++i) {
+    fleet.Kill(i);
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    fleet.Start(i);
+  }
+  REQUIRE(fleet.WaitUntilServing());
+  SendDeadly(fleet, "/look/x", 4);
+  CHECK(CrashesOf(fleet) == crashes);
+  CHECK(SendUntilServed(fleet, "sound", "/stream/plain/x") == 200);
+}
+
+// Guards against refusing requests whose connections were reset by endpoints
+// that did not crash.
+TEST_CASE("a reset connection makes no request a suspect") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.close_after_events = 1;
+  }
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const CallerAnswer answer =
+        fleet.Send(static_cast<size_t>(i) % 3, "POST", "/stream/kept/x",
+                   TurnHeaders(id, "p" + id, "", 9999), "in");
+    CHECK(answer.status == 0);
+  }
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.close_after_events = -1;
+  }
+  CHECK(fleet
+            .Send(0, "POST", "/stream/kept/x",
+                  TurnHeaders("last", "p", "", 9999), "in")
+            .status == 200);
+  CHECK(fleet.Logs().find("request suspected") == std::string::npos);
+  CHECK(fleet.Logs().find("endpoint crashed") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -9,6 +9,7 @@
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for RewriteDriftedReserves
 #include "celerykeel/node/rates.h"          // for ReportLoans
+#include "celerykeel/node/suspect_run.h"    // for ForgetSuspectRuns
 
 namespace celerykeel {
 
--- a/src/celerykeel/node/isolation.cc
+++ b/src/celerykeel/node/isolation.cc
@@ -7,7 +7,6 @@
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseApart
 #include "celerykeel/node/fleet.h"            // for AnnounceSoon
 #include "celerykeel/node/node.h"             // for Node
-#include "celerykeel/wire/crash_codec.h"      // for ToProto
 
 namespace celerykeel {
 
@@ -20,10 +19,6 @@
 constexpr int kWaitDivisor = 3;  // of the time left
 // A service reserves at most this fraction of its endpoints.
 constexpr size_t kIsolationDivisor = 3;
-// Copies of one suspect run this long after each other.
-constexpr Duration kCopyInterval = std::chrono::seconds(1);
-constexpr Duration kHomeAnswerTimeout = std::chrono::milliseconds(100);
-
 uint32_t LoadOf(const Node& node, const std::string& endpoint) {
   uint32_t load = 0;
   if (const auto found = node.endpoints.endpoints.find(endpoint);
@@ -67,25 +62,6 @@
   SendToAll(node.peers, frame);
 }
 
-uint32_t HomeSlotOf(const Node& node, const RequestIdentity& request) {
-  return SlotOfSubject(request.team, HashText(request),
-                       static_cast<uint32_t>(node.fleet.slots.size()));
-}
-
-// Takes the run of one copy.
-// @return zero, or how long it must wait.
-Duration TakeRun(std::map<RequestIdentity, Duration>& next_run_at,
-                 const RequestIdentity& request,
-                 Duration interval,
-                 Duration now) {
-  Duration& next = next_run_at[request];
-  if (next > now) {
-    return next - now;
-  }
-  next = now + interval;
-  return Duration::zero();
-}
-
 // Returns an endpoint that is reserved and idle, or else one to reserve.
 const EndpointStatus* ChooseIsolated(Node& node, const Call& call) {
   const EndpointStatus* chosen = ChooseApart(node, call);
@@ -153,51 +129,6 @@
   }
 }
 
-pb::SuspectRunGrant DecideSuspectRun(Node& node,
-                                     const pb::SuspectRunWish& wish) {
-  const RequestIdentity request = FromProto(wish.request());
-  pb::SuspectRunGrant grant;
-  if (ActiveSlot(node, HomeSlotOf(node, request)) == nullptr) {
-    grant.set_not_home(true);
-    return grant;
-  }
-  const auto wait =
-      TakeRun(node.suspect_runs, request,
-              std::chrono::milliseconds(wish.interval_ms()), Now());
-  grant.set_granted(wait == Duration::zero());
-  grant.set_retry_ms(Millis(wait));
-  return grant;
-}
-
-Task<Duration> RequestSuspectRun(Node& node, RequestIdentity request) {
-  const uint32_t slot = HomeSlotOf(node, request);
-  pb::NodeFrame frame;
-  pb::SuspectRunWish& wish = *frame.mutable_suspect_run_wish();
-  *wish.mutable_request() = ToProto(request);
-  wish.set_interval_ms(Millis(kCopyInterval));
-  if (ActiveSlot(node, slot) != nullptr) {
-    co_return std::chrono::milliseconds(
-        DecideSuspectRun(node, wish).retry_ms());
-  }
-  if (const PeerLinkPtr link = LinkToHolder(node, slot)) {
-    const auto answer = co_await CallPeer(node.io, node.peers, link,
-                                          std::move(frame), kHomeAnswerTimeout);
-    if (answer && answer->has_suspect_run_grant() &&
-        !answer->suspect_run_grant().not_home()) {
-      co_return std::chrono::milliseconds(
-          answer->suspect_run_grant().retry_ms());
-    }
-  }
-  // Without a home, each instance runs one copy at a time.
-  co_return TakeRun(node.suspect_runs, request, kCopyInterval, Now());
-}
-
-void ForgetSuspectRuns(Node& node) {
-  const Duration now = Now();
-  std::erase_if(node.suspect_runs,
-                [now](const auto& entry) { return entry.second <= now; });
-}
-
 void ReportEndedIsolations(Node& node) {
   for (const std::string& endpoint : std::exchange(node.ended_isolations, {})) {
     Announce(node, endpoint, Duration::zero());
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -5,10 +5,10 @@
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/node/endpoint_feed.h"  // for ApplyEndpointNews
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
-#include "celerykeel/node/isolation.h"      // for DecideSuspectRun
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
+#include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
 #include "celerykeel/node/tunnel.h"         // for ServeTunnel
 
 namespace celerykeel {
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -2,11 +2,13 @@
 
 #include <unistd.h>  // for getpid
 
-#include <atomic>  // for std::atomic
-#include <future>  // for std::promise
+#include <algorithm>  // for std::any_of, std::count_if
+#include <atomic>     // for std::atomic
+#include <future>     // for std::promise
 
 #include <fmt/format.h>  // for fmt::format
 
+#include "celerykeel/base/clock.h"           // for Now
 #include "celerykeel/node/caller_server.h"   // for StopGracefully
 #include "celerykeel/node/out_connection.h"  // for Exchange
 
@@ -311,6 +313,29 @@
       });
 }
 
+bool NodeFleet::WaitUntilDeadlyStored() {
+  return WaitFor([this] {
+    bool is_deadly = true;
+    size_t proven = 0;
+    this->OnEach([&](Node& node) {
+      const CrashRecords& records = node.crash_watch.records;
+      is_deadly = is_deadly &&
+                  std::any_of(records.requests.begin(), records.requests.end(),
+                              [&](const auto& entry) {
+                                return SuspicionOf(records, entry.first,
+                                                   Now()) == Suspicion::kDeadly;
+                              });
+      const auto& stored = node.crash_store.stored;
+      proven = std::max<size_t>(
+          proven, static_cast<size_t>(std::count_if(
+                      stored.begin(), stored.end(), [](const auto& one) {
+                        return !one.second.others_missing;
+                      })));
+    });
+    return is_deadly && proven > 2;
+  });
+}
+
 bool NodeFleet::WaitUntilServing() {
   return WaitFor([this] { return this->IsServing(); });
 }
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -77,6 +77,10 @@
   /// @brief Waits until all instances know a rate limit of an endpoint.
   bool WaitUntilLimited(size_t endpoint);
 
+  /// @brief Waits until the store has the crashes of a deadly request, as all
+  /// instances know them.
+  bool WaitUntilDeadlyStored();
+
   /// @brief Returns the metrics of an instance.
   std::string MetricsOf(size_t index);
 
--- a/src/celerykeel/wire/crash_codec.cc
+++ b/src/celerykeel/wire/crash_codec.cc
@@ -103,9 +103,10 @@
     return std::nullopt;
   }
   // Clocks differ between instances, and may have been set back.
-  const WallMillis max_age = static_cast<WallMillis>(kMaxAgeMs);
-  const auto stored_for = static_cast<uint64_t>(std::clamp<WallMillis>(
-      wall_now - std::min(run.written_at(), wall_now), 0, max_age));
+  const WallMillis written_at =
+      std::clamp(run.written_at(),
+                 wall_now - static_cast<WallMillis>(kMaxAgeMs), wall_now);
+  const auto stored_for = static_cast<uint64_t>(wall_now - written_at);
   run.set_age_ms(std::min(run.age_ms(), kMaxAgeMs) + stored_for);
   run.set_seen_age_ms(std::min(run.seen_age_ms(), kMaxAgeMs) + stored_for);
   return FromProto(run, now);
