--- a/include/celerykeel/core/crash_records.h
+++ b/include/celerykeel/core/crash_records.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>  // for operator<=>
 #include <cstddef>  // for size_t
 #include <map>      // for std::map
 #include <set>      // for std::set
 #include <string>   // for std::string
+#include <tuple>    // for std::tie
 #include <vector>   // for std::vector
 
 #include "celerykeel/core/request_identity.h"  // for RequestIdentity
@@ -17,7 +17,11 @@
   std::string endpoint;  // id
   WallMillis started_at = 0;
 
-  friend auto operator<=>(const EndpointStart&, const EndpointStart&) = default;
+  friend bool operator==(const EndpointStart&, const EndpointStart&) = default;
+  friend bool operator<(const EndpointStart& a, const EndpointStart& b) {
+    return std::tie(a.endpoint, a.started_at) <
+           std::tie(b.endpoint, b.started_at);
+  }
 };
 
 /// @brief A request that was unfinished at an endpoint when it crashed.
--- a/include/celerykeel/core/request_identity.h
+++ b/include/celerykeel/core/request_identity.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>      // for operator<=>
 #include <cstddef>      // for size_t
 #include <cstdint>      // for uint64_t
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
+#include <tuple>        // for std::tie
 
 namespace celerykeel {
 
@@ -18,8 +18,12 @@
   uint64_t hash_high = 0;
   uint64_t hash_low = 0;
 
-  friend auto operator<=>(const RequestIdentity&,
-                          const RequestIdentity&) = default;
+  friend bool operator==(const RequestIdentity&,
+                         const RequestIdentity&) = default;
+  friend bool operator<(const RequestIdentity& a, const RequestIdentity& b) {
+    return std::tie(a.hash_high, a.hash_low, a.team) <
+           std::tie(b.hash_high, b.hash_low, b.team);
+  }
 };
 
 /// @brief Bytes of the body that count.
--- a/src/celerykeel/core/crash_records.cc
+++ b/src/celerykeel/core/crash_records.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/crash_records.h"
 
-#include <algorithm>  // for std::count_if, std::max, std::min_element
+#include <algorithm>  // for std::count_if, std::max_element
 #include <tuple>      // for std::tuple
 
 namespace celerykeel {
@@ -45,17 +45,21 @@
   }
 }
 
+bool IsOlder(const CrashRecords& records,
+             const EndpointStart& a,
+             const EndpointStart& b) {
+  return records.crashes.at(a).at < records.crashes.at(b).at;
+}
+
 void RemoveOldestCrash(CrashRecords& records,
                        const RequestIdentity& identity,
                        CrashRecords::Request& request) {
-  const auto oldest = std::min_element(
-      request.crashes.begin(), request.crashes.end(),
-      [&records](const EndpointStart& a, const EndpointStart& b) {
-        return records.crashes.at(a).at < records.crashes.at(b).at;
-      });
-  const EndpointStart endpoint = *oldest;
-  request.crashes.erase(oldest);
-  RemoveSuspect(records, endpoint, identity, false);
+  const auto oldest = request.crashes.extract(
+      std::min_element(request.crashes.begin(), request.crashes.end(),
+                       [&records](const auto& a, const auto& b) {
+                         return IsOlder(records, a, b);
+                       }));
+  RemoveSuspect(records, oldest.value(), identity, false);
 }
 
 void RemoveRequest(CrashRecords& records, Requests::iterator request) {
@@ -116,20 +120,19 @@
 Duration HeldUntil(const CrashRecords& records,
                    const Requests::value_type& request) {
   const auto& [identity, record] = request;
-  const CrashRecords::Crash* newest = nullptr;
-  for (const EndpointStart& endpoint : record.crashes) {
-    const CrashRecords::Crash& crash = records.crashes.at(endpoint);
-    if (newest == nullptr || crash.at > newest->at) {
-      newest = &crash;
-    }
-  }
   const size_t count = record.crashes.size();
+  if (count < 2) {
+    return {};
+  }
+  const CrashRecords::Crash& newest = records.crashes.at(
+      *std::max_element(record.crashes.begin(), record.crashes.end(),
+                        [&records](const auto& a, const auto& b) {
+                          return IsOlder(records, a, b);
+                        }));
   if (count < kMinCrashes) {
-    return count > 1 && IsLikelyCause(*newest, identity)
-               ? newest->at + kHoldTime
-               : Duration::zero();
+    return IsLikelyCause(newest, identity) ? newest.at + kHoldTime : Duration{};
   }
-  return newest->at + kHoldTime * (1 << (count - kMinCrashes));
+  return newest.at + kHoldTime * (1 << (count - kMinCrashes));
 }
 
 }  // namespace
--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -87,8 +87,10 @@
     target = "/pay/x";
   }
   CAPTURE(target);
+  constexpr int kSoundCallers = 6;
   std::vector<std::future<int>> sound;
-  for (int i = 0; i < 6; ++i) {
+  sound.reserve(kSoundCallers);
+  for (int i = 0; i < kSoundCallers; ++i) {
     sound.push_back(std::async(std::launch::async, [&fleet, i] {
       const std::string id = "s" + std::to_string(i);
       return SendUntilServed(fleet, id,
--- /dev/null
+++ b/src/celerykeel/node/unframed_answers_unittest.cc
@@ -0,0 +1,50 @@
+#include <doctest/doctest.h>
+
+#include "celerykeel/node/calls_unittest.h"  // for ToolHeaders, TurnHeaders
+#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+
+namespace celerykeel::testing {
+namespace {
+
+// Guards against losing the end of answers that have neither a length nor
+// chunks, and against taking a stream that ends inside an event for complete.
+TEST_CASE("answers may end with their connection") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_unframed = true;
+  }
+  SUBCASE("of a call") {
+    const CallerAnswer answer =
+        fleet.Send(0, "POST", "/pay/x", ToolHeaders("c1"), "x");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "done c1");
+  }
+  SUBCASE("of a turn, which the next one goes on from") {
+    const CallerAnswer first = fleet.Send(
+        0, "POST", "/stream/kept/x", TurnHeaders("t1", "p", "", 9999), "in");
+    CHECK(first.status == 200);
+    CHECK(first.body.ends_with("data: e4\n\n"));
+    CHECK(fleet
+              .Send(1, "POST", "/stream/kept/x",
+                    TurnHeaders("t2", "p", "t1", 9999), "more")
+              .status == 200);
+    CHECK(BodyOf(fleet.endpoints[0], "t2") + BodyOf(fleet.endpoints[1], "t2") ==
+          "ine1\ne2\ne3\ne4\nmore");
+  }
+  SUBCASE("of a turn that ends inside an event") {
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.ends_inside_event = true;
+    }
+    const CallerAnswer broken = fleet.Send(
+        0, "POST", "/stream/kept/x", TurnHeaders("b1", "p", "", 9999), "in");
+    CHECK(broken.status == 0);
+    CHECK(fleet
+              .Send(1, "POST", "/stream/kept/x",
+                    TurnHeaders("b2", "p", "b1", 9999), "more")
+              .status == 404);
+  }
+}
+
+}  // namespace
+}  // namespace celerykeel::testing
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -53,6 +53,12 @@
   return statements;
 }
 
+std::string Framed(const EndpointStandin& endpoint, const std::string& text) {
+  return endpoint.is_unframed
+             ? text
+             : fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
 // Streams the events after number `first`. Returns false to close the
 // connection.
 Task<bool> Stream(asio::io_context& loop,
@@ -62,9 +68,11 @@
                   int first) {
   std::string head = fmt::format(
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
-      "Content-Type: text/event-stream\r\nKeep-Alive: timeout=10\r\n"
-      "Transfer-Encoding: chunked\r\n",
-      id, endpoint.id);
+      "Content-Type: text/event-stream\r\n{}\r\n",
+      id, endpoint.id,
+      endpoint.is_unframed
+          ? "Connection: close"
+          : "Keep-Alive: timeout=10\r\nTransfer-Encoding: chunked");
   for (const auto& [name, value] : StatementsOf(endpoint)) {
     head += fmt::format("{}: {}\r\n", name, value);
   }
@@ -80,10 +88,17 @@
       co_return false;
     }
     const std::string text = fmt::format("id: {}\ndata: e{}\n\n", event, event);
-    std::string chunk = fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-    keep_open = co_await Write(connection, std::move(chunk));
+    std::string piece = Framed(endpoint, text);
+    keep_open = co_await Write(connection, std::move(piece));
     co_await Sleep(loop, std::chrono::milliseconds(endpoint.pause_ms));
   }
+  if (endpoint.ends_inside_event) {
+    std::string piece = Framed(endpoint, "id: 99\ndata: half");
+    keep_open = co_await Write(connection, std::move(piece));
+  }
+  if (endpoint.is_unframed) {
+    co_return false;
+  }
   std::string last = "0\r\n\r\n";
   co_return keep_open&& co_await Write(connection, std::move(last));
 }
@@ -200,6 +215,14 @@
       co_return false;
     }
   }
+  if (endpoint.is_unframed) {
+    std::string answer = fmt::format(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
+        "Connection: close\r\n\r\ndone {}",
+        id, endpoint.id, id);
+    co_await Write(connection, std::move(answer));
+    co_return false;
+  }
   StandinResponse response = Plain(endpoint, id, "done " + id);
   co_return co_await Respond(connection, std::move(response));
 }
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -36,6 +36,10 @@
   std::atomic<bool> streams_only_comments{false};
   // Closes the connection after this many events; -1: never.
   std::atomic<int> close_after_events{-1};
+  // Sends answers without a length or chunks, which end with the connection.
+  std::atomic<bool> is_unframed{false};
+  // Ends streams inside an event, after all complete ones.
+  std::atomic<bool> ends_inside_event{false};
   std::atomic<bool> is_full{false};  // answers 503, marked as not run
   // Runs requests and closes their connections without an answer.
   std::atomic<bool> is_unresponsive{false};
