node: a refusal without an id counts only on a new connection

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or these ran at a second server. It could happen here when the refusal carried no id: the new subcase got 503 and found two runs of a call that may run once. Such an answer is skipped now unless the connection is new, as a late answer with another id was before.

--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -92,6 +92,8 @@
     Attempt& attempt,
     OutConnectionPtr connection,
     asio::steady_timer::time_point until) {
+  // A peer that relays the bytes may use a kept connection.
+  const bool is_new = !connection->was_idle && connection->tunnel == nullptr;
   for (int stale = 0; stale <= kMaxStaleAnswers; ++stale) {
     attempt.reader = std::make_shared<AnswerReader>(connection);
     auto head = co_await attempt.reader->ReadHead(until);
@@ -105,8 +107,9 @@
     }
     HandleNamedLimit(node, endpoint, header_values);
     // A refusal may lack a request id, but must not carry another request's.
+    // Without an id, it may be an earlier one unless the connection is new.
     if (header_values.request_id == call.request.header_values.id ||
-        (header_values.not_run && header_values.request_id.empty())) {
+        (header_values.not_run && header_values.request_id.empty() && is_new)) {
       co_return head;
     }
     const auto skipped = co_await ReadCompleteBody(node, attempt.reader, until);
--- a/src/celerykeel/node/node_unittest.cc
+++ b/src/celerykeel/node/node_unittest.cc
@@ -196,6 +196,23 @@
     CHECK(RunsOfBoth(fleet, "s2") == 1);
   }
 
+  // Guards against a call that is told not to have run, or runs twice, when an
+  // endpoint sends an earlier refusal again on a kept connection.
+  SUBCASE("a refusal without an id is skipped on a kept connection") {
+    for (int i = 0; i < 40 && (fleet.endpoints[0].runs.empty() ||
+                               fleet.endpoints[1].runs.empty());
+         ++i) {
+      fleet.Send(0, "GET", "/look/x", ToolHeaders("k" + std::to_string(i)), "");
+    }
+    for (EndpointStandin& endpoint : fleet.endpoints) {
+      endpoint.sends_stale_refusal = true;
+      endpoint.stale_refusal_has_id = false;
+    }
+    CHECK(fleet.Send(0, "POST", "/pay/x", ToolHeaders("s3"), "x").status ==
+          200);
+    CHECK(RunsOfBoth(fleet, "s3") == 1);
+  }
+
   SUBCASE("a resumable stream continues at another endpoint") {
     fleet.endpoints[0].close_after_events = 2;
     // Six streams, so that both endpoints get some of them first.
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -177,6 +177,7 @@
                                 ? http::status::service_unavailable
                                 : http::status::misdirected_request,
                             11);
+    refused.set("X-Attempt-Id", id);
     refused.set("X-Not-Executed", "1");
     for (const auto& [name, value] : StatementsOf(endpoint)) {
       refused.set(name, value);
@@ -203,7 +204,9 @@
   }
   if (endpoint.sends_stale_refusal) {
     StandinResponse stray(http::status::service_unavailable, 11);
-    stray.set("X-Attempt-Id", "earlier");
+    if (endpoint.stale_refusal_has_id) {
+      stray.set("X-Attempt-Id", "earlier");
+    }
     stray.set("X-Not-Executed", "1");
     if (!co_await Respond(connection, std::move(stray))) {
       co_return false;
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -51,6 +51,7 @@
   std::atomic<bool> sends_stale_answer{false};
   // Sends the refusal of an earlier request before the expected answer.
   std::atomic<bool> sends_stale_refusal{false};
+  std::atomic<bool> stale_refusal_has_id{true};
   std::atomic<Endless> endless{Endless::kNotEndless};
   std::atomic<uint64_t> endless_bytes{0};  // sent on all connections
   // A request with this body crashes the endpoint; it is down for `down_ms`.
