node: the end of an isolation uses nothing that may be destroyed before it

Found by reading: the destruction of the event loop ends calls, and with them their isolations, after that of the node's options.

--- a/include/celerykeel/node/isolation.h
+++ b/include/celerykeel/node/isolation.h
@@ -27,6 +27,7 @@
  private:
   Node& node;
   std::string endpoint;
+  std::string instance;  // of this process
 };
 using IsolationPtr = std::shared_ptr<Isolation>;
 
--- a/src/celerykeel/node/isolation.cc
+++ b/src/celerykeel/node/isolation.cc
@@ -75,12 +75,15 @@
 }  // namespace
 
 Isolation::Isolation(Node& isolating_node, std::string isolated_endpoint)
-    : node(isolating_node), endpoint(std::move(isolated_endpoint)) {}
+    : node(isolating_node),
+      endpoint(std::move(isolated_endpoint)),
+      instance(isolating_node.options.instance) {}
 
-// The destruction of the loop ends calls too, so this must not send anything.
+// The destruction of the loop ends calls too, after that of the node's options
+// and peers. So this uses neither.
 Isolation::~Isolation() {
-  RecordIsolation(this->node.endpoints, this->endpoint,
-                  this->node.options.instance, {}, Now());
+  RecordIsolation(this->node.endpoints, this->endpoint, this->instance, {},
+                  Now());
   this->node.ended_isolations.insert(this->endpoint);
 }
 
