--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -88,6 +88,10 @@
   }
   this->standin_loop.stop();
   this->standin_thread.join();
+  // The sockets belong to the loop, which is destroyed before the endpoints.
+  for (EndpointStandin& endpoint : this->endpoints) {
+    endpoint.sockets = {};
+  }
 }
 
 std::string NodeFleet::Ip(size_t host) const {
