core, node: one conversion of durations to milliseconds

Found by reading the change: isolation and suspect_run had copies of the one in tunnel. No change of behaviour. Node tests passed, format checked; linter and sanitizers not repeated.

--- a/src/celerykeel/node/isolation.cc
+++ b/src/celerykeel/node/isolation.cc
@@ -4,6 +4,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/core/millis.h"           // for Millis
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseApart
 #include "celerykeel/node/fleet.h"            // for AnnounceSoon
 #include "celerykeel/node/node.h"             // for Node
@@ -19,6 +20,7 @@
 constexpr int kWaitDivisor = 3;  // of the time left
 // A service reserves at most this fraction of its endpoints.
 constexpr size_t kIsolationDivisor = 3;
+
 uint32_t LoadOf(const Node& node, const std::string& endpoint) {
   uint32_t load = 0;
   if (const auto found = node.endpoints.endpoints.find(endpoint);
@@ -45,13 +47,6 @@
   return isolated < std::max<size_t>(endpoints / kIsolationDivisor, 1);
 }
 
-uint32_t Millis(Duration duration) {
-  return static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::max(duration, Duration::zero()))
-          .count());
-}
-
 void Announce(Node& node, const std::string& endpoint, Duration runs) {
   pb::NodeFrame frame;
   pb::IsolatedEndpoint& news =
--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -1,9 +1,9 @@
 #include "celerykeel/node/suspect_run.h"
 
-#include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"        // for Now
+#include "celerykeel/core/millis.h"       // for Millis
 #include "celerykeel/node/fleet.h"        // for LinkToHolder
 #include "celerykeel/node/isolation.h"    // for IsolateEndpoint
 #include "celerykeel/node/node.h"         // for Node
@@ -18,13 +18,6 @@
 constexpr Duration kCopyInterval = std::chrono::seconds(1);
 constexpr Duration kHomeAnswerTimeout = std::chrono::milliseconds(100);
 
-uint32_t Millis(Duration duration) {
-  return static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::max(duration, Duration::zero()))
-          .count());
-}
-
 uint32_t HomeSlotOf(const Node& node, const RequestIdentity& request) {
   return SlotOfSubject(request.team, HashText(request),
                        static_cast<uint32_t>(node.fleet.slots.size()));
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -11,6 +11,7 @@
 #include <vector>     // for std::vector
 
 #include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/core/millis.h"         // for Millis
 #include "celerykeel/node/endpoint_link.h"  // for ConnectDirectly
 #include "celerykeel/node/node.h"           // for Node
 
@@ -28,13 +29,6 @@
 constexpr size_t kPieceBytes = 16384;
 constexpr uint32_t kMaxAnswerBytes = 4096;
 
-uint32_t Millis(Duration duration) {
-  return static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::max(duration, Duration::zero()))
-          .count());
-}
-
 std::vector<TunnelPeer> TunnelPeers(const Node& node,
                                     const std::set<std::string>& excluded) {
   std::vector<TunnelPeer> peers;
