--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/node/suspect_run.h"
 
-#include <utility>    // for std::move
+#include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/millis.h"       // for Millis
