testing: a fleet serves once its instances are in touch with each other

The case "an instance that is cut off from the endpoints serves its callers" failed in 5 of 60 runs of its last subcase: all calls 503, no endpoint. Traced by the logs of a failed run: the instance sent all its calls 248 ms after its start and had not heard a heartbeat of any peer, so it knew none that could open a tunnel. WaitUntilServing waited for links to holders of slots only.

--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -48,6 +48,15 @@
   return false;
 }
 
+// True if the node has a link to the peer and hears its heartbeats.
+bool IsInTouch(const Node& node, const std::string& peer) {
+  const auto link = node.peers.links.find(peer);
+  const auto member = node.fleet.members.find(peer);
+  return link != node.peers.links.end() && link->second->socket != nullptr &&
+         member != node.fleet.members.end() &&
+         HasRecentHeartbeat(member->second, Now());
+}
+
 }  // namespace
 
 // Leaves room for eight fleets of a process before the subnets of the next
@@ -254,7 +263,7 @@
 
 bool NodeFleet::IsServing() {
   bool all = true;
-  this->OnEach([&all](Node& node) {
+  this->OnEach([this, &all](Node& node) {
     for (uint32_t slot = 0; slot < node.fleet.slots.size(); ++slot) {
       const bool mine = ActiveSlot(node, slot) != nullptr;
       const auto link = node.peers.links.find(node.fleet.slots[slot].instance);
@@ -262,6 +271,10 @@
           link != node.peers.links.end() && link->second->socket != nullptr;
       all = all && IsReady(node) && (mine || other);
     }
+    for (const Instance& other : this->instances) {
+      all = all && (other.node == nullptr || other.node.get() == &node ||
+                    IsInTouch(node, other.node->options.instance));
+    }
     for (const auto& [id, endpoint] : node.endpoints.endpoints) {
       all =
           all && IsVersionInUse(node.version_feed.versions,
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -33,8 +33,8 @@
   NodeFleet(const NodeFleet&) = delete;
   NodeFleet& operator=(const NodeFleet&) = delete;
 
-  /// @brief Waits until every instance is ready, all slots are held and the
-  /// versions of all endpoints are recorded.
+  /// @brief Waits until every instance is ready and in touch with the others,
+  /// all slots are held and the versions of all endpoints are recorded.
   bool WaitUntilServing();
 
   /// @brief Stops an instance abruptly, as SIGKILL would: its sockets close,
