gate: tests serve with 64 threads instead of 512

Cause: thread sanitizer of GCC 12 reserves 16 MB of trace for each thread and has 8 GB for all of them on arm64, so a process has room for about 500 threads; each gate of the tests started 512. No test opens more than a few connections, so the fixture's gates have 64 threads; the program's default stays.

--- a/src/celerykeel/gate/gate_fixture_unittest.h
+++ b/src/celerykeel/gate/gate_fixture_unittest.h
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <httplib.h>  // for httplib::Client
 
+#include <cstddef>  // for size_t
 #include <memory>   // for std::unique_ptr
 #include <string>   // for std::string
 #include <utility>  // for std::move
@@ -21,6 +22,9 @@
 inline constexpr char kStreamedChat[] =
     R"({"model":"plum-7b","stream":true,"messages":[{"role":"user"}]})";
 
+// Thread sanitizer on arm64 has room for about 500 threads in a process.
+inline constexpr size_t kServerThreads = 64;
+
 inline std::vector<pb::CallReply> AnswerChat(const pb::CallMessage& message) {
   const pb::CallRequest& request = message.request();
   if (!request.stream()) {
@@ -44,6 +48,7 @@
                SplitAddress(gate_address).port) {
     this->feed.AddMember(1, this->scheduler_address);
     options.listen = this->gate_address;
+    options.limits.threads = kServerThreads;
     this->server =
         GateServer::Create(options, {.view = [this] { return feed.View(); },
                                      .link = this->link.get(),
