node: copies of a request that has been at one crash run one at a time

Cause: only a request that had been at two crashes asked its home whether another copy runs. After the first crash all copies waited for an endpoint of their own at the same time, as the service reserves one of four, then all ran beside others.

Change: a suspect of one crash asks as well. If another copy runs, it waits until that one has crashed or cleared the request, at most half of its time left; then it runs as before, so no sound request is refused for it. An attempt after one that was not run keeps the run of its call.

--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -42,9 +42,10 @@
   std::string last_event;                 // id of the last relayed event
   uint64_t events = 0;                    // relayed events
   std::optional<RatePermit> rate_permit;  // until SettleRate
-  Duration rate_retry{};               // delay before a retry after kOverRate
-  Duration limit_retry{};              // likewise after kOverLimit
-  Duration suspect_retry{};            // likewise after kNotIsolated
+  Duration rate_retry{};         // delay before a retry after kOverRate
+  Duration limit_retry{};        // likewise after kOverLimit
+  Duration suspect_retry{};      // likewise after kNotIsolated
+  Duration suspect_run_until{};  // other copies of the suspect wait until then
   std::optional<Duration> sent_after;  // from arrival to the first sending
   std::optional<Duration> first_event_after;  // from arrival to the first event
 };
--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -106,6 +106,40 @@
   CHECK(SendUntilServed(fleet, "last", "/stream/kept/x") == 200);
 }
 
+// Guards against copies of a request that crash several endpoints at once,
+// after the first crash and before the request is known.
+TEST_CASE("copies of a request that crashed an endpoint run one at a time") {
+  constexpr int kMaxTries = 50;
+  constexpr int kLongPause = 250;  // ms between the events of a stream
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  // It crashes only one of the endpoints, and the other one completes it.
+  fleet.endpoints[0].deadly_body = "copy";
+  fleet.endpoints[0].down_ms = 60'000;
+  for (int i = 0; i < kMaxTries && fleet.endpoints[0].crashes == 0; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    fleet.Send(static_cast<size_t>(i) % 2, "POST", "/stream/kept/x",
+               TurnHeaders(id, id, "", 9999), "copy");
+  }
+  REQUIRE(fleet.endpoints[0].crashes == 1);
+  fleet.endpoints[1].pause_ms = kLongPause;
+  fleet.endpoints[1].most_streams = 0;
+  std::vector<std::future<int>> copies;
+  for (size_t i = 0; i < 2; ++i) {
+    copies.push_back(std::async(std::launch::async, [&fleet, i] {
+      const std::string id = "copy-" + std::to_string(i);
+      return fleet
+          .Send(i, "POST", "/stream/kept/x", TurnHeaders(id, id, "", 9999),
+                "copy")
+          .status;
+    }));
+  }
+  for (std::future<int>& answer : copies) {
+    CHECK(answer.get() == 200);
+  }
+  CHECK(fleet.endpoints[1].most_streams == 1);
+}
+
 // Guards against instances that forget a deadly request while the store is
 // unavailable, or with the loss of all of them.
 TEST_CASE("a deadly request stays known after the loss of all instances") {
--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/node/suspect_run.h"
 
-#include <utility>  // for std::move
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/millis.h"       // for Millis
@@ -17,6 +18,11 @@
 // Copies of one suspect run this long after each other.
 constexpr Duration kCopyInterval = std::chrono::seconds(1);
 constexpr Duration kHomeAnswerTimeout = std::chrono::milliseconds(100);
+constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+// Longer than another copy waits for an endpoint of its own, so that its crash
+// or completion is known before this copy runs.
+constexpr Duration kMaxCopyWait = std::chrono::milliseconds(1500);
+constexpr int kCopyWaitDivisor = 2;  // of the time left
 
 uint32_t HomeSlotOf(const Node& node, const RequestIdentity& request) {
   return SlotOfSubject(request.team, HashText(request),
@@ -62,6 +68,36 @@
   co_return TakeRun(node.suspect_runs, request, kCopyInterval, Now());
 }
 
+// Takes the run of one copy for this call, unless the call has it already and
+// has crashed no endpoint since.
+// @return true if the call may run; otherwise Call::suspect_retry is set.
+Task<bool> MayRunCopy(Node& node, CallPtr call, Suspicion suspicion) {
+  if (suspicion == Suspicion::kSuspect && Now() < call->suspect_run_until) {
+    co_return true;
+  }
+  call->suspect_retry = co_await RequestSuspectRun(node, call->identity);
+  if (call->suspect_retry > Duration::zero()) {
+    co_return false;
+  }
+  call->suspect_run_until = Now() + kCopyInterval;
+  co_return true;
+}
+
+// Waits until the copy that runs has crashed its endpoint or has cleared the
+// request, or for as long as that may take.
+// @return the suspicion then.
+Task<Suspicion> AwaitOtherCopy(Node& node, CallPtr call) {
+  const Duration until =
+      Now() + std::min(kMaxCopyWait, TimeLeft(*call) / kCopyWaitDivisor);
+  Suspicion suspicion = Suspicion::kSuspect;
+  while (suspicion == Suspicion::kSuspect && Now() < until &&
+         !call->caller->disconnected) {
+    co_await Sleep(node.io, kPollInterval);
+    suspicion = SuspicionOf(node.crash_watch.records, call->identity, Now());
+  }
+  co_return suspicion;
+}
+
 }  // namespace
 
 std::optional<CallRefusal> RefusalIfDeadly(const Node& node, const Call& call) {
@@ -83,16 +119,24 @@
 Task<std::optional<AttemptEnd>> PrepareSuspect(Node& node, CallPtr call) {
   call->isolation = nullptr;
   const CrashRecords& records = node.crash_watch.records;
-  const Suspicion suspicion = SuspicionOf(records, call->identity, Now());
+  Suspicion suspicion = SuspicionOf(records, call->identity, Now());
   if (suspicion == Suspicion::kNone) {
     co_return std::nullopt;
   }
   if (RefusalIfDeadly(node, *call)) {
     co_return AttemptEnd::kDeadly;
   }
-  if (suspicion == Suspicion::kRepeatedSuspect) {
-    call->suspect_retry = co_await RequestSuspectRun(node, call->identity);
-    if (call->suspect_retry > Duration::zero()) {
+  if (!co_await MayRunCopy(node, call, suspicion)) {
+    if (suspicion == Suspicion::kSuspect) {
+      suspicion = co_await AwaitOtherCopy(node, call);
+    }
+    if (suspicion == Suspicion::kNone) {
+      co_return std::nullopt;
+    }
+    if (RefusalIfDeadly(node, *call)) {
+      co_return AttemptEnd::kDeadly;
+    }
+    if (suspicion != Suspicion::kSuspect) {
       co_return AttemptEnd::kNotIsolated;
     }
   }
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -2,8 +2,9 @@
 
 #include <boost/asio/write.hpp>
 
-#include <span>     // for std::span
-#include <utility>  // for std::as_const
+#include <algorithm>  // for std::max
+#include <span>       // for std::span
+#include <utility>    // for std::as_const
 
 #include <fmt/format.h>  // for fmt::format
 
@@ -165,6 +166,22 @@
   return response;
 }
 
+// Counts a stream as under way during the lifetime of this object.
+class StreamCount {
+ public:
+  explicit StreamCount(EndpointStandin& counted) : endpoint(counted) {
+    const int streams = ++this->endpoint.streams;
+    this->endpoint.most_streams =
+        std::max(this->endpoint.most_streams.load(), streams);
+  }
+  ~StreamCount() { --this->endpoint.streams; }
+  StreamCount(const StreamCount&) = delete;
+  StreamCount& operator=(const StreamCount&) = delete;
+
+ private:
+  EndpointStandin& endpoint;
+};
+
 Task<bool> Handle(asio::io_context& loop,
                   EndpointStandin& endpoint,
                   StandinConnectionPtr connection,
@@ -199,6 +216,7 @@
   const std::string target(request.target());
   if (target.starts_with("/stream/")) {
     const std::string last(request["Last-Event-ID"]);
+    const StreamCount counted(endpoint);
     co_return co_await Stream(loop, endpoint, connection, id,
                               std::atoi(last.c_str()));
   }
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -59,6 +59,8 @@
   std::string deadly_body;
   int down_ms = 300;
   std::atomic<int> crashes{0};
+  std::atomic<int> streams{0};       // under way
+  std::atomic<int> most_streams{0};  // that were under way at once
   StandinSockets sockets;
   std::mutex mutex;                 // guards the members below
   std::map<std::string, int> runs;  // by request id
