node: tests of an instance that misses a new version

Another operator reported streams of two versions at an instance that was cut off or frozen while endpoints of a new version joined. Here a take-up whose begin is not known reads the recorded versions from the store after it arrived, so it can't happen; no test showed it.

The new test freezes an instance, refuses it at the store, or lets it forget the version, and takes streams up there.

--- a/src/celerykeel/node/stream_versions_unittest.cc
+++ b/src/celerykeel/node/stream_versions_unittest.cc
@@ -1,8 +1,11 @@
 #include <doctest/doctest.h>
 
-#include <chrono>  // for std::chrono::milliseconds
-#include <future>  // for std::async
-#include <thread>  // for std::this_thread::sleep_for
+#include <chrono>   // for std::chrono::milliseconds
+#include <future>   // for std::async
+#include <string>   // for std::string
+#include <thread>   // for std::this_thread::sleep_for
+#include <utility>  // for std::move
+#include <vector>   // for std::vector
 
 #include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, RunsOfBoth
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
@@ -198,5 +201,90 @@
   }
 }
 
+// Returns programs whose slots the instance holds.
+std::vector<std::string> ProgramsHeldBy(NodeFleet& fleet, size_t instance) {
+  constexpr int kPrograms = 400;
+  std::vector<std::string> programs;
+  for (int i = 0; i < kPrograms; ++i) {
+    if (std::string program = "begun" + std::to_string(i);
+        fleet.Holds(instance, program)) {
+      programs.push_back(std::move(program));
+    }
+  }
+  return programs;
+}
+
+// Begins a stream at the second endpoint, which breaks off.
+// @return the id of its program and of its request.
+std::string BeginBroken(NodeFleet& fleet,
+                        size_t instance,
+                        const std::vector<std::string>& programs) {
+  fleet.endpoints[1].close_after_events = 2;
+  for (const std::string& id : programs) {
+    fleet.Send(instance, "POST", "/stream/plain/x",
+               TurnHeaders(id, id, "", 9999), "");
+    if (RunsOf(fleet.endpoints[1], id) > 0) {
+      fleet.endpoints[1].close_after_events = -1;
+      return id;
+    }
+  }
+  FAIL("no stream began at the endpoint");
+  return "";
+}
+
+// Guards against streams of two versions at an instance that was frozen or cut
+// off from the store while endpoints of a new version joined: it knows one
+// version only when it takes up streams that began at the other one.
+TEST_CASE("an instance that missed a new version joins no streams") {
+  NodeFleet fleet(2, {"v1", ""});
+  REQUIRE(fleet.WaitUntilServing());
+  const size_t holder = fleet.Holds(0, "any") ? 0 : 1;
+  size_t behind = 1 - holder;  // the instance that misses the version
+  bool is_frozen = false;
+  bool missed_news = false;
+  SUBCASE("missed all news of it, another instance holds the program") {
+    missed_news = true;
+  }
+  SUBCASE("frozen, another instance holds the program") {
+    is_frozen = true;
+  }
+  SUBCASE("refused by the store, another instance holds the program") {}
+  SUBCASE("refused by the store, it holds the program itself") {
+    behind = holder;
+  }
+  const std::vector<std::string> programs = ProgramsHeldBy(fleet, holder);
+  if (is_frozen) {
+    fleet.Freeze(behind, milliseconds(3000));
+  } else if (!missed_news) {
+    fleet.store_access[behind].is_shut = true;
+  }
+  REQUIRE(fleet.Join(1, "v2", 1 - behind));
+  const std::string began = BeginBroken(fleet, 1 - behind, programs);
+  if (missed_news) {
+    fleet.ForgetVersion(behind, "v2");
+  }
+  // No instance knows what began this one; only the versions in use could tell.
+  CHECK(fleet
+            .Send(behind, "POST", "/stream/plain/x",
+                  TakeUpHeaders("unknown", began, "lost"), "")
+            .status == 503);
+  CHECK(RunsOfBoth(fleet, "unknown") == 0);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = began + "-again" + std::to_string(i);
+    const CallerAnswer answer = fleet.Send(behind, "POST", "/stream/plain/x",
+                                           TakeUpHeaders(id, began, began), "");
+    CHECK((answer.status == 200 || answer.status == 503));
+    CHECK(RunsOf(fleet.endpoints[0], id) == 0);
+  }
+  fleet.store_access[behind].is_shut = false;
+  REQUIRE(fleet.WaitUntilServing());
+  const std::string last = began + "-last";
+  CHECK(fleet
+            .Send(behind, "POST", "/stream/plain/x",
+                  TakeUpHeaders(last, began, began), "")
+            .status == 200);
+  CHECK(RunsOf(fleet.endpoints[1], last) == 1);
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -2,13 +2,11 @@
 
 #include <unistd.h>  // for getpid
 
-#include <algorithm>  // for std::any_of, std::count_if
-#include <atomic>     // for std::atomic
-#include <future>     // for std::promise
+#include <atomic>  // for std::atomic
+#include <future>  // for std::promise
 
 #include <fmt/format.h>  // for fmt::format
 
-#include "celerykeel/base/clock.h"           // for Now
 #include "celerykeel/node/caller_server.h"   // for StopGracefully
 #include "celerykeel/node/out_connection.h"  // for Exchange
 
@@ -37,26 +35,6 @@
 
 std::atomic<int> next_fleet{0};
 
-bool WaitFor(const std::function<bool()>& condition) {
-  constexpr int kMaxPolls = 400;  // 20 s
-  for (int i = 0; i < kMaxPolls; ++i) {
-    if (condition()) {
-      return true;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  }
-  return false;
-}
-
-// True if the node has a link to the peer and hears its heartbeats.
-bool IsInTouch(const Node& node, const std::string& peer) {
-  const auto link = node.peers.links.find(peer);
-  const auto member = node.fleet.members.find(peer);
-  return link != node.peers.links.end() && link->second->socket != nullptr &&
-         member != node.fleet.members.end() &&
-         HasRecentHeartbeat(member->second, Now());
-}
-
 }  // namespace
 
 // Leaves room for eight fleets of a process before the subnets of the next
@@ -128,7 +106,9 @@
 void NodeFleet::PutDeployment() {
   PutKeyed(this->store, "keyed.op", "config", kDeployment);
   for (size_t i = 0; i < 2; ++i) {
-    this->PutEndpoint(i, "ready");
+    if (!this->versions[i].empty()) {
+      this->PutEndpoint(i, "ready");
+    }
   }
 }
 
@@ -220,25 +200,6 @@
   done.get_future().wait();
 }
 
-bool NodeFleet::WaitUntilReachingEndpoints(size_t index) {
-  return WaitFor([&] {
-    std::promise<bool> reaches;
-    Node& node = *this->instances[index].node;
-    asio::post(node.io,
-               [&] { reaches.set_value(!node.endpoint_path.is_cut_off); });
-    return reaches.get_future().get();
-  });
-}
-
-bool NodeFleet::Holds(size_t index, const std::string& program) {
-  std::promise<bool> holds;
-  Node& node = *this->instances[index].node;
-  asio::post(node.io, [&] {
-    holds.set_value(ActiveSlot(node, SlotOf(program)) != nullptr);
-  });
-  return holds.get_future().get();
-}
-
 Tcp::endpoint NodeFleet::CallersAddress(size_t index) const {
   return {asio::ip::make_address(this->Ip(index + 1)), kCallersPort};
 }
@@ -261,29 +222,6 @@
   }
 }
 
-bool NodeFleet::IsServing() {
-  bool all = true;
-  this->OnEach([this, &all](Node& node) {
-    for (uint32_t slot = 0; slot < node.fleet.slots.size(); ++slot) {
-      const bool mine = ActiveSlot(node, slot) != nullptr;
-      const auto link = node.peers.links.find(node.fleet.slots[slot].instance);
-      const bool other =
-          link != node.peers.links.end() && link->second->socket != nullptr;
-      all = all && IsReady(node) && (mine || other);
-    }
-    for (const Instance& other : this->instances) {
-      all = all && (other.node == nullptr || other.node.get() == &node ||
-                    IsInTouch(node, other.node->options.instance));
-    }
-    for (const auto& [id, endpoint] : node.endpoints.endpoints) {
-      all =
-          all && IsVersionInUse(node.version_feed.versions,
-                                endpoint.entry.service, endpoint.entry.version);
-    }
-  });
-  return all;
-}
-
 std::string NodeFleet::Logs() {
   this->OnEach([](Node& node) { FlushLog(node.log); });
   std::string text;
@@ -298,65 +236,6 @@
   return text;
 }
 
-bool NodeFleet::WaitForAll(const std::function<bool(const Node&)>& condition) {
-  return WaitFor([this, &condition] {
-    bool all = true;
-    this->OnEach([&](Node& node) { all = all && condition(node); });
-    return all;
-  });
-}
-
-bool NodeFleet::Drain(size_t endpoint) {
-  const std::string id = fmt::format("e{}", endpoint);
-  this->RunOnStandinLoop([&] { this->PutEndpoint(endpoint, "draining"); });
-  return this->WaitForAll([&id](const Node& node) {
-    const auto found = node.endpoints.endpoints.find(id);
-    return found != node.endpoints.endpoints.end() &&
-           found->second.entry.leaving;
-  });
-}
-
-bool NodeFleet::WaitUntilDeparted(size_t endpoint) {
-  return this->WaitForAll(
-      [id = fmt::format("e{}", endpoint)](const Node& node) {
-        return node.endpoints.departures.contains(id);
-      });
-}
-
-bool NodeFleet::WaitUntilLimited(size_t endpoint) {
-  return this->WaitForAll(
-      [id = fmt::format("e{}", endpoint)](const Node& node) {
-        return LimitOf(node.endpoint_limits.limits, id, 0).has_value();
-      });
-}
-
-bool NodeFleet::WaitUntilDeadlyStored() {
-  return WaitFor([this] {
-    bool is_deadly = true;
-    size_t proven = 0;
-    this->OnEach([&](Node& node) {
-      const CrashRecords& records = node.crash_watch.records;
-      is_deadly = is_deadly &&
-                  std::any_of(records.requests.begin(), records.requests.end(),
-                              [&](const auto& entry) {
-                                return SuspicionOf(records, entry.first,
-                                                   Now()) == Suspicion::kDeadly;
-                              });
-      const auto& stored = node.crash_store.stored;
-      proven = std::max<size_t>(
-          proven, static_cast<size_t>(std::count_if(
-                      stored.begin(), stored.end(), [](const auto& one) {
-                        return !one.second.others_missing;
-                      })));
-    });
-    return is_deadly && proven > 2;
-  });
-}
-
-bool NodeFleet::WaitUntilServing() {
-  return WaitFor([this] { return this->IsServing(); });
-}
-
 CallerAnswer NodeFleet::Send(size_t index,
                              const std::string& method,
                              const std::string& target,
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -26,7 +26,8 @@
 /// has its own subnet of the loopback range, 127.<x>.<y>.0/24.
 class NodeFleet {
  public:
-  /// @param versions software versions of the two endpoints.
+  /// @param versions software versions of the two endpoints; empty: the
+  /// endpoint joins later.
   explicit NodeFleet(int instances,
                      std::array<std::string, 2> versions = {"v1", "v1"});
   ~NodeFleet();
@@ -67,6 +68,14 @@
   /// instances have received the change, from the store or from a reader.
   bool Drain(size_t endpoint);
 
+  /// @brief Writes the entry of an endpoint that was not listed so far, and
+  /// waits until an instance sends requests to it.
+  bool Join(size_t endpoint, const std::string& version, size_t instance);
+
+  /// @brief Lets an instance forget a version of the endpoints' service, as if
+  /// it had missed its record and the news of it.
+  void ForgetVersion(size_t instance, const std::string& version);
+
   /// @brief Removes an endpoint's entry from the store. Instances that are
   /// started later do not know the endpoint.
   void RemoveEntry(size_t endpoint);
--- /dev/null
+++ b/src/celerykeel/testing/node_fleet_state.cc
@@ -0,0 +1,166 @@
+#include <algorithm>  // for std::any_of, std::count_if
+#include <future>     // for std::promise
+
+#include <fmt/format.h>  // for fmt::format
+
+#include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+
+namespace celerykeel::testing {
+
+namespace {
+
+bool WaitFor(const std::function<bool()>& condition) {
+  constexpr int kMaxPolls = 400;  // 20 s
+  for (int i = 0; i < kMaxPolls; ++i) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+// True if the node has a link to the peer and hears its heartbeats.
+bool IsInTouch(const Node& node, const std::string& peer) {
+  const auto link = node.peers.links.find(peer);
+  const auto member = node.fleet.members.find(peer);
+  return link != node.peers.links.end() && link->second->socket != nullptr &&
+         member != node.fleet.members.end() &&
+         HasRecentHeartbeat(member->second, Now());
+}
+
+}  // namespace
+
+bool NodeFleet::Join(size_t endpoint,
+                     const std::string& version,
+                     size_t instance) {
+  this->RunOnStandinLoop([&] {
+    this->versions[endpoint] = version;
+    this->PutEndpoint(endpoint, "ready");
+  });
+  return WaitFor([&] {
+    std::promise<bool> is_used;
+    Node& node = *this->instances[instance].node;
+    asio::post(node.io, [&] {
+      is_used.set_value(
+          node.endpoints.endpoints.contains(fmt::format("e{}", endpoint)) &&
+          IsVersionInUse(node.version_feed.versions, "llm", version));
+    });
+    return is_used.get_future().get();
+  });
+}
+
+void NodeFleet::ForgetVersion(size_t instance, const std::string& version) {
+  Node& node = *this->instances[instance].node;
+  std::promise<void> done;
+  asio::post(node.io, [&] {
+    node.version_feed.versions.records["llm"].erase(version);
+    node.version_feed.topic.next.reset();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+bool NodeFleet::WaitUntilReachingEndpoints(size_t index) {
+  return WaitFor([&] {
+    std::promise<bool> reaches;
+    Node& node = *this->instances[index].node;
+    asio::post(node.io,
+               [&] { reaches.set_value(!node.endpoint_path.is_cut_off); });
+    return reaches.get_future().get();
+  });
+}
+
+bool NodeFleet::Holds(size_t index, const std::string& program) {
+  std::promise<bool> holds;
+  Node& node = *this->instances[index].node;
+  asio::post(node.io, [&] {
+    holds.set_value(ActiveSlot(node, SlotOf(program)) != nullptr);
+  });
+  return holds.get_future().get();
+}
+
+bool NodeFleet::IsServing() {
+  bool all = true;
+  this->OnEach([this, &all](Node& node) {
+    for (uint32_t slot = 0; slot < node.fleet.slots.size(); ++slot) {
+      const bool mine = ActiveSlot(node, slot) != nullptr;
+      const auto link = node.peers.links.find(node.fleet.slots[slot].instance);
+      const bool other =
+          link != node.peers.links.end() && link->second->socket != nullptr;
+      all = all && IsReady(node) && (mine || other);
+    }
+    for (const Instance& other : this->instances) {
+      all = all && (other.node == nullptr || other.node.get() == &node ||
+                    IsInTouch(node, other.node->options.instance));
+    }
+    for (const auto& [id, endpoint] : node.endpoints.endpoints) {
+      all =
+          all && IsVersionInUse(node.version_feed.versions,
+                                endpoint.entry.service, endpoint.entry.version);
+    }
+  });
+  return all;
+}
+
+bool NodeFleet::WaitUntilServing() {
+  return WaitFor([this] { return this->IsServing(); });
+}
+
+bool NodeFleet::WaitForAll(const std::function<bool(const Node&)>& condition) {
+  return WaitFor([this, &condition] {
+    bool all = true;
+    this->OnEach([&](Node& node) { all = all && condition(node); });
+    return all;
+  });
+}
+
+bool NodeFleet::Drain(size_t endpoint) {
+  const std::string id = fmt::format("e{}", endpoint);
+  this->RunOnStandinLoop([&] { this->PutEndpoint(endpoint, "draining"); });
+  return this->WaitForAll([&id](const Node& node) {
+    const auto found = node.endpoints.endpoints.find(id);
+    return found != node.endpoints.endpoints.end() &&
+           found->second.entry.leaving;
+  });
+}
+
+bool NodeFleet::WaitUntilDeparted(size_t endpoint) {
+  return this->WaitForAll(
+      [id = fmt::format("e{}", endpoint)](const Node& node) {
+        return node.endpoints.departures.contains(id);
+      });
+}
+
+bool NodeFleet::WaitUntilLimited(size_t endpoint) {
+  return this->WaitForAll(
+      [id = fmt::format("e{}", endpoint)](const Node& node) {
+        return LimitOf(node.endpoint_limits.limits, id, 0).has_value();
+      });
+}
+
+bool NodeFleet::WaitUntilDeadlyStored() {
+  return WaitFor([this] {
+    bool is_deadly = true;
+    size_t proven = 0;
+    this->OnEach([&](Node& node) {
+      const CrashRecords& records = node.crash_watch.records;
+      is_deadly = is_deadly &&
+                  std::any_of(records.requests.begin(), records.requests.end(),
+                              [&](const auto& entry) {
+                                return SuspicionOf(records, entry.first,
+                                                   Now()) == Suspicion::kDeadly;
+                              });
+      const auto& stored = node.crash_store.stored;
+      proven = std::max<size_t>(
+          proven, static_cast<size_t>(std::count_if(
+                      stored.begin(), stored.end(), [](const auto& one) {
+                        return !one.second.others_missing;
+                      })));
+    });
+    return is_deadly && proven > 2;
+  });
+}
+
+}  // namespace celerykeel::testing
