--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -6,8 +6,9 @@
 #include <thread>   // for std::this_thread::sleep_for
 #include <vector>   // for std::vector
 
-#include "celerykeel/node/calls_unittest.h"  // for ToolHeaders, TurnHeaders
-#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+#include "celerykeel/core/request_identity.h"  // for IdentityOf, HashText
+#include "celerykeel/node/calls_unittest.h"    // for ToolHeaders, TurnHeaders
+#include "celerykeel/testing/node_fleet.h"     // for NodeFleet
 
 namespace celerykeel::testing {
 namespace {
@@ -122,14 +123,18 @@
                TurnHeaders(id, id, "", 9999), "copy");
   }
   REQUIRE(fleet.endpoints[0].crashes == 1);
+  // The request's home, so that no message to it can be late.
+  const std::string copies_hash =
+      HashText(IdentityOf("orchard", "POST", "/stream/kept/x", "copy"));
+  const size_t home = fleet.Holds(0, copies_hash) ? 0 : 1;
   fleet.endpoints[1].pause_ms = kLongPause;
   fleet.endpoints[1].most_streams = 0;
   std::vector<std::future<int>> copies;
   for (size_t i = 0; i < 2; ++i) {
-    copies.push_back(std::async(std::launch::async, [&fleet, i] {
+    copies.push_back(std::async(std::launch::async, [&fleet, home, i] {
       const std::string id = "copy-" + std::to_string(i);
       return fleet
-          .Send(i, "POST", "/stream/kept/x", TurnHeaders(id, id, "", 9999),
+          .Send(home, "POST", "/stream/kept/x", TurnHeaders(id, id, "", 9999),
                 "copy")
           .status;
     }));
