--- a/include/celerykeel/node/suspect_run.h
+++ b/include/celerykeel/node/suspect_run.h
@@ -19,7 +19,7 @@
 Task<std::optional<AttemptEnd>> PrepareSuspect(Node& node, CallPtr call);
 
 /// @brief Answers, as a request's home, whether a copy of the request may run.
-/// Copies of a request that has been at several crashes do not run at once.
+/// Copies of a request that has been at a crash do not run at once.
 pb::SuspectRunGrant DecideSuspectRun(Node& node,
                                      const pb::SuspectRunWish& wish);
 
