--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -3,12 +3,12 @@
 #include <unistd.h>  // for getpid
 
 #include <atomic>  // for std::atomic
-#include <future>  // for std::promise
 
 #include <fmt/format.h>  // for fmt::format
 
 #include "celerykeel/node/caller_server.h"   // for StopGracefully
 #include "celerykeel/node/out_connection.h"  // for Exchange
+#include "celerykeel/testing/run_on_loop.h"  // for RunOnLoop
 
 namespace celerykeel::testing {
 
@@ -113,12 +113,7 @@
 }
 
 void NodeFleet::RunOnStandinLoop(const std::function<void()>& task) {
-  std::promise<void> done;
-  asio::post(this->standin_loop, [&] {
-    task();
-    done.set_value();
-  });
-  done.get_future().wait();
+  RunOnLoop(this->standin_loop, task);
 }
 
 void NodeFleet::RevokeKey() {
@@ -191,13 +186,10 @@
 
 void NodeFleet::CutOff(size_t index, ConnectFault fault) {
   Node& node = *this->instances[index].node;
-  std::promise<void> done;
-  asio::post(node.io, [&] {
+  RunOnLoop(node.io, [&] {
     node.endpoint_pool.fault = fault;
     node.endpoint_pool.idle.clear();
-    done.set_value();
   });
-  done.get_future().wait();
 }
 
 Tcp::endpoint NodeFleet::CallersAddress(size_t index) const {
@@ -213,12 +205,7 @@
     if (instance.node == nullptr) {
       continue;
     }
-    std::promise<void> done;
-    asio::post(instance.node->io, [&] {
-      task(*instance.node);
-      done.set_value();
-    });
-    done.get_future().wait();
+    RunOnLoop(instance.node->io, [&] { task(*instance.node); });
   }
 }
 
--- a/src/celerykeel/testing/node_fleet_state.cc
+++ b/src/celerykeel/testing/node_fleet_state.cc
@@ -1,10 +1,10 @@
 #include <algorithm>  // for std::any_of, std::count_if
-#include <future>     // for std::promise
 
 #include <fmt/format.h>  // for fmt::format
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/testing/node_fleet.h"  // for NodeFleet
+#include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/testing/node_fleet.h"   // for NodeFleet
+#include "celerykeel/testing/run_on_loop.h"  // for RunOnLoop
 
 namespace celerykeel::testing {
 
@@ -40,45 +40,40 @@
     this->PutEndpoint(endpoint, "ready");
   });
   return WaitFor([&] {
-    std::promise<bool> is_used;
+    bool is_used = false;
     Node& node = *this->instances[instance].node;
-    asio::post(node.io, [&] {
-      is_used.set_value(
+    RunOnLoop(node.io, [&] {
+      is_used =
           node.endpoints.endpoints.contains(fmt::format("e{}", endpoint)) &&
-          IsVersionInUse(node.version_feed.versions, "llm", version));
+          IsVersionInUse(node.version_feed.versions, "llm", version);
     });
-    return is_used.get_future().get();
+    return is_used;
   });
 }
 
 void NodeFleet::ForgetVersion(size_t instance, const std::string& version) {
   Node& node = *this->instances[instance].node;
-  std::promise<void> done;
-  asio::post(node.io, [&] {
+  RunOnLoop(node.io, [&] {
     node.version_feed.versions.records["llm"].erase(version);
     node.version_feed.topic.next.reset();
-    done.set_value();
   });
-  done.get_future().wait();
 }
 
 bool NodeFleet::WaitUntilReachingEndpoints(size_t index) {
   return WaitFor([&] {
-    std::promise<bool> reaches;
+    bool reaches = false;
     Node& node = *this->instances[index].node;
-    asio::post(node.io,
-               [&] { reaches.set_value(!node.endpoint_path.is_cut_off); });
-    return reaches.get_future().get();
+    RunOnLoop(node.io, [&] { reaches = !node.endpoint_path.is_cut_off; });
+    return reaches;
   });
 }
 
 bool NodeFleet::Holds(size_t index, const std::string& program) {
-  std::promise<bool> holds;
+  bool holds = false;
   Node& node = *this->instances[index].node;
-  asio::post(node.io, [&] {
-    holds.set_value(ActiveSlot(node, SlotOf(program)) != nullptr);
-  });
-  return holds.get_future().get();
+  RunOnLoop(node.io,
+            [&] { holds = ActiveSlot(node, SlotOf(program)) != nullptr; });
+  return holds;
 }
 
 bool NodeFleet::IsServing() {
