--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import os
-import socket
 import sys
 import time
 
@@ -11,7 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "kit"))
 sys.dont_write_bytecode = True
 
-from standins import CannotRun, Fleet, Server, main, reset, send  # noqa: E402
+from standins import CrashingServer, Fleet, main, send  # noqa: E402
 
 HOST = "fjord.example"
 CONTACT_S = 3.0  # contact_ms
@@ -25,81 +24,6 @@
 DEADLY = b"a payout that crashes the server"
 
 
-class CrashingServer(Server):
-    """Crashes when it begins to run the deadly request, and is back later as a new
-    incarnation at the same address."""
-
-    dark = True
-    on_crash = None
-    starts = 0
-    fillers = ()
-
-    async def start(self, ip, port=0):
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind((ip, port))
-        self.sock.listen(2)
-        self.sock.setblocking(False)
-        self.place = self.sock.getsockname()
-        self.address = "%s:%d" % self.place
-        self.up = True
-        self.write_entry()
-        self.task = asyncio.ensure_future(self.beat())
-        self.accepting = asyncio.ensure_future(self.accept())
-
-    async def accept(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            channel, _ = await loop.sock_accept(self.sock)
-            reader, writer = await asyncio.open_connection(sock=channel)
-            asyncio.ensure_future(self.serve(reader, writer))
-
-    async def handle(self, writer, target, headers, body, ident):
-        if self.up and body == DEADLY and headers.get("x-expect-instance") == self.id:
-            self.runs[ident] += 1
-            self.record(f"server {self.id} begins to run {ident} and crashes")
-            self.up = False
-            self.on_crash(ident)
-            asyncio.ensure_future(self.crash())
-        if not self.up:
-            await asyncio.sleep(600)  # silent
-        return await super().handle(writer, target, headers, body, ident)
-
-    async def plain(self, writer, ident, base):
-        start = self.starts
-        await asyncio.sleep(self.takes)
-        if not self.up or self.starts != start:
-            await asyncio.sleep(600)  # what ran here is lost with the server
-        return await super().plain(writer, ident, base)
-
-    async def crash(self):
-        self.task.cancel()
-        self.accepting.cancel()
-        if self.dark:
-            # The queue of new channels is full: further ones get no answer.
-            fillers = [socket.socket() for _ in range(8)]
-            for one in fillers:
-                one.setblocking(False)
-                one.connect_ex(self.place)
-        else:
-            fillers = []
-            self.sock.close()
-            for writer in list(self.connections):
-                reset(writer)
-        silent = list(self.connections)
-        await asyncio.sleep(3.6)  # three liveness report intervals
-        self.store.put("keyed.servers", self.id, b"")
-        await asyncio.sleep(DOWN_S - 3.6)
-        for one in (*fillers, self.sock):
-            one.close()
-        for writer in silent:
-            reset(writer)
-        self.starts += 1
-        self.id = f"{self.name}-{self.starts}"
-        self.born, self.sequence, self.running = int(time.time() * 1000), 0, 0
-        await self.start(*self.place)
-
-
 async def case(record, trouble, fleets):
     fleet = Fleet(record)
     fleets.append(fleet)
@@ -107,7 +31,7 @@
     crashes = []  # (time, request) of each run of the deadly request
     for i in range(6):
         server = CrashingServer(fleet.store, record, "ledger", f"i-{i}", f"zone-{i % 3}", slots=6)
-        server.name = server.id
+        server.name, server.deadly, server.down_s = server.id, DEADLY, DOWN_S
         server.takes = 0.08  # a payout takes up to 200 ms
         server.dark = os.environ.get("TROUBLE") != "refused"  # "refused": crashes that refuse channels
         server.on_crash = lambda ident: crashes.append((time.monotonic(), ident))
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -276,6 +276,8 @@
         self.running = 0
         self.bodies = {}  # of requests that it ran, by id
         self.runs = collections.Counter()
+        self.arrived = collections.Counter()  # requests, run or not
+        self.on_arrival = None
         self.given = {}  # whole answers, by id
         self.connections = {}  # writer -> ids of requests on it
         self.task = None
@@ -326,6 +328,9 @@
 
     async def handle(self, writer, target, headers, body, ident):
         base = {"X-Attempt-Id": ident, "Keep-Alive": "timeout=10", **self.statements()}
+        self.arrived[ident] += 1
+        if self.on_arrival:
+            self.on_arrival(ident)
         expected = headers.get("x-expect-instance", self.id)
         if expected != self.id:
             writer.write(response(421, {**base, "X-Instance-Id": self.id}, b""))
@@ -392,6 +397,87 @@
         return "".join(f"{ident}.{i}\n" for i in range(1, self.events + 1)).encode()
 
 
+class CrashingServer(Server):
+    """Crashes, and is back later as a new incarnation at the same address. A dark
+    crash is silent: channels get no answer, old or new. A request with the body
+    `deadly` crashes the server that begins to run it."""
+
+    deadly = None
+    down_s = 4.5
+    dark = True
+    on_crash = None
+    starts = 0
+    takes = 0.0  # seconds before a plain answer
+    name = None
+
+    async def start(self, ip, port=0):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((ip, port))
+        self.sock.listen(16)
+        self.sock.setblocking(False)
+        self.place = self.sock.getsockname()
+        self.name = self.name or self.id
+        self.address = "%s:%d" % self.place
+        self.up = True
+        self.write_entry()
+        self.task = asyncio.ensure_future(self.beat())
+        self.accepting = asyncio.ensure_future(self.accept())
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            channel, _ = await loop.sock_accept(self.sock)
+            reader, writer = await asyncio.open_connection(sock=channel)
+            asyncio.ensure_future(self.serve(reader, writer))
+
+    async def handle(self, writer, target, headers, body, ident):
+        if self.up and self.deadly is not None and body == self.deadly and headers.get("x-expect-instance") == self.id:
+            self.runs[ident] += 1
+            self.record(f"server {self.id} begins to run {ident} and crashes")
+            self.on_crash(ident)
+            asyncio.ensure_future(self.crash())
+            self.up = False
+        if not self.up:
+            await asyncio.sleep(600)  # silent
+        return await super().handle(writer, target, headers, body, ident)
+
+    async def plain(self, writer, ident, base):
+        start = self.starts
+        await asyncio.sleep(self.takes)
+        if not self.up or self.starts != start:
+            await asyncio.sleep(600)  # what ran here is lost with the server
+        return await super().plain(writer, ident, base)
+
+    async def crash(self):
+        self.up = False
+        self.task.cancel()
+        self.accepting.cancel()
+        if self.dark:
+            # The queue of new channels is full: further ones get no answer.
+            fillers = [socket.socket() for _ in range(24)]
+            for one in fillers:
+                one.setblocking(False)
+                one.connect_ex(self.place)
+        else:
+            fillers = []
+            self.sock.close()
+            for writer in list(self.connections):
+                reset(writer)
+        silent = list(self.connections)
+        await asyncio.sleep(3.6)  # three liveness report intervals
+        self.store.put("keyed.servers", self.id, b"")
+        await asyncio.sleep(self.down_s - 3.6)
+        for one in (*fillers, self.sock):
+            one.close()
+        for writer in silent:
+            reset(writer)
+        self.starts += 1
+        self.id = f"{self.name}-{self.starts}"
+        self.born, self.sequence, self.running = int(time.time() * 1000), 0, 0
+        await self.start(*self.place)
+
+
 # ---------------------------------------------------------------- clients
 
 
