testing: stand-ins for logs read in parts, dropped history and silent endpoints

The store stand-in returned a log in one read and never deleted a record, fleets had three instances at most, which are all readers, and endpoints could not fall silent or fail a resumed stream.

Change: reads of a limited number of records with a delay, a topic that keeps only its newest records, five instances, endpoints that are silent while down, that answer a resumed stream with an error, and unframed answers in two parts. No product code.

--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -60,6 +60,9 @@
              : fmt::format("{:x}\r\n{}\r\n", text.size(), text);
 }
 
+// Longer than any caller waits.
+constexpr Duration kLongSilence = std::chrono::seconds(30);
+
 // Streams the events after number `first`. Returns false to close the
 // connection.
 Task<bool> Stream(asio::io_context& loop,
@@ -188,6 +191,10 @@
                   StandinRequest request) {
   const std::string id(request["X-Attempt-Id"]);
   const std::string expected(request["X-Expect-Instance"]);
+  if (endpoint.is_down) {
+    co_await Sleep(loop, kLongSilence);
+    co_return false;
+  }
   RecordArrival(endpoint);
   if (endpoint.is_full || (!expected.empty() && expected != endpoint.id)) {
     StandinResponse refused(expected == endpoint.id
@@ -205,6 +212,9 @@
   if (!endpoint.deadly_body.empty() &&
       request.body().ends_with(endpoint.deadly_body)) {
     Crash(endpoint);
+    if (endpoint.is_silent_when_down) {
+      co_await Sleep(loop, kLongSilence);
+    }
     co_return false;
   }
   if (endpoint.is_unresponsive) {
@@ -216,6 +226,11 @@
   const std::string target(request.target());
   if (target.starts_with("/stream/")) {
     const std::string last(request["Last-Event-ID"]);
+    if (endpoint.fails_resumed && !last.empty()) {
+      StandinResponse failed = Plain(endpoint, id, "out of memory");
+      failed.result(http::status::internal_server_error);
+      co_return co_await Respond(connection, std::move(failed));
+    }
     const StreamCount counted(endpoint);
     co_return co_await Stream(loop, endpoint, connection, id,
                               std::atoi(last.c_str()));
@@ -239,9 +254,11 @@
   if (endpoint.is_unframed) {
     std::string answer = fmt::format(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
-        "Connection: close\r\n\r\ndone {}",
-        id, endpoint.id, id);
+        "Connection: close\r\n\r\ndone ",
+        id, endpoint.id);
     co_await Write(connection, std::move(answer));
+    co_await Sleep(loop, std::chrono::milliseconds(endpoint.pause_ms));
+    co_await Write(connection, id);
     co_return false;
   }
   StandinResponse response = Plain(endpoint, id, "done " + id);
@@ -261,13 +278,21 @@
   while (true) {
     co_await ServeStandin(loop, address, handler, endpoint.sockets);
     co_await Sleep(loop, std::chrono::milliseconds(endpoint.down_ms));
+    CloseAll(endpoint.sockets);
+    endpoint.is_down = false;
     on_start();
   }
 }
 
 void Crash(EndpointStandin& endpoint) {
   ++endpoint.crashes;
-  CloseAll(endpoint.sockets);
+  if (endpoint.is_silent_when_down) {
+    endpoint.is_down = true;
+    ErrorCode ignored;  // it accepts no connections in any case
+    endpoint.sockets.acceptor->close(ignored);
+  } else {
+    CloseAll(endpoint.sockets);
+  }
 }
 
 int RunsOf(EndpointStandin& endpoint, const std::string& id) {
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -47,6 +47,8 @@
   std::atomic<bool> announces_leaving{false};
   // Named in each answer: calls per second, from all callers together; 0: none.
   std::atomic<double> rate_limit{0};
+  // Answers 500 to a request that resumes a stream.
+  std::atomic<bool> fails_resumed{false};
   // Sends the answer to an earlier request before the expected one.
   std::atomic<bool> sends_stale_answer{false};
   // Sends the refusal of an earlier request before the expected answer.
@@ -58,6 +60,9 @@
   // Set both before the first such request.
   std::string deadly_body;
   int down_ms = 300;
+  // While down it is silent: its connections stay open, without answers.
+  bool is_silent_when_down = false;
+  std::atomic<bool> is_down{false};
   std::atomic<int> crashes{0};
   std::atomic<int> streams{0};       // under way
   std::atomic<int> most_streams{0};  // that were under way at once
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -68,6 +68,16 @@
   /// instances have received the change, from the store or from a reader.
   bool Drain(size_t endpoint);
 
+  /// @brief As Drain, while the store deletes its older records, so that the
+  /// change is found only in the complete list. The state may be "ready" too.
+  bool PutStateCompacted(size_t endpoint, const std::string& state);
+
+  /// @brief Appends a record to the log of a program's slot.
+  void AppendToSlot(const std::string& program, const SlotRecord& record);
+
+  /// @brief Crashes the endpoint that runs a request; -1 if none does.
+  int CrashEndpointOf(const std::string& id);
+
   /// @brief Writes the entry of an endpoint that was not listed so far, and
   /// waits until an instance sends requests to it.
   bool Join(size_t endpoint, const std::string& version, size_t instance);
@@ -111,7 +121,7 @@
   static uint32_t SlotOf(const std::string& program);
 
   StoreStandin store;
-  StoreAccess store_access[3];  // one for each of at most 3 instances
+  StoreAccess store_access[5];  // one for each of at most 5 instances
   EndpointStandin endpoints[2];
 
  private:
--- a/src/celerykeel/testing/node_fleet_state.cc
+++ b/src/celerykeel/testing/node_fleet_state.cc
@@ -3,8 +3,10 @@
 #include <fmt/format.h>  // for fmt::format
 
 #include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/node/slot_log.h"        // for kSlotTopic
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
 #include "celerykeel/testing/run_on_loop.h"  // for RunOnLoop
+#include "celerykeel/wire/slot_codec.h"      // for EncodeSlotRecord
 
 namespace celerykeel::testing {
 
@@ -121,6 +123,37 @@
   });
 }
 
+bool NodeFleet::PutStateCompacted(size_t endpoint, const std::string& state) {
+  const std::string id = fmt::format("e{}", endpoint);
+  this->RunOnStandinLoop([&] {
+    this->PutEndpoint(endpoint, state);
+    Compact(this->store, "keyed.servers");
+  });
+  return this->WaitForAll([&](const Node& node) {
+    const auto found = node.endpoints.endpoints.find(id);
+    return found != node.endpoints.endpoints.end() &&
+           found->second.entry.leaving == (state == "draining");
+  });
+}
+
+void NodeFleet::AppendToSlot(const std::string& program,
+                             const SlotRecord& record) {
+  this->RunOnStandinLoop([&] {
+    this->store.partitions[{std::string(kSlotTopic), SlotOf(program)}]
+        .records.push_back(EncodeSlotRecord(record));
+  });
+}
+
+int NodeFleet::CrashEndpointOf(const std::string& id) {
+  for (int i = 0; i < 2; ++i) {
+    if (RunsOf(this->endpoints[i], id) > 0) {
+      this->RunOnStandinLoop([&] { Crash(this->endpoints[i]); });
+      return i;
+    }
+  }
+  return -1;
+}
+
 bool NodeFleet::WaitUntilDeparted(size_t endpoint) {
   return this->WaitForAll(
       [id = fmt::format("e{}", endpoint)](const Node& node) {
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -4,6 +4,8 @@
 #include <boost/endian/conversion.hpp>  // for store_big_u64
 #include <nlohmann/json.hpp>            // for nlohmann::json
 
+#include <algorithm>  // for std::min
+
 #include "platform/store_calls.h"  // for platform::DecodeKeyed
 
 namespace celerykeel::testing {
@@ -83,9 +85,17 @@
 }
 
 StandinResponse ReadFrom(const StoreStandin::Partition& partition,
-                         uint64_t from) {
-  std::string body = BigEndian(partition.records.size(), 8) + BigEndian(0, 8);
-  for (uint64_t at = from; at < partition.records.size(); ++at) {
+                         uint64_t from,
+                         size_t max_records) {
+  if (from < partition.first) {
+    return Answer(410, json{{"first", partition.first}}.dump());
+  }
+  std::string body =
+      BigEndian(partition.records.size(), 8) + BigEndian(partition.first, 8);
+  const uint64_t available = partition.records.size() -
+                             std::min<uint64_t>(from, partition.records.size());
+  const uint64_t end = from + std::min<uint64_t>(max_records, available);
+  for (uint64_t at = from; at < end; ++at) {
     body += BigEndian(partition.records[at].size(), 4);
     body += partition.records[at];
   }
@@ -174,13 +184,21 @@
       constexpr Duration kShortWait = std::chrono::milliseconds(50);
       co_await Sleep(loop, kShortWait);
     }
-    response = ReadFrom(partition, from);
+    if (store.read_delay_ms > 0) {
+      co_await Sleep(loop, std::chrono::milliseconds(store.read_delay_ms));
+    }
+    response = ReadFrom(partition, from, store.max_records_per_read);
   }
   co_return co_await Respond(connection, std::move(response));
 }
 
 }  // namespace
 
+void Compact(StoreStandin& store, const std::string& topic) {
+  StoreStandin::Partition& partition = store.partitions[{topic, 0}];
+  partition.first = partition.records.size();
+}
+
 void PutKeyed(StoreStandin& store,
               const std::string& topic,
               const std::string& key,
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -2,6 +2,7 @@
 
 #include <atomic>   // for std::atomic
 #include <cstdint>  // for uint64_t
+#include <limits>   // for std::numeric_limits
 #include <map>      // for std::map
 #include <string>   // for std::string
 #include <utility>  // for std::pair
@@ -27,6 +28,7 @@
     uint64_t epoch = 0;
     uint64_t next_sequence = 0;
     uint64_t last_offset = 0;  // of the last stamped append
+    uint64_t first = 0;        // earlier records can't be read any more
   };
 
   std::map<std::pair<std::string, uint32_t>, Partition> partitions;
@@ -34,6 +36,9 @@
   // Closes the connection of a waiting read after a second, without an answer.
   std::atomic<bool> drops_waiting_reads{false};
   std::atomic<uint64_t> appends{0};
+  // Of one read, which takes `read_delay_ms`.
+  std::atomic<size_t> max_records_per_read{std::numeric_limits<size_t>::max()};
+  std::atomic<int> read_delay_ms{0};
 };
 
 /// @brief Access of one instance to the store.
@@ -47,6 +52,9 @@
                   const StoreAccess& access,
                   Tcp::endpoint address);
 
+/// @brief Deletes the records of a keyed topic but for the newest of each key.
+void Compact(StoreStandin& store, const std::string& topic);
+
 /// @brief Writes a keyed record, as the operators or an endpoint would.
 void PutKeyed(StoreStandin& store,
               const std::string& topic,
