node: a replayed slot keeps turns that go on from expired ones

Cause: turns were expired by the wall clock in slots whose log was still being read, so a turn record whose predecessor had just been dropped was dropped too. The same in a calm fleet: a turn that ended after its predecessor had expired was durable and not in the ledger.

Change: no expiry during a replay, whose memory is bounded by the log's own time. A holder keeps the chain of each turn under way. A record repeats the chain's text if its predecessor has expired.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -64,6 +64,12 @@
   WallMillis oldest_record = 0;  // write time of the chain's oldest record
 };
 
+/// @brief The chain that a turn under way goes on from.
+struct ContinuedChain {
+  std::shared_ptr<const StoredTurn> previous;
+  Duration admitted_at{};
+};
+
 /// @brief Tokens that a program has spent and may spend, as counted by the
 /// holder of its slot.
 struct ProgramSpend {
@@ -95,6 +101,9 @@
   std::map<std::pair<std::string, std::string>,
            std::shared_ptr<const StoredTurn>>
       turns;  // by team and turn
+  // By team and turn under way: a turn may end after the one before it has
+  // expired.
+  std::map<std::pair<std::string, std::string>, ContinuedChain> continued;
   std::map<ProgramName, ProgramSpend> programs;
   // Until this time an unknown program may have run under an earlier holder.
   Duration unknown_programs_until{};
@@ -130,9 +139,15 @@
 };
 
 /// @brief Applies a record of the slot's log. Records must be applied in order.
-/// Claims, team rates and streams change nothing in the ledger.
+/// Claims, team rates and streams change nothing in the ledger. A turn record
+/// names a previous turn only if that had not expired at `ended_at`.
 void Replay(TurnLedger& ledger, const SlotRecord& record);
 
+/// @brief Drops turns from which no later record of the log can go on, to bound
+/// the memory of a replay.
+/// @param written_at time of the newest record replayed.
+void ExpireReplayed(TurnLedger& ledger, WallMillis written_at);
+
 /// @brief Ends a replay. Counts all tokens up to each program's ceiling as
 /// spent, less the max tokens of one turn (the slack), which is granted only
 /// once for each program.
@@ -180,10 +195,32 @@
                                            const std::string& team,
                                            const std::string& turn);
 
+/// @brief Keeps the chain that a turn goes on from until ReleaseChain. Does
+/// nothing if the ledger lacks `previous`.
+void HoldChain(TurnLedger& ledger,
+               const std::string& team,
+               const std::string& turn,
+               const std::string& previous,
+               Duration now);
+
+/// @brief Ends HoldChain: the turn was recorded or given up.
+void ReleaseChain(TurnLedger& ledger,
+                  const std::string& team,
+                  const std::string& turn);
+
+/// @brief Finds the turn `previous` from which `turn` goes on, which may have
+/// expired since that was admitted; nullptr if the ledger has none.
+std::shared_ptr<const StoredTurn> FindPrevious(const TurnLedger& ledger,
+                                               const std::string& team,
+                                               const std::string& turn,
+                                               const std::string& previous);
+
 /// @brief Returns the text of the complete chain up to and including `turn`.
 std::string ChainText(const StoredTurn& turn);
 
-/// @brief Drops expired turns, and programs that were unused for `idle`.
+/// @brief Drops expired turns, programs that were unused for `idle`, and chains
+/// of turns that were admitted longer ago. Must not run during a replay: turns
+/// that have not expired may go on from ones that have.
 void Expire(TurnLedger& ledger, WallMillis wall, Duration now, Duration idle);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/turn_holder.h
+++ b/include/celerykeel/node/turn_holder.h
@@ -27,8 +27,13 @@
 
 /// @brief Reports the end of a turn to the slot's holder, and repeats the
 /// report until the holder has recorded it or `timeout` ends.
+/// @param history text of the chain that the turn goes on from, for a holder
+/// that lacks it.
 /// @return true if it is recorded; a retained turn is durable then.
-Task<bool> ReportTurnEnd(Node& node, pb::TurnEnd end, Duration timeout);
+Task<bool> ReportTurnEnd(Node& node,
+                         pb::TurnEnd end,
+                         std::string history,
+                         Duration timeout);
 
 /// @brief Reports the end of a turn in the background; logs a failure.
 void ReportTurnEndInBackground(Node& node, pb::TurnEnd end);
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/core/turn_ledger.h"
 
 #include <algorithm>  // for std::max
+#include <utility>    // for std::move
 
 namespace celerykeel {
 
@@ -26,6 +27,8 @@
 // deployments use a fifth of their budgets at the median, and less than the
 // free part in three of four cases.
 constexpr uint64_t kFreePartDivisor = 3;
+// Between the clocks of successive holders, whose records follow each other.
+constexpr WallMillis kMaxClockDifference = 10000;
 
 uint64_t TargetCeiling(const ProgramSpend& spend) {
   const uint64_t used = spend.spent + Running(spend);
@@ -91,7 +94,8 @@
   turn->expires_at = record.expires_at;
   turn->oldest_record = record.ended_at;
   if (!record.previous.empty()) {
-    turn->previous = FindTurn(ledger, record.program.team, record.previous);
+    turn->previous =
+        FindPrevious(ledger, record.program.team, record.turn, record.previous);
     if (turn->previous == nullptr) {
       return;  // the previous turns have expired, and with them this turn
     }
@@ -110,6 +114,12 @@
   }
 }
 
+void ExpireReplayed(TurnLedger& ledger, WallMillis written_at) {
+  std::erase_if(ledger.turns, [written_at](const auto& entry) {
+    return entry.second->expires_at + kMaxClockDifference < written_at;
+  });
+}
+
 // The previous holder may have let callers receive all tokens up to the
 // ceiling. The max tokens of one turn are not counted: the last turn seldom
 // uses all of its tokens, and a program may exceed its budget by the max tokens
@@ -212,6 +222,34 @@
   return found == ledger.turns.end() ? nullptr : found->second;
 }
 
+void HoldChain(TurnLedger& ledger,
+               const std::string& team,
+               const std::string& turn,
+               const std::string& previous,
+               Duration now) {
+  if (auto found = FindPrevious(ledger, team, turn, previous)) {
+    ledger.continued[{team, turn}] = {.previous = std::move(found),
+                                      .admitted_at = now};
+  }
+}
+
+void ReleaseChain(TurnLedger& ledger,
+                  const std::string& team,
+                  const std::string& turn) {
+  ledger.continued.erase({team, turn});
+}
+
+std::shared_ptr<const StoredTurn> FindPrevious(const TurnLedger& ledger,
+                                               const std::string& team,
+                                               const std::string& turn,
+                                               const std::string& previous) {
+  if (auto found = FindTurn(ledger, team, previous)) {
+    return found;
+  }
+  const auto held = ledger.continued.find({team, turn});
+  return held == ledger.continued.end() ? nullptr : held->second.previous;
+}
+
 std::string ChainText(const StoredTurn& turn) {
   std::vector<const StoredTurn*> chain;
   size_t size = 0;
@@ -232,6 +270,9 @@
   std::erase_if(ledger.turns, [wall](const auto& entry) {
     return entry.second->expires_at < wall;
   });
+  std::erase_if(ledger.continued, [now, idle](const auto& entry) {
+    return entry.second.admitted_at + idle < now;
+  });
   std::erase_if(ledger.programs, [now, idle](const auto& entry) {
     const ProgramSpend& spend = entry.second;
     return spend.running.empty() && spend.used_at &&
--- a/src/celerykeel/core/turn_ledger_unittest.cc
+++ b/src/celerykeel/core/turn_ledger_unittest.cc
@@ -275,5 +275,71 @@
   CHECK(FindTurn(ledger, "other", "b") == nullptr);
 }
 
+constexpr WallMillis kLifetime = 70000;
+
+TurnRecord RetainedTurn(const std::string& turn,
+                        const std::string& previous,
+                        WallMillis ended_at) {
+  return {.program = kProgram,
+          .turn = turn,
+          .previous = previous,
+          .base = "",
+          .input = turn,
+          .output = ".",
+          .ended_at = ended_at,
+          .expires_at = ended_at + kLifetime,
+          .spent = 0};
+}
+
+// Guards against losing a turn in a replay: the turn before it had expired by
+// then, and was dropped between two reads of the log.
+TEST_CASE("a replay keeps turns that go on from expired ones") {
+  TurnLedger ledger;
+  Replay(ledger, RetainedTurn("a", "", 1000));
+  ExpireReplayed(ledger, 1000);
+  Replay(ledger, RetainedTurn("b", "a", 1000 + kLifetime));
+  ExpireReplayed(ledger, 1000 + kLifetime);
+  AssumeCeilingSpent(ledger, false, seconds(100));
+  Expire(ledger, kLifetime + 2000, seconds(100), minutes(5));
+  CHECK(FindTurn(ledger, "orchard", "a") == nullptr);
+  const auto turn = FindTurn(ledger, "orchard", "b");
+  REQUIRE(turn != nullptr);
+  CHECK(ChainText(*turn) == "a.b.");
+}
+
+// Guards against a replay that keeps each turn of a long log in memory.
+TEST_CASE("a replay drops turns from which no later record can go on") {
+  TurnLedger ledger;
+  for (int i = 0; i < 1000; ++i) {
+    const WallMillis ended_at = i * WallMillis{1000};
+    Replay(ledger, RetainedTurn("t" + std::to_string(i), "", ended_at));
+    ExpireReplayed(ledger, ended_at);
+    CHECK(ledger.turns.size() <= 82);
+  }
+}
+
+// Guards against losing a turn that ends after the one before it has expired.
+TEST_CASE("a turn under way keeps the chain that it goes on from") {
+  TurnLedger ledger;
+  Replay(ledger, RetainedTurn("a", "", 1000));
+  HoldChain(ledger, "orchard", "b", "a", seconds(60));
+  Expire(ledger, kLifetime + 2000, seconds(72), minutes(5));
+  CHECK(FindTurn(ledger, "orchard", "a") == nullptr);
+  const auto previous = FindPrevious(ledger, "orchard", "b", "a");
+  REQUIRE(previous != nullptr);
+  CHECK(ChainText(*previous) == "a.");
+  Replay(ledger, RetainedTurn("b", "a", kLifetime + 3000));
+  ReleaseChain(ledger, "orchard", "b");
+  CHECK(ledger.continued.empty());
+  const auto turn = FindTurn(ledger, "orchard", "b");
+  REQUIRE(turn != nullptr);
+  CHECK(ChainText(*turn) == "a.b.");
+  SUBCASE("at most for a while") {
+    HoldChain(ledger, "orchard", "c", "b", seconds(80));
+    Expire(ledger, kLifetime + 4000, seconds(80) + minutes(6), minutes(5));
+    CHECK(ledger.continued.empty());
+  }
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -155,9 +155,11 @@
   co_return co_await FindTurnInAllSlots(node, team, turn);
 }
 
-TurnRecord MakeTurnRecord(const Node& node,
-                          const HeldSlot& slot,
-                          const pb::TurnEnd& end) {
+// @return nothing if the turn goes on from one that is not known here, and the
+// end does not bring the chain's text.
+std::optional<TurnRecord> MakeTurnRecord(const Node& node,
+                                         const HeldSlot& slot,
+                                         const pb::TurnEnd& end) {
   const WallMillis now = WallNow();
   TurnRecord record{
       .program = {end.team(), end.program()},
@@ -178,12 +180,19 @@
     record.previous.clear();
     return record;
   }
-  // The store deletes old records. If the chain's oldest record is older than
-  // half of the store's retention time, this record repeats the chain's text.
-  const auto previous = FindTurn(slot.ledger, end.team(), end.previous());
+  if (record.previous.empty()) {
+    return record;
+  }
+  const auto previous =
+      FindPrevious(slot.ledger, end.team(), end.turn(), end.previous());
+  if (previous == nullptr) {
+    return std::nullopt;
+  }
+  // This record repeats the chain's text if a replay may lack the previous
+  // records: expired ones are dropped, and the store deletes old ones.
   const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(
       node.options.store_retention);
-  if (previous != nullptr &&
+  if (previous->expires_at < now ||
       now - previous->oldest_record > retention.count() / 2) {
     record.base = ChainText(*previous);
     record.previous.clear();
@@ -243,6 +252,10 @@
     co_return Verdict(history.known ? pb::TurnGrant::NO_SUCH_TURN
                                     : pb::TurnGrant::NOT_HOLDER);
   }
+  if (admission.kept() && !history.foreign) {
+    HoldChain(slot->ledger, admission.team(), admission.turn(),
+              admission.previous(), Now());
+  }
   pb::TurnGrant grant = Verdict(pb::TurnGrant::GRANTED);
   grant.set_history(history.text);
   grant.set_foreign(history.foreign);
@@ -308,17 +321,24 @@
     NotifyCovered(*slot, program);
   }
   if (!end.kept() || FindTurn(slot->ledger, end.team(), end.turn())) {
+    ReleaseChain(slot->ledger, end.team(), end.turn());
     done.set_durable(true);
     co_return done;
   }
+  const std::optional<TurnRecord> record = MakeTurnRecord(node, *slot, end);
+  if (!record) {
+    done.set_needs_base(true);
+    co_return done;
+  }
   const auto written = std::make_shared<Promise<bool>>(node.io);
-  const TurnRecord record = MakeTurnRecord(node, *slot, end);
-  Enqueue(node, slot, record, true, [slot, record, written](bool durable) {
-    if (durable) {
-      Replay(slot->ledger, record);
-    }
-    written->SetValue(durable);
-  });
+  Enqueue(node, slot, *record, true,
+          [slot, record = *record, written](bool durable) {
+            if (durable) {
+              Replay(slot->ledger, record);
+              ReleaseChain(slot->ledger, record.program.team, record.turn);
+            }
+            written->SetValue(durable);
+          });
   constexpr Duration kLongest = std::chrono::seconds(30);
   const auto durable = co_await written->Wait(kLongest);
   done.set_durable(durable.value_or(false));
@@ -343,6 +363,9 @@
   const Duration now = Now();
   const WallMillis wall = WallNow();
   for (auto& [number, slot] : node.slots.held) {
+    if (!slot->active) {
+      continue;  // its log is being replayed
+    }
     Expire(slot->ledger, wall, now, kProgramIdle);
     ExpireOrigins(slot->origins, now);
     std::erase_if(slot->endpoints, [&slot = *slot](const auto& entry) {
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -132,6 +132,7 @@
 // Replays the slot's log up to and including the claim.
 Task<bool> CatchUp(Node& node, HeldSlotPtr slot, uint64_t claim_offset) {
   uint64_t next = 0;
+  WallMillis written_at = 0;  // of the newest turn record
   Duration pause = kFirstRetryPause;
   while (next <= claim_offset && !slot->lost) {
     const ReadCall read{.topic = std::string(kSlotTopic),
@@ -143,12 +144,16 @@
       for (const std::string& bytes : done->records) {
         if (const auto record = DecodeSlotRecord(bytes)) {
           ReplayRecord(*slot, *record);
+          if (const auto* turn = std::get_if<TurnRecord>(&*record)) {
+            written_at = turn->ended_at;
+          }
         } else {
           WriteLog(node.log, LogLevel::kUnusual, "slot record unreadable",
                    {{"slot", slot->slot}, {"offset", next}});
         }
         ++next;
       }
+      ExpireReplayed(slot->ledger, written_at);
       if (!done->records.empty()) {
         pause = kFirstRetryPause;
         continue;
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -118,7 +118,10 @@
   }
 }
 
-Task<bool> ReportTurnEnd(Node& node, pb::TurnEnd end, Duration timeout) {
+Task<bool> ReportTurnEnd(Node& node,
+                         pb::TurnEnd end,
+                         std::string history,
+                         Duration timeout) {
   const Duration until = Now() + timeout;
   while (true) {
     std::optional<pb::TurnEndDone> done;
@@ -137,6 +140,10 @@
     if (done && done->durable()) {
       co_return true;
     }
+    if (done && done->needs_base() && end.base().empty() && !history.empty()) {
+      end.set_base(history);
+      continue;
+    }
     if (Now() + kRetryPause >= until) {
       co_return false;
     }
@@ -148,7 +155,8 @@
 
 Task<> ReportTurnEndOrLog(Node& node, pb::TurnEnd end) {
   const std::string turn = end.turn();
-  if (!co_await ReportTurnEnd(node, std::move(end), kBackgroundReportTimeout)) {
+  if (!co_await ReportTurnEnd(node, std::move(end), "",
+                              kBackgroundReportTimeout)) {
     WriteLog(node.log, LogLevel::kUnusual, "turn's end not noted",
              {{"id", turn}});
   }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -210,6 +210,7 @@
   pb::TurnEnd end = TurnEndOf(*call, relay, true);
   if (call->route->retained) {
     if (!co_await ReportTurnEnd(node, std::move(end),
+                                relay.permit.grant.history(),
                                 TimeLeft(*call) - kEndMargin)) {
       LogTurn(node, *call, relay, "not durable in time");
       AbortAnswer(call->caller);
