node: a tunnel says how the connection to the endpoint ended

Cause: the end of the tunnel stood for the end of the endpoint's connection. A kernel closes the connections of a killed process with a FIN. The time limit of a tunnel did the same.

Change: the bytes from the endpoint come in pieces with a length, and an empty one marks the end of the endpoint's connection. Both sides must ask for it: builds without it get and send the bytes alone, and an answer without a length over such a tunnel is broken off. A tunnel that is given up is reset.

--- a/include/celerykeel/node/answer_reader.h
+++ b/include/celerykeel/node/answer_reader.h
@@ -35,7 +35,14 @@
       asio::steady_timer::time_point until,
       size_t limit);
 
+  /// @brief True if the answer has neither a length nor chunks, so that its end
+  /// is the end of the endpoint's connection.
+  bool EndsWithConnection() const;
+
  private:
+  Task<> ParseMore(ErrorCode& error);
+  Task<> ParseMoreOfTunnel(ErrorCode& error);
+
   OutConnectionPtr connection;
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser;
   std::array<char, 16384> piece{};
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -3,7 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <array>        // for std::array
+#include <cstdint>      // for uint32_t
 #include <deque>        // for std::deque
 #include <map>          // for std::map
 #include <memory>       // for std::shared_ptr
@@ -38,6 +38,14 @@
   uint32_t& count;
 };
 
+/// @brief How far the bytes of a tunnel were read.
+struct TunnelPieces {
+  // They come in pieces, and the peer marks the end of the endpoint's
+  // connection; see TunnelOpen. An older peer relays the bytes alone.
+  bool are_marked = false;
+  uint32_t left = 0;  // bytes of the piece that is being read
+};
+
 /// @brief A connection to an endpoint or to the store.
 struct OutConnection {
   explicit OutConnection(asio::io_context& loop) : stream(loop) {}
@@ -47,6 +55,7 @@
   bool was_idle = false;  // taken from the pool
   // Set if the connection goes to a peer, which relays its bytes; used once.
   std::shared_ptr<const TunnelUse> tunnel;
+  TunnelPieces tunnel_pieces;
   Duration idle_since{};
   Duration idle_limit{};      // idle time after which it is closed
   Duration sent_at{};         // when Exchange began to send its request
--- a/src/celerykeel/node/answer_reader.cc
+++ b/src/celerykeel/node/answer_reader.cc
@@ -1,11 +1,15 @@
 #include "celerykeel/node/answer_reader.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/endian/conversion.hpp>
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::max, std::min
 #include <charconv>   // for std::from_chars
 #include <limits>     // for std::numeric_limits
 
+#include "celerykeel/node/peer_link.h"  // for kFrameLengthBytes
+
 namespace celerykeel {
 
 namespace {
@@ -14,6 +18,7 @@
 
 constexpr uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr size_t kTunnelReadBytes = 16384;
 // Idle limit if the peer sends no Keep-Alive timeout.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
 // An idle connection is closed after half of its peer's timeout, before the
@@ -46,6 +51,23 @@
   return ExchangeError::kClosed;
 }
 
+// Reads the length of the next piece of a tunnel, unless one is being read.
+// @return false if there is no next piece, as the endpoint closed its
+// connection.
+Task<bool> ReadPieceLength(OutConnectionPtr connection, ErrorCode& error) {
+  uint32_t& left = connection->tunnel_pieces.left;
+  if (left > 0) {
+    co_return true;
+  }
+  std::array<unsigned char, kFrameLengthBytes> length{};
+  co_await asio::async_read(connection->stream, asio::buffer(length),
+                            Into(error));
+  if (!error) {
+    left = boost::endian::load_big_u32(length.data());
+  }
+  co_return error || left > 0;
+}
+
 }  // namespace
 
 AnswerReader::AnswerReader(OutConnectionPtr from)
@@ -66,9 +88,7 @@
   this->connection->stream.expires_at(until);
   ErrorCode error;
   while (!this->parser.is_header_done()) {
-    co_await http::async_read_some(this->connection->stream,
-                                   this->connection->buffer, this->parser,
-                                   Into(error));
+    co_await this->ParseMore(error);
     if (error == http::error::need_buffer) {
       break;
     }
@@ -114,9 +134,7 @@
     }
     this->connection->stream.expires_at(until);
     ErrorCode error;
-    co_await http::async_read_some(this->connection->stream,
-                                   this->connection->buffer, this->parser,
-                                   Into(error));
+    co_await this->ParseMore(error);
     if (error == http::error::need_buffer) {
       error = {};
     }
@@ -127,6 +145,67 @@
   }
 }
 
+bool AnswerReader::EndsWithConnection() const {
+  return this->parser.need_eof();
+}
+
+Task<> AnswerReader::ParseMore(ErrorCode& error) {
+  if (this->connection->tunnel != nullptr) {
+    co_await this->ParseMoreOfTunnel(error);
+  } else {
+    co_await http::async_read_some(this->connection->stream,
+                                   this->connection->buffer, this->parser,
+                                   Into(error));
+  }
+}
+
+// The end of a tunnel is not the end of the answer: the peer's process may have
+// been killed. Only the peer's mark says that the endpoint closed.
+Task<> AnswerReader::ParseMoreOfTunnel(ErrorCode& error) {
+  auto& buffer = this->connection->buffer;
+  TunnelPieces& pieces = this->connection->tunnel_pieces;
+  while (true) {
+    error = {};
+    if (buffer.size() > 0) {
+      buffer.consume(this->parser.put(buffer.data(), error));
+      if (error != http::error::need_more) {
+        co_return;
+      }
+      error = {};
+    }
+    size_t room = std::min(kTunnelReadBytes, buffer.max_size() - buffer.size());
+    if (room == 0) {
+      error = http::error::buffer_overflow;
+      co_return;
+    }
+    if (pieces.are_marked) {
+      const bool has_piece = co_await ReadPieceLength(this->connection, error);
+      if (error) {
+        break;
+      }
+      if (!has_piece) {
+        if (this->parser.got_some()) {
+          this->parser.put_eof(error);
+        } else {
+          error = http::error::end_of_stream;
+        }
+        co_return;
+      }
+      room = std::min<size_t>(room, pieces.left);
+    }
+    const size_t count = co_await this->connection->stream.async_read_some(
+        buffer.prepare(room), Into(error));
+    if (error) {
+      break;
+    }
+    buffer.commit(count);
+    pieces.left -= pieces.are_marked ? static_cast<uint32_t>(count) : 0;
+  }
+  if (error == asio::error::eof) {
+    error = asio::error::connection_reset;
+  }
+}
+
 Task<tl::expected<std::string, ExchangeError>> AnswerReader::ReadAll(
     asio::steady_timer::time_point until,
     size_t limit) {
--- a/src/celerykeel/node/endpoint_link_unittest.cc
+++ b/src/celerykeel/node/endpoint_link_unittest.cc
@@ -131,5 +131,81 @@
   }
 }
 
+// Guards against answers that look complete because the process that relays
+// them was killed: without a length, their end is that of a connection.
+TEST_CASE("an answer without a length over another instance that is killed") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.CutOff(0, ConnectFault::kRefused);
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_unframed = true;
+    endpoint.pause_ms = 400;
+  }
+  auto turn = std::async(std::launch::async, [&fleet] {
+    return fleet.Send(0, "POST", "/stream/kept/x",
+                      TurnHeaders("t", "t", "", 9999), "in");
+  });
+  auto call = std::async(std::launch::async, [&fleet] {
+    return fleet.Send(0, "POST", "/pay/x", ToolHeaders("c"), "x");
+  });
+  while (RunsOfBoth(fleet, "t") == 0 || RunsOfBoth(fleet, "c") == 0) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  SUBCASE("is broken off") {
+    fleet.Kill(1);
+    CHECK(turn.get().status != 200);
+    CHECK(call.get().status != 200);
+  }
+  SUBCASE("is whole otherwise") {
+    const CallerAnswer got = turn.get();
+    CHECK(got.status == 200);
+    CHECK(got.body == kEvents);
+    CHECK(call.get().body == "done c");
+  }
+}
+
+// Guards against builds that can't relay each other's answers: an older one
+// asks for the bytes alone.
+TEST_CASE("a tunnel marks its end only if the other side asks for it") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  bool marks_end = false;
+  SUBCASE("an older build") {}
+  SUBCASE("this build") {
+    marks_end = true;
+  }
+  pb::NodeFrame open;
+  open.mutable_tunnel_open()->set_endpoint("e0");
+  open.mutable_tunnel_open()->set_connect_timeout_ms(1000);
+  open.mutable_tunnel_open()->set_lifetime_ms(4000);
+  open.mutable_tunnel_open()->set_marks_end(marks_end);
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  ErrorCode error;
+  socket.connect(fleet.PeerAddress(0), error);
+  REQUIRE_FALSE(error);
+  asio::write(socket, asio::buffer(EncodeFrame(open)), error);
+  std::string frame(kFrameLengthBytes, '\0');
+  asio::read(socket, asio::buffer(frame), error);
+  frame.resize(static_cast<unsigned char>(frame.back()));
+  asio::read(socket, asio::buffer(frame), error);
+  pb::NodeFrame opened;
+  CHECK(opened.ParseFromString(frame));
+  CHECK(opened.tunnel_opened().verdict() == pb::TunnelOpened::OPENED);
+  CHECK(opened.tunnel_opened().marks_end() == marks_end);
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_unframed = true;
+  }
+  const std::string request =
+      "GET /look/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r\r\n\r\n";
+  asio::write(socket, asio::buffer(request), error);
+  std::string bytes;
+  asio::read(socket, asio::dynamic_buffer(bytes), error);
+  CHECK(error == asio::error::eof);
+  CHECK(bytes.find("HTTP/1.1 200") == (marks_end ? kFrameLengthBytes : 0));
+  CHECK(bytes.ends_with(marks_end ? std::string(kFrameLengthBytes, '\0')
+                                  : "done r"));
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>  // for std::min
 #include <array>      // for std::array
+#include <cstring>    // for std::memcpy
 #include <set>        // for std::set
 #include <utility>    // for std::move
 #include <vector>     // for std::vector
@@ -97,33 +98,53 @@
   PeerSocketPtr peer;
   OutConnectionPtr endpoint;
   asio::steady_timer limit;
+  bool marks_end = false;  // see TunnelOpen
 };
 using RelayedTunnelPtr = std::shared_ptr<RelayedTunnel>;
 
 enum class Direction { kToEndpoint, kToPeer };
 
+void StoreLength(char* bytes, size_t length) {
+  const uint32_t big_endian =
+      boost::endian::native_to_big(static_cast<uint32_t>(length));
+  std::memcpy(bytes, &big_endian, sizeof(big_endian));
+}
+
 // @return the error of either side that ended it.
 Task<ErrorCode> Copy(RelayedTunnelPtr tunnel, Direction direction) {
+  const bool has_lengths = direction == Direction::kToPeer && tunnel->marks_end;
   Tcp::socket& endpoint = tunnel->endpoint->stream.socket();
   Tcp::socket& peer = tunnel->peer->socket;
   Tcp::socket& from = direction == Direction::kToEndpoint ? peer : endpoint;
   Tcp::socket& to = direction == Direction::kToEndpoint ? endpoint : peer;
-  std::array<char, kPieceBytes> piece{};
+  std::array<char, kFrameLengthBytes + kPieceBytes> piece{};
+  char* const bytes = piece.data() + kFrameLengthBytes;
   ErrorCode error;
   while (!error) {
-    const size_t count =
-        co_await from.async_read_some(asio::buffer(piece), Into(error));
-    if (!error) {
-      co_await asio::async_write(to, asio::buffer(piece.data(), count),
-                                 Into(error));
+    const size_t count = co_await from.async_read_some(
+        asio::buffer(bytes, kPieceBytes), Into(error));
+    if (error) {
+      break;
+    }
+    if (has_lengths) {
+      StoreLength(piece.data(), count);
+      co_await asio::async_write(
+          to, asio::buffer(piece.data(), kFrameLengthBytes + count),
+          Into(error));
+    } else {
+      co_await asio::async_write(to, asio::buffer(bytes, count), Into(error));
     }
   }
   co_return error;
 }
 
+// The other instance must not take this end for the end of an answer.
+
 void CloseTunnel(RelayedTunnel& tunnel) {
   tunnel.limit.cancel();
   Close(*tunnel.endpoint);
+  ErrorCode ignored;  // the connection ends in any case
+  tunnel.peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   ClosePeer(tunnel.peer);
 }
 
@@ -138,13 +159,17 @@
 // that the endpoint reset must not look like one that it closed.
 Task<> CopyToPeer(RelayedTunnelPtr tunnel) {
   const ErrorCode end = co_await Copy(tunnel, Direction::kToPeer);
-  ErrorCode ignored;  // the connection ends in any case
-  if (end == asio::error::eof) {
-    tunnel->peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (end != asio::error::eof) {
+    CloseTunnel(*tunnel);
     co_return;
   }
-  tunnel->peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  CloseTunnel(*tunnel);
+  ErrorCode ignored;  // the connection ends in any case
+  if (tunnel->marks_end) {
+    std::array<char, kFrameLengthBytes> mark{};
+    co_await asio::async_write(tunnel->peer->socket, asio::buffer(mark),
+                               Into(ignored));
+  }
+  tunnel->peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
 }  // namespace
@@ -178,11 +203,13 @@
     open.set_connect_timeout_ms(Millis(kConnectTimeout));
     open.set_max_idle_ms(Millis(max_idle));
     open.set_lifetime_ms(Millis(until - Now() + kLifetimeMargin));
+    open.set_marks_end(true);
     const auto opened = co_await AskPeer(connection, std::move(open));
     if (opened && opened->verdict() == pb::TunnelOpened::OPENED) {
       connection->stream.expires_never();
       connection->tunnel =
           std::make_shared<TunnelUse>(node.tunnels[tunnel.peer]);
+      connection->tunnel_pieces.are_marked = opened->marks_end();
       tunnel.connection = connection;
       co_return tunnel;
     }
@@ -199,6 +226,7 @@
   pb::NodeFrame frame;
   pb::TunnelOpened& opened = *frame.mutable_tunnel_opened();
   opened.set_verdict(pb::TunnelOpened::REFUSED);
+  opened.set_marks_end(open.marks_end());
   OutConnectionPtr connection;
   // Only to endpoints of the own table: an instance is no open proxy.
   const auto found = node.endpoints.endpoints.find(open.endpoint());
@@ -227,6 +255,7 @@
   connection->stream.expires_never();
   const auto tunnel =
       std::make_shared<RelayedTunnel>(node, peer, std::move(connection));
+  tunnel->marks_end = open.marks_end();
   tunnel->limit.expires_after(std::chrono::milliseconds(open.lifetime_ms()));
   tunnel->limit.async_wait([tunnel](const ErrorCode& cancelled) {
     if (!cancelled) {
--- a/src/celerykeel/wire/build_compat_unittest.cc
+++ b/src/celerykeel/wire/build_compat_unittest.cc
@@ -2,6 +2,7 @@
 
 #include <string>  // for std::string
 
+#include "celerykeel/compat/node_2b2638f.pb.h"  // for pb_2b2638f::NodeFrame
 #include "celerykeel/compat/node_bfe44ba.pb.h"  // for pb_bfe44ba::NodeFrame
 #include "celerykeel/node.pb.h"                 // for pb::NodeFrame
 #include "celerykeel/wire/slot_codec.h"         // for EncodeSlotRecord
@@ -11,7 +12,7 @@
 
 namespace old = pb_bfe44ba;
 
-// Fills in a message of each kind that both builds know. The builds differ in
+// Fills in a message of each kind that all builds know. The builds differ in
 // the namespace only.
 template <typename Frame>
 std::vector<Frame> KnownFrames() {
@@ -93,6 +94,79 @@
   }
 }
 
+// Fills in a message of each kind that bfe44ba lacks.
+template <typename Frame>
+std::vector<Frame> LaterFrames() {
+  std::vector<Frame> frames(5);
+  auto frame = frames.begin();
+  (frame++)->mutable_tunnel_opened()->set_verdict(
+      Frame::default_instance().tunnel_opened().REFUSED);
+  (frame++)->mutable_stream_began()->set_call("c");
+  (frame++)->mutable_suspect_run_wish()->set_interval_ms(5);
+  (frame++)->mutable_suspect_run_grant()->set_retry_ms(6);
+  auto& news = *(frame++)->mutable_endpoint_news();
+  auto& crashed = *news.add_crashed_runs();
+  crashed.mutable_request()->set_hash_high(3);
+  crashed.set_endpoint("e1");
+  crashed.set_started_at(4);
+  crashed.set_others_missing(true);
+  crashed.set_began_recently(true);
+  news.add_completed_runs()->set_age_ms(7);
+  news.add_isolated_endpoints()->set_runs_ms(8);
+  return frames;
+}
+
+TEST_CASE("this build and 2b2638f read each other's messages") {
+  auto new_frames = KnownFrames<pb::NodeFrame>();
+  auto old_frames = KnownFrames<pb_2b2638f::NodeFrame>();
+  for (const pb::NodeFrame& frame : LaterFrames<pb::NodeFrame>()) {
+    new_frames.push_back(frame);
+  }
+  for (const pb_2b2638f::NodeFrame& frame :
+       LaterFrames<pb_2b2638f::NodeFrame>()) {
+    old_frames.push_back(frame);
+  }
+  REQUIRE(new_frames.size() == old_frames.size());
+  for (size_t i = 0; i < new_frames.size(); ++i) {
+    CAPTURE(i);
+    const std::string bytes = new_frames[i].SerializeAsString();
+    CHECK(!bytes.empty());
+    CHECK(bytes == old_frames[i].SerializeAsString());
+    pb_2b2638f::NodeFrame read_by_old;
+    CHECK(read_by_old.ParseFromString(bytes));
+    CHECK(read_by_old.SerializeAsString() == bytes);
+    pb::NodeFrame read;
+    CHECK(read.ParseFromString(old_frames[i].SerializeAsString()));
+    CHECK(read.SerializeAsString() == bytes);
+  }
+}
+
+// Guards against a peer of the other build that takes a message with a new
+// field, or without one, for something else.
+TEST_CASE("this build and 2b2638f serve each other without the new fields") {
+  pb::NodeFrame open;
+  open.mutable_tunnel_open()->set_endpoint("e1");
+  open.mutable_tunnel_open()->set_marks_end(true);
+  pb_2b2638f::NodeFrame read_by_old;
+  REQUIRE(read_by_old.ParseFromString(open.SerializeAsString()));
+  CHECK(read_by_old.tunnel_open().endpoint() == "e1");
+  pb_2b2638f::NodeFrame opened;
+  opened.mutable_tunnel_opened();
+  pb::NodeFrame read;
+  REQUIRE(read.ParseFromString(opened.SerializeAsString()));
+  CHECK(read.tunnel_opened().verdict() == pb::TunnelOpened::OPENED);
+  CHECK_FALSE(read.tunnel_opened().marks_end());
+  pb::NodeFrame done;
+  done.mutable_end_done()->set_needs_base(true);
+  REQUIRE(read_by_old.ParseFromString(done.SerializeAsString()));
+  CHECK_FALSE(read_by_old.end_done().durable());
+  CHECK_FALSE(read_by_old.end_done().not_holder());
+  pb_2b2638f::NodeFrame old_done;
+  old_done.mutable_end_done()->set_durable(true);
+  REQUIRE(read.ParseFromString(old_done.SerializeAsString()));
+  CHECK_FALSE(read.end_done().needs_base());
+}
+
 TEST_CASE("bfe44ba reads news of crashes and ignores what it doesn't know") {
   pb::NodeFrame frame;
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
@@ -114,38 +188,48 @@
   CHECK(read.body_case() == old::NodeFrame::BODY_NOT_SET);
 }
 
-TEST_CASE("this build and bfe44ba read each other's slot records") {
-  old::SlotEntry spend;
+// Checks that this build and another one read each other's records.
+template <typename Entry, typename Member>
+void CheckRecords() {
+  Entry spend;
   spend.mutable_spend()->set_team("orchard");
   spend.mutable_spend()->set_program("p");
   spend.mutable_spend()->set_spent(40);
   spend.mutable_spend()->set_ceiling(260);
-  old::SlotEntry turn;
+  Entry turn;
   turn.mutable_turn()->set_turn("t");
   turn.mutable_turn()->set_output("out");
   turn.mutable_turn()->set_expires_at(99);
-  old::SlotEntry claim;
+  Entry claim;
   claim.mutable_claim()->set_holder("i1");
   claim.mutable_claim()->set_epoch(1025);
-  old::SlotEntry rate;
+  Entry rate;
   rate.mutable_rate()->set_kept(2.5);
-  old::SlotEntry stream;
+  Entry stream;
   stream.mutable_stream()->mutable_origin()->set_version("v1");
-  for (const old::SlotEntry& entry : {spend, turn, claim, rate, stream}) {
+  for (const Entry& entry : {spend, turn, claim, rate, stream}) {
     CAPTURE(static_cast<int>(entry.record_case()));
     const auto record = DecodeSlotRecord(entry.SerializeAsString());
     REQUIRE(record);
-    old::SlotEntry read;
+    Entry read;
     REQUIRE(read.ParseFromString(EncodeSlotRecord(*record)));
     CHECK(read.SerializeAsString() == entry.SerializeAsString());
   }
   pb::MemberEntry member;
   member.set_address("127.0.0.1:7");
   member.add_slots()->set_slot(3);
-  old::MemberEntry read;
+  Member read;
   REQUIRE(read.ParseFromString(member.SerializeAsString()));
   CHECK(read.SerializeAsString() == member.SerializeAsString());
 }
 
+TEST_CASE("this build and bfe44ba read each other's slot records") {
+  CheckRecords<old::SlotEntry, old::MemberEntry>();
+}
+
+TEST_CASE("this build and 2b2638f read each other's slot records") {
+  CheckRecords<pb_2b2638f::SlotEntry, pb_2b2638f::MemberEntry>();
+}
+
 }  // namespace
 }  // namespace celerykeel
