node: readers tell what they find in the complete list

Cause: after the store has dropped its history the readers find a change in the complete list, which they applied and did not pass on. The others rely on them and look each 4 s.

Change: a reader sends the changes and removals that a complete list shows; of its first list the endpoints that leave, as its peers may have had no reader before. The log line names the source of the news.

--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -26,10 +26,15 @@
 // A reader's state is too old to rely on at this age: a read interval and a
 // heartbeat interval, plus half as much again.
 constexpr Duration kMaxReaderAge = std::chrono::milliseconds(1200);
+// Sources in log lines.
+constexpr std::string_view kStoreSource = "the store";
+constexpr std::string_view kPeerSource = "a peer";
 
 // Applies an endpoint's record to the table.
 // @return true if the record changes more than the time of the last heartbeat.
-bool ApplyEndpointRecord(Node& node, const KeyedRecord& record) {
+bool ApplyEndpointRecord(Node& node,
+                         const KeyedRecord& record,
+                         std::string_view source) {
   if (record.key.empty()) {
     return false;
   }
@@ -60,19 +65,42 @@
               {"service", entry->service},
               {"address", entry->address},
               {"version", entry->version},
-              {"leaving", entry->leaving}});
+              {"leaving", entry->leaving},
+              {"source", source}});
   }
   return changed;
 }
 
-Task<> ReadCompleteList(Node& node, KeyedTopic& topic) {
+void AddChange(pb::EndpointNews& news, const KeyedRecord& record) {
+  pb::EndpointChange& change = *news.add_changes();
+  change.set_endpoint(record.key);
+  change.set_entry(record.value);
+  change.set_removed(record.dropped);
+}
+
+bool IsLeaving(const Node& node, const std::string& endpoint) {
+  const auto found = node.endpoints.endpoints.find(endpoint);
+  return found != node.endpoints.endpoints.end() && found->second.entry.leaving;
+}
+
+// Reads the complete list. A reader sends the changes to the peers, as they
+// rely on it. Of its first list these are the endpoints that leave: its peers
+// may have had no reader when they began to.
+Task<> ReadCompleteList(Node& node, KeyedTopic& topic, bool is_reader) {
+  const Duration began = Now();
+  const bool is_first = node.endpoints.endpoints.empty();
   const auto records = co_await ReadAllKeys(node, topic);
   if (!records) {
     co_return;
   }
+  pb::NodeFrame frame;
+  pb::EndpointNews& news = *frame.mutable_endpoint_news();
   std::set<std::string> seen;
   for (const KeyedRecord& record : *records) {
-    ApplyEndpointRecord(node, record);
+    if (ApplyEndpointRecord(node, record, kStoreSource) &&
+        (!is_first || IsLeaving(node, record.key))) {
+      AddChange(news, record);
+    }
     seen.insert(record.key);
   }
   // This instance missed the removal of endpoints that the store no longer
@@ -84,8 +112,18 @@
     }
   }
   for (const std::string& id : removed) {
-    RecordRemoval(node.endpoints, id, Now());
+    const KeyedRecord record{
+        .key = id, .value = "", .dropped = true, .offset = 0};
+    ApplyEndpointRecord(node, record, kStoreSource);
+    AddChange(news, record);
+  }
+  if (!is_reader) {
+    co_return;
   }
+  if (news.changes_size() > 0) {
+    SendToAll(node.peers, frame);
+  }
+  node.endpoints_read_at = began;
 }
 
 // Reads new records as a reader, and sends the changes to the peers.
@@ -98,11 +136,8 @@
   pb::NodeFrame frame;
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
   for (const KeyedRecord& record : *records) {
-    if (ApplyEndpointRecord(node, record)) {
-      pb::EndpointChange& change = *news.add_changes();
-      change.set_endpoint(record.key);
-      change.set_entry(record.value);
-      change.set_removed(record.dropped);
+    if (ApplyEndpointRecord(node, record, kStoreSource)) {
+      AddChange(news, record);
     }
   }
   if (news.changes_size() > 0) {
@@ -159,7 +194,7 @@
     if (RecordDeparture(node.endpoints, departure.endpoint(),
                         departure.started_at())) {
       WriteLog(node.log, LogLevel::kOrdinary, "endpoint leaves",
-               {{"endpoint", departure.endpoint()}, {"source", "a peer"}});
+               {{"endpoint", departure.endpoint()}, {"source", kPeerSource}});
     }
   }
   for (const pb::EndpointLimitNews& limit : news.limits()) {
@@ -173,10 +208,12 @@
     ApplyIsolationNews(node, isolated);
   }
   for (const pb::EndpointChange& change : news.changes()) {
-    ApplyEndpointRecord(node, {.key = change.endpoint(),
-                               .value = change.entry(),
-                               .dropped = change.removed(),
-                               .offset = 0});
+    ApplyEndpointRecord(node,
+                        {.key = change.endpoint(),
+                         .value = change.entry(),
+                         .dropped = change.removed(),
+                         .offset = 0},
+                        kPeerSource);
   }
 }
 
@@ -189,7 +226,7 @@
     if (!topic.next || (!reads && now >= read_all_at + kReadAllInterval)) {
       co_await AwaitStore(node, kMaxFeedStoreWait);
       read_all_at = Now();
-      co_await ReadCompleteList(node, topic);
+      co_await ReadCompleteList(node, topic, reads);
     } else if (reads) {
       co_await AwaitStore(node, kMaxFeedStoreWait);
       co_await ReadAsReader(node, topic);
