node: requests that silence endpoints become suspects

Cause: a crash was looked for only when a connection closed, and proved only by a refused one. A server that falls silent closes nothing; its calls end by their deadline and were remembered for a second.

Change: an endpoint that starts anew, under its id or at its address, has ended unannounced; so has one whose entry was removed and that can't be reached while others can. The requests that it left without an answer are then reported. No request counts as begun shortly before such a crash, and one that has run to its end of late is not reported, so that a sound call is not held for one.

--- a/include/celerykeel/node/crash_watch.h
+++ b/include/celerykeel/node/crash_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>    // for std::deque
 #include <map>      // for std::map
 #include <memory>   // for std::shared_ptr
 #include <set>      // for std::multiset
@@ -29,7 +30,8 @@
 /// @brief The requests that this instance has sent to one start of an endpoint.
 struct SentRequests {
   std::set<const SentRun*> under_way;
-  std::vector<AbandonedRun> abandoned;
+  std::deque<AbandonedRun> abandoned;
+  Duration answered_at{};  // when the endpoint last began or ended an answer
 };
 using SentRequestTable = std::map<EndpointStart, SentRequests>;
 
@@ -39,11 +41,20 @@
   std::vector<std::shared_ptr<Promise<bool>>> waiting;
 };
 
+/// @brief An endpoint whose entry was removed unannounced, while requests of
+/// this instance had no answer.
+struct RemovedEndpoint {
+  std::string address;
+  Duration removed_at{};
+};
+
 /// @brief What this instance knows about crashes of endpoints.
 struct CrashWatch {
   CrashRecords records;
-  std::map<EndpointStart, Duration> crashed_at;  // recent, seen from here
-  std::map<EndpointStart, CrashCheck> checks;    // under way
+  std::map<RequestIdentity, Duration> completed_at;  // here, of late
+  std::map<EndpointStart, Duration> crashed_at;      // recent, seen from here
+  std::map<EndpointStart, CrashCheck> checks;        // under way
+  std::map<EndpointStart, RemovedEndpoint> removed;
 };
 
 /// @brief Counts a request as under way at its endpoint, from its sending to
@@ -80,6 +91,16 @@
 /// which requests were unfinished there. Returns within a few round trips.
 Task<> CheckForCrash(Node& node, EndpointEntry endpoint);
 
+/// @brief Called before a new start of an endpoint is recorded. Earlier starts
+/// under its id or at its address have ended. For those that had not announced
+/// that, reports to the peers which requests of this instance had no answer.
+void HandleStart(Node& node, const EndpointEntry& started);
+
+/// @brief Called before the removal of an endpoint's entry is recorded. An
+/// endpoint that had not announced that it leaves and can't be reached either
+/// has fallen silent, and is reported as by HandleStart.
+void HandleRemoval(Node& node, const std::string& id);
+
 /// @brief Called when an endpoint has answered a request completely. Clears the
 /// request of earlier crashes.
 void HandleCompletion(Node& node, SentRun& run);
--- a/src/celerykeel/node/crash_watch.cc
+++ b/src/celerykeel/node/crash_watch.cc
@@ -24,6 +24,14 @@
 // The news of an older crash says nothing about the endpoint's present state.
 constexpr Duration kMaxCrashAge = std::chrono::seconds(2);
 
+// How long requests that got no answer of an endpoint are remembered. Its entry
+// is removed three heartbeats after it fell silent.
+constexpr Duration kSilenceMemory = std::chrono::seconds(20);
+constexpr size_t kMaxAbandoned = 256;  // of one start of an endpoint
+// A request that completed this recently has not silenced an endpoint.
+constexpr Duration kCompletionMemory = std::chrono::seconds(10);
+constexpr size_t kMaxCompletions = 4096;
+
 EndpointStart StartOf(const EndpointEntry& endpoint) {
   return {.endpoint = endpoint.id, .started_at = endpoint.started_at};
 }
@@ -51,7 +59,10 @@
 // A refused connection shows a crash unless this instance's own network refuses
 // all of them. That is ruled out by another endpoint that accepts one, or by a
 // peer that can't reach this endpoint either.
-Task<bool> HasCrashed(Node& node, EndpointEntry endpoint) {
+//
+// The store still lists an endpoint that is slow to accept a connection, so
+// only one that is not listed any more may be found to be silent.
+Task<bool> HasCrashed(Node& node, EndpointEntry endpoint, bool is_listed) {
   const EndpointConnect connected = co_await ConnectToEndpoint(
       node, endpoint, Duration::zero(), kProbeTimeout);
   if (IsReached(connected) || !connected.endpoint_failed) {
@@ -60,7 +71,7 @@
   if (!connected.peer.empty()) {
     co_return true;
   }
-  if (!connected.refused) {
+  if (is_listed && !connected.refused) {
     co_return false;
   }
   if (const auto other = OtherEndpoint(node, endpoint)) {
@@ -75,12 +86,14 @@
   co_return !IsReached(over_peer) && over_peer.endpoint_failed;
 }
 
+using UnfinishedRequests = std::map<RequestIdentity, bool>;
+
 // Returns the requests that were unfinished there at `crashed_at`, and whether
 // they began recently then.
-std::map<RequestIdentity, bool> UnfinishedAt(const Node& node,
-                                             const EndpointStart& endpoint,
-                                             Duration crashed_at) {
-  std::map<RequestIdentity, bool> unfinished;
+UnfinishedRequests UnfinishedAt(const Node& node,
+                                const EndpointStart& endpoint,
+                                Duration crashed_at) {
+  UnfinishedRequests unfinished;
   const auto sent = node.sent_requests.find(endpoint);
   if (sent == node.sent_requests.end()) {
     return unfinished;
@@ -96,6 +109,31 @@
   return unfinished;
 }
 
+// Returns the requests that the endpoint left without an answer when it fell
+// silent. When that was is not known, so no request counts as begun recently
+// then.
+UnfinishedRequests UnansweredBy(const Node& node,
+                                const EndpointStart& endpoint) {
+  UnfinishedRequests unanswered;
+  const auto sent = node.sent_requests.find(endpoint);
+  if (sent == node.sent_requests.end()) {
+    return unanswered;
+  }
+  for (const SentRun* run : sent->second.under_way) {
+    unanswered[run->Request()] = false;
+  }
+  for (const AbandonedRun& run : sent->second.abandoned) {
+    unanswered[run.request] = false;
+  }
+  const Duration now = Now();
+  std::erase_if(unanswered, [&node, now](const auto& entry) {
+    const auto completed = node.crash_watch.completed_at.find(entry.first);
+    return completed != node.crash_watch.completed_at.end() &&
+           now < completed->second + kCompletionMemory;
+  });
+  return unanswered;
+}
+
 void LogSuspicion(Node& node, const RequestIdentity& request) {
   const auto found = node.crash_watch.records.requests.find(request);
   if (found == node.crash_watch.records.requests.end()) {
@@ -109,12 +147,12 @@
 
 void ReportCrash(Node& node,
                  const EndpointStart& endpoint,
+                 const UnfinishedRequests& unfinished,
                  Duration crashed_at) {
   const Duration now = Now();
   pb::NodeFrame frame;
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
-  for (const auto& [request, began_recently] :
-       UnfinishedAt(node, endpoint, crashed_at)) {
+  for (const auto& [request, began_recently] : unfinished) {
     const CrashedRun run{.request = request,
                          .endpoint = endpoint,
                          .crashed_at = crashed_at,
@@ -139,21 +177,51 @@
 
 Task<> Check(Node& node, EndpointEntry endpoint) {
   const EndpointStart start = StartOf(endpoint);
-  const bool has_crashed = co_await HasCrashed(node, std::move(endpoint));
+  const bool has_crashed = co_await HasCrashed(node, std::move(endpoint), true);
   const CrashCheck check = std::move(node.crash_watch.checks[start]);
   node.crash_watch.checks.erase(start);
   if (has_crashed) {
-    ReportCrash(node, start, check.broke_at);
+    ReportCrash(node, start, UnfinishedAt(node, start, check.broke_at),
+                check.broke_at);
   }
   for (const auto& done : check.waiting) {
     done->SetValue(has_crashed);
   }
 }
 
+void ReportSilence(Node& node, const EndpointStart& endpoint) {
+  if (node.crash_watch.crashed_at.contains(endpoint)) {
+    return;
+  }
+  if (const UnfinishedRequests unanswered = UnansweredBy(node, endpoint);
+      !unanswered.empty()) {
+    ReportCrash(node, endpoint, unanswered, Now());
+  }
+}
+
+Task<> CheckRemoved(Node& node, EndpointEntry endpoint) {
+  const EndpointStart start = StartOf(endpoint);
+  if (co_await HasCrashed(node, std::move(endpoint), false)) {
+    ReportSilence(node, start);
+  }
+}
+
+// The end of an endpoint that leaves is no crash.
+bool HasAnnouncedEnd(const Node& node, const EndpointEntry& endpoint) {
+  const auto known = node.endpoints.endpoints.find(endpoint.id);
+  const bool is_leaving =
+      known != node.endpoints.endpoints.end() && known->second.entry.leaving;
+  return is_leaving || HasDeparted(node.endpoints, endpoint);
+}
+
 void ForgetAbandoned(SentRequestTable& sent, Duration now) {
   for (auto& [endpoint, requests] : sent) {
-    std::erase_if(requests.abandoned, [now](const AbandonedRun& run) {
-      return run.abandoned_at + kAbandonedTime <= now;
+    std::erase_if(requests.abandoned, [now, &requests = requests](
+                                          const AbandonedRun& run) {
+      const bool is_answering = requests.answered_at >= run.abandoned_at;
+      return run.abandoned_at +
+                 (is_answering ? kAbandonedTime : kSilenceMemory) <=
+             now;
     });
   }
   std::erase_if(sent, [](const auto& entry) {
@@ -178,14 +246,18 @@
     return;
   }
   this->Finish();
-  this->node.sent_requests[StartOf(this->endpoint)].abandoned.push_back(
-      {.request = this->request,
-       .began_at = this->began_at,
-       .abandoned_at = Now()});
+  auto& abandoned = this->node.sent_requests[StartOf(this->endpoint)].abandoned;
+  if (abandoned.size() >= kMaxAbandoned) {
+    abandoned.pop_front();
+  }
+  abandoned.push_back({.request = this->request,
+                       .began_at = this->began_at,
+                       .abandoned_at = Now()});
 }
 
 void SentRun::Begin() {
   this->began_at = Now();
+  this->node.sent_requests[StartOf(this->endpoint)].answered_at = Now();
 }
 
 void SentRun::Finish() {
@@ -201,17 +273,14 @@
 }
 
 Task<> CheckForCrash(Node& node, EndpointEntry endpoint) {
-  // The end of an endpoint that leaves is no crash.
-  const auto known = node.endpoints.endpoints.find(endpoint.id);
-  const bool is_leaving =
-      known != node.endpoints.endpoints.end() && known->second.entry.leaving;
-  if (is_leaving || HasDeparted(node.endpoints, endpoint)) {
+  if (HasAnnouncedEnd(node, endpoint)) {
     co_return;
   }
   const EndpointStart start = StartOf(endpoint);
   if (const auto crashed = node.crash_watch.crashed_at.find(start);
       crashed != node.crash_watch.crashed_at.end()) {
-    ReportCrash(node, start, crashed->second);
+    ReportCrash(node, start, UnfinishedAt(node, start, crashed->second),
+                crashed->second);
     co_return;
   }
   const auto done = std::make_shared<Promise<bool>>(node.io);
@@ -225,8 +294,52 @@
   [[maybe_unused]] const auto result = co_await done->Wait(kMaxCheckTime);
 }
 
+void HandleStart(Node& node, const EndpointEntry& started) {
+  const auto has_ended = [&started](const EndpointStart& start,
+                                    const std::string& address) {
+    return start.started_at < started.started_at &&
+           (start.endpoint == started.id || address == started.address);
+  };
+  std::vector<EndpointStart> ended;
+  for (const auto& [id, known] : node.endpoints.endpoints) {
+    if (const EndpointStart start = StartOf(known.entry);
+        has_ended(start, known.entry.address) &&
+        !HasAnnouncedEnd(node, known.entry)) {
+      ended.push_back(start);
+    }
+  }
+  for (const auto& [start, removed] : node.crash_watch.removed) {
+    if (has_ended(start, removed.address)) {
+      ended.push_back(start);
+    }
+  }
+  for (const EndpointStart& start : ended) {
+    node.crash_watch.removed.erase(start);
+    ReportSilence(node, start);
+  }
+}
+
+void HandleRemoval(Node& node, const std::string& id) {
+  const auto found = node.endpoints.endpoints.find(id);
+  if (found == node.endpoints.endpoints.end() ||
+      HasAnnouncedEnd(node, found->second.entry)) {
+    return;
+  }
+  const EndpointEntry& endpoint = found->second.entry;
+  if (const EndpointStart start = StartOf(endpoint);
+      node.sent_requests.contains(start)) {
+    node.crash_watch.removed[start] = {.address = endpoint.address,
+                                       .removed_at = Now()};
+    Spawn(node.io, CheckRemoved(node, endpoint));
+  }
+}
+
 void HandleCompletion(Node& node, SentRun& run) {
   run.Finish();
+  auto& completed_at = node.crash_watch.completed_at;
+  if (completed_at.size() < kMaxCompletions) {
+    completed_at[run.Request()] = Now();
+  }
   if (!RecordCompletion(node.crash_watch.records, run.Request(), Now())) {
     return;
   }
@@ -290,6 +403,12 @@
   std::erase_if(node.crash_watch.crashed_at, [now](const auto& entry) {
     return entry.second + kCrashMemory <= now;
   });
+  std::erase_if(node.crash_watch.completed_at, [now](const auto& entry) {
+    return entry.second + kCompletionMemory <= now;
+  });
+  std::erase_if(node.crash_watch.removed, [now](const auto& entry) {
+    return entry.second.removed_at + kSilenceMemory <= now;
+  });
   ForgetAbandoned(node.sent_requests, now);
 }
 
--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -107,6 +107,53 @@
   CHECK(SendUntilServed(fleet, "last", "/stream/kept/x") == 200);
 }
 
+// Guards against a request that silences each endpoint that runs it: its calls
+// end by their deadline, and no connection is closed.
+TEST_CASE("a request that silences endpoints runs a few times only") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  SetDeadly(fleet);
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_silent_when_down = true;
+  }
+  const std::string target = "/pay/x";
+  constexpr int kCopies = 16;
+  for (int i = 0; i < kCopies; ++i) {
+    fleet.Send(static_cast<size_t>(i) % 3, "POST", target,
+               ToolHeaders("d" + std::to_string(i)), "deadly");
+    CHECK(SendUntilServed(fleet, "s" + std::to_string(i), target) == 200);
+  }
+  CHECK(CrashesOf(fleet) <= kMostCrashes);
+  CHECK(CrashesOf(fleet) > 0);
+}
+
+// Guards against refusing equal sound calls because endpoints fell silent under
+// them, for reasons of their own.
+TEST_CASE(
+    "sound calls are served though endpoints fall silent again and again") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_silent_when_down = true;
+    endpoint.pause_ms = 50;
+  }
+  constexpr int kRounds = 8;
+  for (int i = 0; i < kRounds; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    auto answer = std::async(std::launch::async, [&fleet, id] {
+      return SendUntilServed(fleet, id, "/look/x");
+    });
+    fleet.RunOnStandinLoop([&] { Crash(fleet.endpoints[i % 2]); });
+    CHECK(answer.get() == 200);
+    for (size_t at = 0; at < 3; ++at) {
+      CHECK(fleet
+                .Send(at, "POST", "/look/x",
+                      ToolHeaders("l" + id + std::to_string(at)), "in s")
+                .status == 200);
+    }
+  }
+}
+
 // Guards against copies of a request that crash several endpoints at once,
 // after the first crash and before the request is known.
 TEST_CASE("copies of a request that crashed an endpoint run one at a time") {
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -6,6 +6,7 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/reader_choice.h"  // for IsReader
+#include "celerykeel/node/crash_watch.h"    // for HandleStart
 #include "celerykeel/node/isolation.h"      // for ApplyIsolationNews
 #include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys
 #include "celerykeel/node/node.h"           // for Node
@@ -39,6 +40,7 @@
     return false;
   }
   if (record.dropped) {
+    HandleRemoval(node, record.key);
     RecordRemoval(node.endpoints, record.key, Now());
     node.version_feed.endpoints_changed = true;
     return true;
@@ -57,6 +59,9 @@
                        known->second.entry.version != entry->version ||
                        known->second.entry.started_at != entry->started_at ||
                        known->second.lapsed_at.has_value();
+  if (changed) {
+    HandleStart(node, *entry);
+  }
   RecordEntry(node.endpoints, *entry);
   if (changed) {
     node.version_feed.endpoints_changed = true;
