node: an answer that ends as its endpoint crashes is not complete

Cause: the kernel closes the connections of a crashed process with a FIN, which was taken for the end of an answer without a length.

Change: at the end of an answer without a length the instance checks whether its endpoint has crashed, as for broken connections; if so the answer is broken off.

--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -62,6 +62,11 @@
 /// @brief Serves a call whose answer is relayed once it is complete.
 Task<> RunAttempts(Node& node, CallPtr call);
 
+/// @brief Called at the end of an answer's bytes.
+/// @return false if the answer ended with its connection because the endpoint
+/// crashed.
+Task<bool> IsWhole(Node& node, Attempt& attempt);
+
 /// @brief Reads an answer that is not an event stream to its end, then relays
 /// it unless the caller disconnected.
 /// @return false if the body could not be read; nothing was sent then.
--- a/include/celerykeel/node/crash_watch.h
+++ b/include/celerykeel/node/crash_watch.h
@@ -89,7 +89,8 @@
 /// @brief Called when an endpoint closed a connection before the end of its
 /// answer. Finds out whether it has crashed, and if so reports to the peers
 /// which requests were unfinished there. Returns within a few round trips.
-Task<> CheckForCrash(Node& node, EndpointEntry endpoint);
+/// @return true if it is found to have crashed.
+Task<bool> CheckForCrash(Node& node, EndpointEntry endpoint);
 
 /// @brief Called before a new start of an endpoint is recorded. Earlier starts
 /// under its id or at its address have ended. For those that had not announced
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -287,11 +287,21 @@
   co_return attempt;
 }
 
+// The kernel closes the connections of a crashed process, which looks like the
+// end of an answer that has neither a length nor chunks.
+Task<bool> IsWhole(Node& node, Attempt& attempt) {
+  co_return !attempt.reader->EndsWithConnection() ||
+      !co_await CheckForCrash(node, attempt.run->Endpoint());
+}
+
 Task<bool> RelayCompleteAnswer(Node& node, CallPtr call, Attempt& attempt) {
   auto body =
       co_await ReadCompleteBody(node, attempt.reader, Until(TimeLeft(*call)));
   const auto connection = call->attempt;
   call->attempt = nullptr;
+  if (body && !co_await IsWhole(node, attempt)) {
+    body = tl::unexpected(ExchangeError::kClosed);
+  }
   if (!body) {
     if (connection != nullptr) {
       Close(*connection);
--- a/src/celerykeel/node/crash_watch.cc
+++ b/src/celerykeel/node/crash_watch.cc
@@ -272,16 +272,16 @@
   }
 }
 
-Task<> CheckForCrash(Node& node, EndpointEntry endpoint) {
+Task<bool> CheckForCrash(Node& node, EndpointEntry endpoint) {
   if (HasAnnouncedEnd(node, endpoint)) {
-    co_return;
+    co_return false;
   }
   const EndpointStart start = StartOf(endpoint);
   if (const auto crashed = node.crash_watch.crashed_at.find(start);
       crashed != node.crash_watch.crashed_at.end()) {
     ReportCrash(node, start, UnfinishedAt(node, start, crashed->second),
                 crashed->second);
-    co_return;
+    co_return true;
   }
   const auto done = std::make_shared<Promise<bool>>(node.io);
   const auto [check, is_new] = node.crash_watch.checks.try_emplace(
@@ -291,7 +291,8 @@
     Spawn(node.io, Check(node, std::move(endpoint)));
   }
   // Without a result in time, the call goes on as after a broken connection.
-  [[maybe_unused]] const auto result = co_await done->Wait(kMaxCheckTime);
+  const auto has_crashed = co_await done->Wait(kMaxCheckTime);
+  co_return has_crashed.value_or(false);
 }
 
 void HandleStart(Node& node, const EndpointEntry& started) {
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -138,8 +138,9 @@
                                                     : StreamEnd::kAborted;
     }
     if (!*some) {
-      co_return splitter.partial.empty() ? StreamEnd::kComplete
-                                         : StreamEnd::kAborted;
+      const bool is_whole =
+          splitter.partial.empty() && co_await IsWhole(node, attempt);
+      co_return is_whole ? StreamEnd::kComplete : StreamEnd::kAborted;
     }
     const std::vector<StreamEvent> events = AddBytes(splitter, **some);
     if (splitter.partial.size() > kMaxEventBytes ||
--- a/src/celerykeel/node/unframed_answers_unittest.cc
+++ b/src/celerykeel/node/unframed_answers_unittest.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <future>  // for std::async
+#include <thread>  // for std::this_thread::sleep_for
+
 #include "celerykeel/node/calls_unittest.h"  // for ToolHeaders, TurnHeaders
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
 
@@ -46,5 +49,37 @@
   }
 }
 
+// Guards against taking the connections that the kernel closes for a crashed
+// endpoint for the end of its answers.
+TEST_CASE("an answer that ends as its endpoint crashes is not complete") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.is_unframed = true;
+    endpoint.pause_ms = 300;
+    endpoint.down_ms = 3000;
+  }
+  std::string target;
+  HeaderList headers;
+  SUBCASE("of a call") {
+    target = "/pay/x";
+    headers = ToolHeaders("r");
+  }
+  SUBCASE("of a turn") {
+    target = "/stream/kept/x";
+    headers = TurnHeaders("r", "p", "", 9999);
+  }
+  auto answer = std::async(std::launch::async, [&] {
+    return fleet.Send(0, "POST", target, headers, "in");
+  });
+  while (RunsOfBoth(fleet, "r") == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(fleet.CrashEndpointOf("r") >= 0);
+  CHECK(answer.get().status != 200);
+  CHECK(RunsOfBoth(fleet, "r") == 1);
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
