node: a planned stop refuses late requests that it might cut

It could happen here: a request whose body was slow was read up to the end of the stop, sent, and cut with the process.

Evidence: "a planned stop refuses what it might cut".

Change: a request that is complete more than 3 s after the stop began, and whose deadline lies beyond the stop's end, is refused at once as not run.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -61,6 +61,12 @@
   std::map<ProgramName, Duration> recent_programs;  // programs served recently
 };
 
+/// @brief The planned stop of an instance.
+struct PlannedStop {
+  Duration began_at{};
+  Duration calls_end_at{};  // calls that are under way then are aborted
+};
+
 /// @brief All state of one instance. Only the thread of the event loop uses
 /// it.
 struct Node {
@@ -108,6 +114,7 @@
   uint64_t calls_under_way = 0;
   std::unique_ptr<Tcp::acceptor> callers_acceptor;  // null: accepts no more
   bool stopping = false;
+  std::optional<PlannedStop> planned_stop;  // set while `stopping`
 };
 
 /// @brief Returns true if the instance can serve callers: it has a
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -23,6 +23,10 @@
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+// Callers use other instances this long after a planned stop began.
+constexpr Duration kStopNoticeTime = std::chrono::seconds(3);
+// Another instance takes the request at once.
+constexpr Duration kElsewhereRetry = std::chrono::milliseconds(50);
 
 // Maps a request to [0, 1]. All requests of a program get the same value, so
 // they go to the same service of a split route.
@@ -55,6 +59,19 @@
   return std::nullopt;
 }
 
+// Refuses a request that came late in a planned stop, for example as its body
+// was slow, and might be cut at the end of the stop.
+std::optional<CallRefusal> RefusalIfStopping(const Node& node,
+                                             const Call& call) {
+  const auto& stop = node.planned_stop;
+  if (!stop || call.arrived_at <= stop->began_at + kStopNoticeTime ||
+      call.deadline <= stop->calls_end_at) {
+    return std::nullopt;
+  }
+  return CallRefusal{kUnavailable, "not run: the instance stops",
+                     kElsewhereRetry};
+}
+
 }  // namespace
 
 Duration TimeLeft(const Call& call) {
@@ -110,6 +127,10 @@
       std::min(
           call->request.header_values.time_left.value_or(call->route->timeout),
           call->route->timeout);
+  if (const auto refusal = RefusalIfStopping(node, *call)) {
+    co_await Refuse(node, call, *refusal);
+    co_return;
+  }
   // A caller's disconnect aborts its exchange with an endpoint, unless the call
   // must not run twice.
   caller->on_caller_disconnect = [call] {
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -274,6 +274,9 @@
 Task<> StopGracefully(Node& node) {
   const Duration began = Now();
   node.stopping = true;
+  node.planned_stop = {
+      .began_at = began,
+      .calls_end_at = began + node.options.stop_time - kShutdownReserve};
   WriteLog(node.log, LogLevel::kUnusual, "stopping",
            {{"calls", node.calls_under_way}});
   // The next answer on each connection closes it, so its caller connects to
@@ -299,7 +302,7 @@
     }
   }
   while ((!node.callers.empty() || node.tunnels_for_peers > 0) &&
-         Now() < began + node.options.stop_time - kShutdownReserve) {
+         Now() < node.planned_stop->calls_end_at) {
     co_await Sleep(node.io, kStopPollInterval);
   }
   WriteLog(node.log, LogLevel::kUnusual, "stopped",
--- a/src/celerykeel/node/planned_stop_unittest.cc
+++ b/src/celerykeel/node/planned_stop_unittest.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -85,5 +86,35 @@
   CHECK(tally.incomplete.load() == 0);
 }
 
+// Guards against requests that come late in a planned stop, are passed on and
+// then cut at its end.
+TEST_CASE("a planned stop refuses what it might cut") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.pause_ms = 900;
+  }
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  ErrorCode error;
+  socket.connect(fleet.CallersAddress(0), error);
+  const std::string head =
+      "POST /stream/plain/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: late\r\n"
+      "Authorization: Bearer k1\r\nX-Deadline-Ms: 4000\r\n"
+      "Content-Length: 2\r\n\r\n";
+  asio::write(socket, asio::buffer(head + "i"), error);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.Stop(0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+  asio::write(socket, asio::buffer("n", 1), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CHECK(error == asio::error::eof);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("not run") != std::string::npos);
+  CHECK(RunsOf(fleet.endpoints[0], "late") == 0);
+  CHECK(RunsOf(fleet.endpoints[1], "late") == 0);
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
