node: a test of a stream whose next endpoint answers with an error

Reported by operators of similar systems: the error's text in the middle of a stream, or a stream that ends as if complete. It does not happen here: the answer is broken off after its last event. No product code.

--- a/src/celerykeel/node/node_failures_unittest.cc
+++ b/src/celerykeel/node/node_failures_unittest.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <future>  // for std::async
@@ -44,6 +45,34 @@
   }
 }
 
+// Guards against an error of the next endpoint in the middle of a stream, or as
+// its complete end.
+TEST_CASE("a stream broke off, and the next endpoint answers with an error") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.close_after_events = 2;
+    endpoint.fails_resumed = true;
+  }
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  ErrorCode error;
+  socket.connect(fleet.CallersAddress(0), error);
+  const std::string request =
+      "POST /stream/plain/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: s\r\n"
+      "Authorization: Bearer k1\r\nX-Deadline-Ms: 3000\r\n"
+      "Content-Length: 2\r\n\r\nin";
+  asio::write(socket, asio::buffer(request), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CHECK(RunsOfBoth(fleet, "s") == 2);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.find("data: e2") != std::string::npos);
+  CHECK(answer.find("out of memory") == std::string::npos);
+  CHECK(answer.find("500") == std::string::npos);
+  CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("a turn completes while the holder of its slot is unresponsive") {
   NodeFleet fleet(2);
   REQUIRE(fleet.WaitUntilServing());
