node: answers with a length are not checked for a crash

Cause: checks answers that end with their connection. GCC 12 evaluates a co_await on the right of a logical operator whatever the left is, so all answers were checked.

Change: no co_await inside a logical operator.

--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -290,8 +290,12 @@
 // The kernel closes the connections of a crashed process, which looks like the
 // end of an answer that has neither a length nor chunks.
 Task<bool> IsWhole(Node& node, Attempt& attempt) {
-  co_return !attempt.reader->EndsWithConnection() ||
-      !co_await CheckForCrash(node, attempt.run->Endpoint());
+  if (!attempt.reader->EndsWithConnection()) {
+    co_return true;
+  }
+  const bool has_crashed =
+      co_await CheckForCrash(node, attempt.run->Endpoint());
+  co_return !has_crashed;
 }
 
 Task<bool> RelayCompleteAnswer(Node& node, CallPtr call, Attempt& attempt) {
@@ -299,8 +303,11 @@
       co_await ReadCompleteBody(node, attempt.reader, Until(TimeLeft(*call)));
   const auto connection = call->attempt;
   call->attempt = nullptr;
-  if (body && !co_await IsWhole(node, attempt)) {
-    body = tl::unexpected(ExchangeError::kClosed);
+  if (body) {
+    const bool is_whole = co_await IsWhole(node, attempt);
+    if (!is_whole) {
+      body = tl::unexpected(ExchangeError::kClosed);
+    }
   }
   if (!body) {
     if (connection != nullptr) {
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -138,8 +138,10 @@
                                                     : StreamEnd::kAborted;
     }
     if (!*some) {
-      const bool is_whole =
-          splitter.partial.empty() && co_await IsWhole(node, attempt);
+      if (!splitter.partial.empty()) {
+        co_return StreamEnd::kAborted;
+      }
+      const bool is_whole = co_await IsWhole(node, attempt);
       co_return is_whole ? StreamEnd::kComplete : StreamEnd::kAborted;
     }
     const std::vector<StreamEvent> events = AddBytes(splitter, **some);
--- a/src/celerykeel/node/unframed_answers_unittest.cc
+++ b/src/celerykeel/node/unframed_answers_unittest.cc
@@ -49,6 +49,29 @@
   }
 }
 
+// Guards against a new connection for each answer, to see whether its endpoint
+// has crashed: GCC 12 evaluates a co_await on the right of a logical operator
+// whatever the left is.
+TEST_CASE("answers with a length cost no further connection") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  constexpr int kCalls = 20;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    CHECK(fleet.Send(0, "GET", "/look/x", ToolHeaders(id), "").status == 200);
+    CHECK(fleet
+              .Send(0, "POST", "/stream/kept/x", TurnHeaders(id, id, "", 9999),
+                    "in")
+              .status == 200);
+  }
+  int accepted = 0;
+  fleet.RunOnStandinLoop([&] {
+    accepted = fleet.endpoints[0].sockets.accepted +
+               fleet.endpoints[1].sockets.accepted;
+  });
+  CHECK(accepted <= kCalls / 2);
+}
+
 // Guards against taking the connections that the kernel closes for a crashed
 // endpoint for the end of its answers.
 TEST_CASE("an answer that ends as its endpoint crashes is not complete") {
--- a/src/celerykeel/testing/http_standin.h
+++ b/src/celerykeel/testing/http_standin.h
@@ -34,6 +34,7 @@
 struct StandinSockets {
   std::unique_ptr<Tcp::acceptor> acceptor;
   std::vector<std::weak_ptr<StandinConnection>> connections;
+  int accepted = 0;  // connections since the start
 };
 
 /// @brief Closes all sockets, as the end of a process does.
@@ -77,6 +78,7 @@
     Tcp::socket socket(loop);
     co_await sockets.acceptor->async_accept(socket, Into(error));
     if (!error) {
+      ++sockets.accepted;
       auto connection = std::make_shared<StandinConnection>(std::move(socket));
       std::erase_if(sockets.connections,
                     [](const auto& weak) { return weak.expired(); });
