node: one crash sets a call apart in small services only

Cause: one crash counted as a suspicion with consequences, though most requests at it are sound.

Change: a first suspect runs on like any other request if its service has more than six endpoints. Repeated suspects, holds and refusals are as before.

--- a/include/celerykeel/core/crash_records.h
+++ b/include/celerykeel/core/crash_records.h
@@ -91,6 +91,11 @@
                       const RequestIdentity& request,
                       Duration now);
 
+/// @brief True if copies of a request run one at a time, on an endpoint of
+/// their own.
+/// @param endpoints number of endpoints of the request's service.
+bool RunsApart(Suspicion suspicion, size_t endpoints);
+
 /// @brief Returns the time until a request that is held may run, or until the
 /// records of a deadly one expire.
 Duration TimeUntilAllowed(const CrashRecords& records,
--- a/src/celerykeel/core/crash_records.cc
+++ b/src/celerykeel/core/crash_records.cc
@@ -22,6 +22,7 @@
 // may run again after this time, which doubles with each further crash. Callers
 // of a deadly request have mostly given up by then.
 constexpr Duration kHoldTime = std::chrono::seconds(3);
+constexpr size_t kMaxSmallService = 6;  // endpoints
 // Fraction of the lifetime after which an arrival is worth a message.
 constexpr int kRenewalDivisor = 4;
 
@@ -237,6 +238,20 @@
                                           : Suspicion::kNone;
 }
 
+// One crash proves little: most requests that had just begun there are sound,
+// and running apart costs them time. Several copies at once could crash most of
+// a small service, though.
+bool RunsApart(Suspicion suspicion, size_t endpoints) {
+  switch (suspicion) {
+    case Suspicion::kNone:
+      return false;
+    case Suspicion::kSuspect:
+      return endpoints <= kMaxSmallService;
+    default:
+      return true;
+  }
+}
+
 Duration TimeUntilAllowed(const CrashRecords& records,
                           const RequestIdentity& request,
                           Duration now) {
--- a/src/celerykeel/core/crash_records_unittest.cc
+++ b/src/celerykeel/core/crash_records_unittest.cc
@@ -238,5 +238,16 @@
   }
 }
 
+// Guards against holding back the sound calls of a large service because an
+// endpoint crashed once under them.
+TEST_CASE("a first suspicion sets a call apart in a small service only") {
+  CHECK_FALSE(RunsApart(Suspicion::kNone, 2));
+  CHECK(RunsApart(Suspicion::kSuspect, 4));
+  CHECK_FALSE(RunsApart(Suspicion::kSuspect, 9));
+  CHECK(RunsApart(Suspicion::kRepeatedSuspect, 9));
+  CHECK(RunsApart(Suspicion::kHeld, 9));
+  CHECK(RunsApart(Suspicion::kDeadly, 9));
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/node/suspect_run.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::count_if, std::min
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"        // for Now
@@ -29,6 +29,14 @@
                        static_cast<uint32_t>(node.fleet.slots.size()));
 }
 
+size_t EndpointsOf(const Node& node, const std::string& service) {
+  const auto& endpoints = node.endpoints.endpoints;
+  return static_cast<size_t>(std::count_if(
+      endpoints.begin(), endpoints.end(), [&service](const auto& entry) {
+        return entry.second.entry.service == service;
+      }));
+}
+
 // Takes the run of one copy.
 // @return zero, or how long it must wait.
 Duration TakeRun(std::map<RequestIdentity, Duration>& next_run_at,
@@ -120,7 +128,7 @@
   call->isolation = nullptr;
   const CrashRecords& records = node.crash_watch.records;
   Suspicion suspicion = SuspicionOf(records, call->identity, Now());
-  if (suspicion == Suspicion::kNone) {
+  if (!RunsApart(suspicion, EndpointsOf(node, call->service))) {
     co_return std::nullopt;
   }
   if (RefusalIfDeadly(node, *call)) {
