node, platform: ids that are no text are refused, and can't close links

Cause: ids were `string` fields, which protobuf writes with any bytes and refuses to read. The holder closed the link to the instance that asked, and a replay skipped the record.

A request with an id that is not UTF-8, has control characters or more than 256 bytes is refused with 400.

--- a/include/celerykeel/core/call_request.h
+++ b/include/celerykeel/core/call_request.h
@@ -22,6 +22,8 @@
   std::string object;  // same value for calls on the same object
   std::string last_event;
   std::string resumed_call;  // id of the request that began the resumed stream
+  // An id is not UTF-8, has control characters or is too long.
+  bool has_invalid_id = false;
   std::optional<uint64_t> token_budget;  // of the complete program
   uint64_t most_tokens = 0;           // max tokens that this call may generate
   std::optional<Duration> time_left;  // until the caller's timeout
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -53,6 +53,9 @@
       return CallRefusal{kUnauthorized, "the key is not known", {}};
     }
   }
+  if (call.request.header_values.has_invalid_id) {
+    return CallRefusal{kBadRequest, "an id is too long or no text", {}};
+  }
   if (call.request.header_values.id.empty()) {
     return CallRefusal{kBadRequest, "the request has no id", {}};
   }
--- a/src/celerykeel/wire/build_compat_unittest.cc
+++ b/src/celerykeel/wire/build_compat_unittest.cc
@@ -227,6 +227,23 @@
   CheckRecords<old::SlotEntry, old::MemberEntry>();
 }
 
+// Guards against losing turns whose ids are not UTF-8, which older builds
+// wrote.
+TEST_CASE("records of 2b2638f with ids that are no text are read") {
+  pb_2b2638f::SlotEntry entry;
+  entry.mutable_turn()->set_team("orchard");
+  entry.mutable_turn()->set_program("\xff\xfe");
+  entry.mutable_turn()->set_turn("t");
+  const auto record = DecodeSlotRecord(entry.SerializeAsString());
+  REQUIRE(record);
+  REQUIRE(std::holds_alternative<TurnRecord>(*record));
+  CHECK(std::get<TurnRecord>(*record).program.id == "\xff\xfe");
+  pb_2b2638f::NodeFrame frame;
+  frame.mutable_admission()->set_program("\xff\xfe");
+  pb::NodeFrame read;
+  CHECK(read.ParseFromString(frame.SerializeAsString()));
+}
+
 TEST_CASE("this build and 2b2638f read each other's slot records") {
   CheckRecords<pb_2b2638f::SlotEntry, pb_2b2638f::MemberEntry>();
 }
