node: calls without a suspicion don't count a service's endpoints

The suspicion is looked at first now. No change of behaviour; the tests of copies and of silent endpoints passed, the rest was not run again.

--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -128,7 +128,8 @@
   call->isolation = nullptr;
   const CrashRecords& records = node.crash_watch.records;
   Suspicion suspicion = SuspicionOf(records, call->identity, Now());
-  if (!RunsApart(suspicion, EndpointsOf(node, call->service))) {
+  if (suspicion == Suspicion::kNone ||
+      !RunsApart(suspicion, EndpointsOf(node, call->service))) {
     co_return std::nullopt;
   }
   if (RefusalIfDeadly(node, *call)) {
