node: evacuation of zones, rates of cold endpoints, restrictions to regions

Evacuations are read with the configuration's held read, sent to peers (OperatorNews), on new links, and compared by a digest in heartbeats; an instance is not ready, serves no call and opens no tunnel before all keys were read once. An attempt checks the zone again before it is sent. A service whose endpoints are all evacuated: 503, Retry-After 1. Cold endpoints: the caller tells the home their rate; entries are forwarded to peers only when coldness changes materially. Bodies of restricted calls go over allowed peers only, and a retained turn whose slot's holder must not get its text is refused. ReadAllKeys continues from the end that the first part named, as a key written later could sort before the parts that were read then.

--- a/include/celerykeel/node/endpoint_choice.h
+++ b/include/celerykeel/node/endpoint_choice.h
@@ -14,7 +14,7 @@
 /// @brief The endpoint chosen for an attempt.
 struct EndpointChoice {
   EndpointEntry endpoint;
-  std::optional<double> limit;        // calls per second
+  std::optional<double> limit;        // calls per second, of all instances
   std::optional<LimitPermit> permit;  // set if it has a limit
 };
 
--- a/include/celerykeel/node/endpoint_limits.h
+++ b/include/celerykeel/node/endpoint_limits.h
@@ -35,9 +35,12 @@
 /// @brief Applies a limit that a peer reports.
 void ApplyLimitNews(Node& node, const pb::EndpointLimitNews& news);
 
-/// @brief Reserves a call to an endpoint with a rate limit, at its home or, if
+/// @brief Reserves a call to an endpoint with a limit, at its home or, if
 /// the home does not answer, from this instance's share.
-Task<LimitVerdict> ReserveLimitedCall(Node& node, LimitedCall call);
+/// @param started_at start of the endpoint, as in its entry.
+Task<LimitVerdict> ReserveLimitedCall(Node& node,
+                                      LimitedCall call,
+                                      WallMillis started_at);
 
 /// @brief Answers a peer's request for a call to a limited endpoint.
 pb::LimitedCallGrant DecideAsHome(Node& node, const pb::LimitedCallWish& wish);
--- a/include/celerykeel/node/endpoint_link.h
+++ b/include/celerykeel/node/endpoint_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <string>  // for std::string
+#include <functional>  // for std::function
+#include <string>      // for std::string
 
 #include "celerykeel/core/endpoint_table.h"  // for EndpointEntry
 #include "celerykeel/node/out_connection.h"  // for OutConnectionPtr
@@ -9,6 +10,9 @@
 
 struct Node;
 
+/// @brief True for instances over which a call's bytes may go; empty: all.
+using PeerFilter = std::function<bool(const std::string&)>;
+
 struct EndpointConnect {
   OutConnectionPtr connection;   // null: the call was not sent
   std::string peer;              // asked to relay the bytes; empty: none
@@ -20,10 +24,12 @@
 /// than `max_idle`. While this instance is cut off from the endpoints, connects
 /// over a peer that reaches them.
 /// @param time_left until the call's deadline.
+/// @param may_relay instances that may relay the bytes.
 Task<EndpointConnect> ConnectToEndpoint(Node& node,
                                         EndpointEntry endpoint,
                                         Duration max_idle,
-                                        Duration time_left);
+                                        Duration time_left,
+                                        PeerFilter may_relay = {});
 
 /// @brief Connects to an endpoint without a peer, within `timeout` and
 /// kConnectTimeout, and records whether it was reached.
--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -24,7 +24,8 @@
 using KeyedRecords = tl::expected<std::vector<KeyedRecord>, StoreError>;
 
 /// @brief Reads the newest record of each key, and sets `topic.next` to where
-/// ReadNewRecords continues.
+/// ReadNewRecords continues. Records that were written during the read may be
+/// read again.
 Task<KeyedRecords> ReadAllKeys(Node& node, KeyedTopic& topic);
 
 /// @brief Reads the records from `topic.next` on, which must be set. Clears
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -21,9 +21,10 @@
   NodeMetrics();
 
   prometheus::Registry registry;
-  prometheus::Family<prometheus::Counter>& refusals;  // by status and reason
-  prometheus::Family<prometheus::Counter>& attempts;  // by outcome
-  prometheus::Family<prometheus::Counter>& turns;     // by outcome
+  prometheus::Family<prometheus::Counter>& refusals;    // by status and reason
+  prometheus::Family<prometheus::Counter>& attempts;    // by outcome
+  prometheus::Family<prometheus::Counter>& turns;       // by outcome
+  prometheus::Family<prometheus::Counter>& cold_waits;  // by outcome
   prometheus::Histogram& before_send_seconds;
   prometheus::Histogram& first_event_seconds;
   prometheus::Histogram& append_seconds;
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -118,7 +118,8 @@
 };
 
 /// @brief Returns true if the instance can serve callers: it has a
-/// configuration and knows endpoints to send to.
+/// configuration, has read the evacuations of zones once, and knows endpoints
+/// to send to.
 bool IsReady(const Node& node);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -6,7 +6,8 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/time.h"  // for Duration
+#include "celerykeel/core/region_limits.h"  // for ZoneRegions
+#include "celerykeel/core/time.h"           // for Duration
 
 namespace celerykeel {
 
@@ -26,6 +27,7 @@
   size_t store_record_bytes = 262144;  // max size of a record
   size_t store_call_bytes = 2097152;   // max size of a store call
   Duration stop_time{};                // from the stop signal to the kill
+  ZoneRegions zone_regions;            // empty: regions are not known
 };
 
 /// @brief All errors in a settings file.
--- a/include/celerykeel/node/tunnel.h
+++ b/include/celerykeel/node/tunnel.h
@@ -14,11 +14,13 @@
 /// the first one does not answer or refuses.
 /// @param max_idle the peer may use a connection that was idle for less.
 /// @param time_left until the call's deadline; bounds the tunnel's lifetime.
+/// @param may_relay instances that may relay the bytes.
 /// @return `peer` is the last peer asked; empty if none reaches the endpoints.
 Task<EndpointConnect> OpenTunnel(Node& node,
                                  EndpointEntry endpoint,
                                  Duration max_idle,
-                                 Duration time_left);
+                                 Duration time_left,
+                                 PeerFilter may_relay = {});
 
 /// @brief Connects to an endpoint for a peer and relays bytes both ways until
 /// either side ends.
--- a/include/celerykeel/node/turn_refusal.h
+++ b/include/celerykeel/node/turn_refusal.h
@@ -11,6 +11,10 @@
 /// unavailable.
 CallRefusal StoreUnavailable(const Call& call);
 
+/// @brief Refusal of a retained turn whose slot's holder is in a region that
+/// must not get its text.
+CallRefusal HolderNotAllowed();
+
 /// @brief Returns the refusal for a verdict of the slot's holder; nothing if
 /// the turn is granted.
 std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict);
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -11,6 +11,7 @@
 #include "celerykeel/node/endpoint_limits.h"  // for HandleNamedLimit
 #include "celerykeel/node/endpoint_link.h"    // for ConnectToEndpoint
 #include "celerykeel/node/node.h"             // for Node
+#include "celerykeel/node/regions.h"          // for MayCarryBody
 #include "celerykeel/node/suspect_run.h"      // for PrepareSuspect
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
@@ -35,6 +36,8 @@
 // `max_tries` of a route counts only the others.
 constexpr uint32_t kMaxEndpointTries = 4;
 constexpr Duration kBusyRetry = std::chrono::milliseconds(250);
+// An evacuation lasts for seconds at least, and callers repeat a call once.
+constexpr Duration kEvacuationRetry = std::chrono::seconds(1);
 constexpr Duration kIsolationRetry = std::chrono::milliseconds(500);
 // A call with at most this time left counts as timed out.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
@@ -190,9 +193,13 @@
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
+  // GCC 12 destroys a lambda twice if it is created inside a co_await.
+  PeerFilter may_relay = [&node, call](const std::string& instance) {
+    return MayCarryBody(node, *call, instance);
+  };
   const EndpointConnect connected = co_await ConnectToEndpoint(
       node, endpoint, once ? kMaxIdleUnlessIdempotent : kMaxIdleIfIdempotent,
-      TimeLeft(*call));
+      TimeLeft(*call), std::move(may_relay));
   const OutConnectionPtr& connection = connected.connection;
   if (connection == nullptr) {
     if (connected.endpoint_failed) {
@@ -215,6 +222,13 @@
     LogAttempt(node, *call, attempt, "over the rate");
     co_return attempt;
   }
+  // The call may have waited for a connection or a permit.
+  if (IsEvacuated(node.endpoints.evacuations, endpoint.zone)) {
+    Close(*connection);
+    attempt.end = AttemptEnd::kNotRun;
+    LogAttempt(node, *call, attempt, "zone evacuated");
+    co_return attempt;
+  }
   if (!MaySend(*chosen)) {
     Close(*connection);
     attempt.end = AttemptEnd::kNotRun;
@@ -371,9 +385,17 @@
   if (end == AttemptEnd::kMayHaveRun) {
     return {kBadGateway, "the endpoint broke off", {}};
   }
+  if (IsServiceEvacuated(node.endpoints, call.service)) {
+    return AllEvacuated();
+  }
   return {kUnavailable, "not run: no endpoint takes it now", kBusyRetry};
 }
 
+CallRefusal AllEvacuated() {
+  return {kUnavailable, "not run: all endpoints are in evacuated zones",
+          kEvacuationRetry};
+}
+
 Task<> RunAttempts(Node& node, CallPtr call) {
   const std::string body = call->request.body;
   AttemptEnd end = AttemptEnd::kNoEndpoint;
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -38,7 +38,7 @@
 }
 
 std::optional<CallRefusal> Check(const Node& node, Call& call) {
-  if (node.deployment == nullptr) {
+  if (node.deployment == nullptr || !node.endpoints.evacuations.read_at) {
     return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
   }
   call.deployment = node.deployment;
@@ -146,6 +146,11 @@
     co_await Refuse(node, call, *refusal);
     co_return;
   }
+  call->service = ServiceAt(*call->route, SplitPoint(call->request));
+  if (IsServiceEvacuated(node.endpoints, call->service)) {
+    co_await Refuse(node, call, AllEvacuated());
+    co_return;
+  }
   const bool is_turn = call->route->repeat == RepeatRule::kStream;
   if (const auto refusal =
           is_turn ? RefusalIfBudgetSpent(node, *call) : std::nullopt) {
@@ -167,7 +172,6 @@
     }
     call->rate_permit = std::move(*taken);
   }
-  call->service = ServiceAt(*call->route, SplitPoint(call->request));
   if (is_turn) {
     co_await ServeTurn(node, call);
   } else {
@@ -177,7 +181,8 @@
 }
 
 bool IsReady(const Node& node) {
-  return node.deployment != nullptr && !node.stopping &&
+  return node.deployment != nullptr &&
+         node.endpoints.evacuations.read_at.has_value() && !node.stopping &&
          !node.endpoints.endpoints.empty();
 }
 
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -5,9 +5,11 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/core/cold_endpoints.h"   // for CallLimitOf
 #include "celerykeel/node/endpoint_limits.h"  // for ReserveLimitedCall
 #include "celerykeel/node/isolation.h"        // for Isolation
 #include "celerykeel/node/node.h"             // for Node
+#include "celerykeel/node/regions.h"          // for RegionLimitsOf
 
 namespace celerykeel {
 
@@ -24,6 +26,8 @@
 // Homes that a call asks at most before it is refused. Later calls know what
 // these homes answered.
 constexpr int kMaxLimitRequests = 12;
+// Longest time for which a refused call lowers the rank of a cold endpoint.
+constexpr Duration kMaxColdRankTime = std::chrono::milliseconds(500);
 constexpr Duration kMinLimitRetry = std::chrono::milliseconds(100);
 
 EndpointStatus* Choose(Node& node,
@@ -49,7 +53,8 @@
       .only = call.isolation == nullptr ? std::string_view()
                                         : call.isolation->Endpoint(),
       .is_suspect = SuspicionOf(node.crash_watch.records, call.identity, now) !=
-                    Suspicion::kNone};
+                    Suspicion::kNone,
+      .regions = RegionLimitsOf(node, call)};
   return ChooseEndpoint(node.endpoints, criteria, now);
 }
 
@@ -58,17 +63,24 @@
                   call.tries == 0 ? kMaxLimitWait : kMaxLimitWaitAfterTry);
 }
 
+// A program does not wait for its last endpoint while that is cold and slow.
+Duration PreferredWait(const CallLimit& limit) {
+  return limit.is_cold ? Duration::zero() : kPreferredLimitWait;
+}
+
 // @param waits whether all endpoints are known to require a wait.
 LimitedCall LimitedCallTo(const Call& call,
                           const std::string& endpoint,
-                          double per_second,
+                          const CallLimit& limit,
                           bool waits,
                           Duration max_wait) {
-  LimitedCall limited{.endpoint = endpoint, .per_second = per_second};
+  LimitedCall limited{.endpoint = endpoint,
+                      .per_second = limit.per_second,
+                      .is_cold = limit.is_cold};
   if (waits) {
     limited.max_wait = max_wait;
   } else if (endpoint == call.preferred_endpoint) {
-    limited.max_wait = kPreferredLimitWait;
+    limited.max_wait = PreferredWait(limit);
   } else {
     limited.spare_only = call.route->has_affinity;
   }
@@ -100,43 +112,57 @@
   std::set<std::string> excluded = call->tried;
   std::optional<Duration> shortest_wait;
   Duration max_wait = MaxLimitWait(*call);
+  bool is_any_cold = false;
   int requests = 0;
   while (const EndpointStatus* status = Choose(node, *call, excluded)) {
     const EndpointEntry endpoint = status->entry;
-    const auto limit =
-        LimitOf(node.endpoint_limits.limits, endpoint.id, endpoint.started_at);
+    const auto limit = CallLimitOf(node.endpoint_limits.limits, node.endpoints,
+                                   *status, Now());
     if (!limit) {
       co_return EndpointChoice{endpoint, std::nullopt, std::nullopt};
     }
     const bool is_preferred = endpoint.id == call->preferred_endpoint;
     Duration wait = std::max(status->limited_until - Now(), Duration::zero());
     const bool waits =
-        wait > (is_preferred ? kPreferredLimitWait : Duration::zero());
+        wait > (is_preferred ? PreferredWait(*limit) : Duration::zero());
     if (wait <= max_wait && requests < kMaxLimitRequests) {
       ++requests;
       const Duration requested_at = Now();
       LimitedCall limited =
           LimitedCallTo(*call, endpoint.id, *limit, waits, max_wait);
       // GCC 12 destroys a temporary twice if it is created inside a co_await.
-      const LimitVerdict verdict =
-          co_await ReserveLimitedCall(node, std::move(limited));
+      const LimitVerdict verdict = co_await ReserveLimitedCall(
+          node, std::move(limited), endpoint.started_at);
       if (verdict.granted) {
-        const LimitPermit permit = PermitFor(verdict, requested_at);
+        const LimitPermit permit =
+            PermitFor(verdict, requested_at, limit->is_cold);
+        if (limit->is_cold && verdict.wait > Duration::zero()) {
+          Count(node.metrics.cold_waits, "outcome", "delayed");
+        }
         if (permit.valid_from > Now()) {
           co_await Sleep(node.io, permit.valid_from - Now());
         }
-        co_return EndpointChoice{endpoint, limit, permit};
+        co_return EndpointChoice{endpoint, limit->per_second, permit};
       }
-      RecordLimitedUntil(node.endpoints, endpoint.id, Now() + verdict.wait);
+      // A share without a home may be a call in minutes, but the home may
+      // answer again soon, and the endpoint is not cold for long.
+      const Duration known_wait = limit->is_cold
+                                      ? std::min(verdict.wait, kMaxColdRankTime)
+                                      : verdict.wait;
+      RecordLimitedUntil(node.endpoints, endpoint.id, Now() + known_wait);
       if (!waits) {
         continue;
       }
       wait = verdict.wait;
     }
+    is_any_cold = is_any_cold || limit->is_cold;
     shortest_wait = std::min(shortest_wait.value_or(wait), wait);
     excluded.insert(endpoint.id);
   }
   if (shortest_wait) {
+    if (is_any_cold) {
+      Count(node.metrics.cold_waits, "outcome", "refused");
+    }
     max_wait = MaxLimitWait(*call);
     co_return tl::unexpected(NoChoice(
         EndpointsLimited{std::max(*shortest_wait - max_wait, kMinLimitRetry)}));
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -1,16 +1,17 @@
 #include "celerykeel/node/endpoint_feed.h"
 
-#include <algorithm>  // for std::any_of
+#include <algorithm>  // for std::any_of, std::max
 #include <set>        // for std::set
 #include <vector>     // for std::vector
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/core/reader_choice.h"  // for IsReader
-#include "celerykeel/node/crash_watch.h"    // for HandleStart
-#include "celerykeel/node/isolation.h"      // for ApplyIsolationNews
-#include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys
-#include "celerykeel/node/node.h"           // for Node
-#include "platform/deployment_json.h"       // for platform::DecodeEndpoint
+#include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/core/cold_endpoints.h"  // for RecordColdness
+#include "celerykeel/core/reader_choice.h"   // for IsReader
+#include "celerykeel/node/crash_watch.h"     // for HandleStart
+#include "celerykeel/node/isolation.h"       // for ApplyIsolationNews
+#include "celerykeel/node/keyed_topic.h"     // for ReadAllKeys
+#include "celerykeel/node/node.h"            // for Node
+#include "platform/deployment_json.h"        // for platform::DecodeEndpoint
 
 namespace celerykeel {
 
@@ -31,11 +32,24 @@
 constexpr std::string_view kStoreSource = "the store";
 constexpr std::string_view kPeerSource = "a peer";
 
+void LogColdness(Node& node, const std::string& id, std::string_view source) {
+  const EndpointStatus& endpoint = node.endpoints.endpoints.at(id);
+  const Duration now = Now();
+  WriteLog(
+      node.log, LogLevel::kOrdinary, "endpoint coldness",
+      {{"endpoint", id},
+       {"per_second", ColdRateOf(node.endpoints, endpoint, now).value_or(0)},
+       {"cold_ms", std::max(endpoint.cold_until - now, Duration::zero())},
+       {"source", source}});
+}
+
 // Applies an endpoint's record to the table.
+// @param is_first the record is one of the first complete list.
 // @return true if the record changes more than the time of the last heartbeat.
 bool ApplyEndpointRecord(Node& node,
                          const KeyedRecord& record,
-                         std::string_view source) {
+                         std::string_view source,
+                         bool is_first = false) {
   if (record.key.empty()) {
     return false;
   }
@@ -63,6 +77,11 @@
     HandleStart(node, *entry);
   }
   RecordEntry(node.endpoints, *entry);
+  const bool is_coldness_new =
+      RecordColdness(node.endpoints, *entry, !is_first, Now());
+  if (is_coldness_new) {
+    LogColdness(node, entry->id, source);
+  }
   if (changed) {
     node.version_feed.endpoints_changed = true;
     WriteLog(node.log, LogLevel::kOrdinary, "endpoint seen",
@@ -73,7 +92,7 @@
               {"leaving", entry->leaving},
               {"source", source}});
   }
-  return changed;
+  return changed || is_coldness_new;
 }
 
 void AddChange(pb::EndpointNews& news, const KeyedRecord& record) {
@@ -102,7 +121,7 @@
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
   std::set<std::string> seen;
   for (const KeyedRecord& record : *records) {
-    if (ApplyEndpointRecord(node, record, kStoreSource) &&
+    if (ApplyEndpointRecord(node, record, kStoreSource, is_first) &&
         (!is_first || IsLeaving(node, record.key))) {
       AddChange(news, record);
     }
--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -1,10 +1,12 @@
 #include "celerykeel/node/endpoint_limits.h"
 
-#include <utility>  // for std::move
+#include <algorithm>  // for std::max, std::min
+#include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/fleet.h"  // for LinkToHolder
-#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/core/cold_endpoints.h"  // for CallLimitOf
+#include "celerykeel/node/fleet.h"           // for LinkToHolder
+#include "celerykeel/node/node.h"            // for Node
 
 namespace celerykeel {
 
@@ -15,6 +17,10 @@
 // not wait for it one after the other.
 constexpr Duration kSilentHomeTime = std::chrono::milliseconds(400);
 
+// Calls may be sent at once to an endpoint whose next call was due this long
+// ago.
+constexpr Duration kUnusedSpacingTime = std::chrono::seconds(1);
+
 uint32_t HomeSlotOf(const Node& node, const std::string& endpoint) {
   return SlotOfSubject("endpoint", endpoint,
                        static_cast<uint32_t>(node.fleet.slots.size()));
@@ -63,11 +69,45 @@
   return {.granted = grant.granted(), .wait = Duration(grant.wait_ns())};
 }
 
+// For an endpoint that named no limit, but is cold. It must not replace a limit
+// that the receiver knows.
+EndpointLimit NoNamedLimit(WallMillis started_at) {
+  return {.per_second = std::nullopt,
+          .started_at = started_at,
+          .answered_at = {},
+          .announced = std::nullopt};
+}
+
+// The rate of the endpoint, if it is cold: what this instance knows, or what
+// the peer knows.
+std::optional<double> ColdRateForPeer(const Node& node,
+                                      const pb::LimitedCallWish& wish) {
+  std::optional<double> rate;
+  if (const auto found = node.endpoints.endpoints.find(wish.limit().endpoint());
+      found != node.endpoints.endpoints.end()) {
+    rate = ColdRateOf(node.endpoints, found->second, Now());
+  }
+  if (wish.has_cold_per_second() && wish.cold_per_second() > 0) {
+    const double reported = std::max(wish.cold_per_second(), kMinEndpointLimit);
+    rate = std::min(rate.value_or(reported), reported);
+  }
+  return rate;
+}
+
+// The limit that applies to a peer's call.
+std::optional<CallLimit> LimitForPeer(const Node& node,
+                                      const pb::LimitedCallWish& wish) {
+  return Combine(LimitOf(node.endpoint_limits.limits, wish.limit().endpoint(),
+                         wish.limit().started_at()),
+                 ColdRateForPeer(node, wish));
+}
+
 // Asks the holder of the endpoint's home slot.
 // @return nothing if it is unknown, silent or no longer the holder.
 Task<std::optional<LimitVerdict>> AskHome(Node& node,
                                           uint32_t slot,
                                           pb::LimitedCallWish wish) {
+  const bool is_cold = wish.has_cold_per_second();
   if (ActiveSlot(node, slot) != nullptr) {
     co_return ToVerdict(DecideAsHome(node, wish));
   }
@@ -84,7 +124,9 @@
     node.endpoint_limits.home_silent_until[slot] = Now() + kSilentHomeTime;
     co_return std::nullopt;
   }
-  if (answer->limited_call_grant().not_home()) {
+  // An older build that is the home does not know of cold endpoints.
+  if (answer->limited_call_grant().not_home() ||
+      (is_cold && !answer->limited_call_grant().keeps_cold_rate())) {
     co_return std::nullopt;
   }
   co_return ToVerdict(answer->limited_call_grant());
@@ -125,10 +167,18 @@
   Record(node, news.endpoint(), FromNews(news), "a peer");
 }
 
-Task<LimitVerdict> ReserveLimitedCall(Node& node, LimitedCall call) {
+Task<LimitVerdict> ReserveLimitedCall(Node& node,
+                                      LimitedCall call,
+                                      WallMillis started_at) {
   pb::LimitedCallWish wish;
+  const auto known = node.endpoint_limits.limits.find(call.endpoint);
   *wish.mutable_limit() =
-      ToNews(call.endpoint, node.endpoint_limits.limits.at(call.endpoint));
+      ToNews(call.endpoint, known != node.endpoint_limits.limits.end()
+                                ? known->second
+                                : NoNamedLimit(started_at));
+  if (call.is_cold) {
+    wish.set_cold_per_second(call.per_second);
+  }
   wish.set_max_wait_ns(static_cast<uint64_t>(call.max_wait.count()));
   wish.set_spare_only(call.spare_only);
   const auto verdict =
@@ -150,17 +200,18 @@
     return grant;
   }
   Record(node, endpoint, FromNews(wish.limit()), "a peer");
-  const auto limit =
-      LimitOf(node.endpoint_limits.limits, endpoint, wish.limit().started_at());
+  const auto limit = LimitForPeer(node, wish);
   LimitVerdict verdict{.granted = true, .wait = {}};
   if (limit) {
     verdict = ReserveCall(node.endpoint_limits.home,
                           {.endpoint = endpoint,
-                           .per_second = *limit,
+                           .per_second = limit->per_second,
                            .max_wait = Duration(wish.max_wait_ns()),
-                           .spare_only = wish.spare_only()},
+                           .spare_only = wish.spare_only(),
+                           .is_cold = limit->is_cold},
                           Now());
   }
+  grant.set_keeps_cold_rate(true);
   grant.set_granted(verdict.granted);
   grant.set_wait_ns(static_cast<uint64_t>(verdict.wait.count()));
   return grant;
@@ -169,8 +220,11 @@
 void ForgetEndedLimits(Node& node) {
   EndpointLimitState& state = node.endpoint_limits;
   DropEndedLimits(state.limits, node.endpoints, Now());
-  const auto has_ended = [&state](const auto& entry) {
-    return !state.limits.contains(entry.first);
+  // The calls of a cold endpoint are spaced beyond this review, and its peers
+  // may know that it is cold before this instance does.
+  const Duration unused_since = Now() - kUnusedSpacingTime;
+  const auto has_ended = [&](const auto& entry) {
+    return !state.limits.contains(entry.first) && entry.second < unused_since;
   };
   std::erase_if(state.home.next_call_at, has_ended);
   std::erase_if(state.without_home.next_call_at, has_ended);
--- a/src/celerykeel/node/endpoint_link.cc
+++ b/src/celerykeel/node/endpoint_link.cc
@@ -1,7 +1,8 @@
 #include "celerykeel/node/endpoint_link.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::count_if, std::min
 #include <optional>   // for std::optional
+#include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"   // for Now
 #include "celerykeel/node/fleet.h"   // for AnnounceSoon
@@ -14,9 +15,19 @@
 
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 
+// Endpoints in evacuated zones get no new connections.
+size_t CountReachable(const Node& node) {
+  const auto& endpoints = node.endpoints.endpoints;
+  return static_cast<size_t>(std::count_if(
+      endpoints.begin(), endpoints.end(), [&node](const auto& entry) {
+        return !IsEvacuated(node.endpoints.evacuations,
+                            entry.second.entry.zone);
+      }));
+}
+
 void RecordFailedConnect(Node& node, const EndpointEntry& endpoint) {
   if (!RecordConnectFailure(node.endpoint_path, endpoint.id,
-                            node.endpoints.endpoints.size(), Now())) {
+                            CountReachable(node), Now())) {
     return;
   }
   WriteLog(node.log, LogLevel::kUnusual, "endpoints lost",
@@ -30,7 +41,7 @@
 
 void RecordNewConnection(Node& node, const EndpointEntry& endpoint) {
   if (RecordConnectSuccess(node.endpoint_path, endpoint.id,
-                           node.endpoints.endpoints.size())) {
+                           CountReachable(node))) {
     WriteLog(node.log, LogLevel::kUnusual, "endpoints regained",
              {{"endpoint", endpoint.id}});
     AnnounceSoon(node);
@@ -50,15 +61,19 @@
 }
 
 // Returns the endpoint after `last` in the table, the first one after the last.
+// Those in evacuated zones may be stopped and prove nothing.
 std::optional<EndpointEntry> NextEndpoint(const Node& node,
                                           const std::string& last) {
   const auto& endpoints = node.endpoints.endpoints;
-  if (endpoints.empty()) {
-    return std::nullopt;
+  auto next = endpoints.upper_bound(last);
+  for (size_t passed = 0; passed < endpoints.size(); ++passed) {
+    next = next == endpoints.end() ? endpoints.begin() : next;
+    if (!IsEvacuated(node.endpoints.evacuations, next->second.entry.zone)) {
+      return next->second.entry;
+    }
+    ++next;
   }
-  const auto next = endpoints.upper_bound(last);
-  return next == endpoints.end() ? endpoints.begin()->second.entry
-                                 : next->second.entry;
+  return std::nullopt;
 }
 
 }  // namespace
@@ -87,7 +102,8 @@
 Task<EndpointConnect> ConnectToEndpoint(Node& node,
                                         EndpointEntry endpoint,
                                         Duration max_idle,
-                                        Duration time_left) {
+                                        Duration time_left,
+                                        PeerFilter may_relay) {
   const Duration until = Now() + time_left;
   const bool was_cut_off = node.endpoint_path.is_cut_off;
   EndpointConnect done;
@@ -100,7 +116,8 @@
       co_return done;
     }
   }
-  done = co_await OpenTunnel(node, endpoint, max_idle, until - Now());
+  done = co_await OpenTunnel(node, endpoint, max_idle, until - Now(),
+                             std::move(may_relay));
   if (was_cut_off && done.peer.empty()) {
     done = ToEndpointConnect(
         co_await ConnectDirectly(node, endpoint, max_idle, until - Now()));
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -2,9 +2,12 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/node/keyed_topic.h"  // for ReadAllKeys
-#include "celerykeel/node/node.h"         // for Node
-#include "platform/deployment_json.h"     // for platform::DecodeDeployment
+#include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/core/cold_endpoints.h"  // for SetColdTraits
+#include "celerykeel/node/keyed_topic.h"     // for ReadAllKeys
+#include "celerykeel/node/node.h"            // for Node
+#include "celerykeel/node/operator_feed.h"   // for ApplyAllEvacuations
+#include "platform/deployment_json.h"        // for platform::DecodeDeployment
 
 namespace celerykeel {
 
@@ -31,7 +34,16 @@
       decoded->version <= node.deployment->version) {
     return;
   }
+  if (const std::string restricted =
+          FindUnknownRegions(*decoded, node.options.zone_regions);
+      !restricted.empty()) {
+    WriteLog(node.log, LogLevel::kUnusual, "configuration rejected",
+             {{"version", decoded->version},
+              {"reason", "no allowed region is known: " + restricted}});
+    return;
+  }
   node.deployment = std::make_shared<const Deployment>(std::move(*decoded));
+  SetColdTraits(node.endpoints, *node.deployment);
   WriteLog(node.log, LogLevel::kUnusual, "configuration in force",
            {{"version", node.deployment->version},
             {"routes", static_cast<uint64_t>(node.deployment->routes.size())},
@@ -46,7 +58,10 @@
 }
 
 Task<> ReadNewestDeployment(Node& node, KeyedTopic& topic) {
-  if (const auto records = co_await ReadAllKeys(node, topic)) {
+  const Duration began = Now();
+  const auto records = co_await ReadAllKeys(node, topic);
+  if (records) {
+    ApplyAllEvacuations(node, *records, *topic.next, began);
     for (const KeyedRecord& record : *records) {
       ApplyDeployment(node, record);
     }
@@ -100,6 +115,7 @@
       }
       continue;
     }
+    ApplyEvacuationRecords(node, *records);
     for (const KeyedRecord& record : *records) {
       ApplyDeployment(node, record);
     }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/isolation.h"      // for ReportEndedIsolations
 #include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys, WriteKey
 #include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/operator_feed.h"  // for KnownEvacuations
 #include "celerykeel/node/rate_lending.h"   // for RewriteDriftedReserves
 #include "celerykeel/node/rates.h"          // for ReportLoans
 #include "celerykeel/node/suspect_run.h"    // for ForgetSuspectRuns
@@ -68,6 +69,7 @@
         Now() - *node.endpoints_read_at);
     beat.set_endpoints_age_ms(static_cast<uint32_t>(age.count()));
   }
+  beat.set_evacuations_digest(DigestOf(node.endpoints.evacuations));
   ListHeldSlots(node, beat);
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
     if (endpoint.in_flight > 0) {
@@ -88,6 +90,11 @@
     pb::NodeFrame known;
     *known.mutable_endpoint_news() = KnownAnnouncements(node);
     SendFrame(link->socket, known);
+    if (!node.endpoints.evacuations.zones.empty()) {
+      pb::NodeFrame evacuations;
+      *evacuations.mutable_operator_news() = KnownEvacuations(node);
+      SendFrame(link->socket, evacuations);
+    }
   };
   co_await RunLink(node.io, link, kDialTimeout, std::move(on_connected));
   link->dialing = false;
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -12,15 +12,18 @@
 Task<KeyedRecords> ReadAllKeys(Node& node, KeyedTopic& topic) {
   NewestRecordsCall call{.topic = std::string(topic.name), .after = {}};
   std::vector<KeyedRecord> all;
+  std::optional<uint64_t> next;
   while (true) {
     auto done = co_await ReadNewest(node, call);
     if (!done) {
       co_return tl::unexpected(done.error());
     }
+    // A key that was written after its part was read is found from here on.
+    next = next.value_or(done->end);
     all.insert(all.end(), std::make_move_iterator(done->records.begin()),
                std::make_move_iterator(done->records.end()));
     if (!done->more || done->records.empty()) {
-      topic.next = done->end;
+      topic.next = next;
       co_return all;
     }
     call.after = all.back().key;
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -4,8 +4,9 @@
 
 #include <algorithm>  // for std::count_if
 
-#include "celerykeel/base/clock.h"  // for Now
-#include "celerykeel/node/node.h"   // for Node
+#include "celerykeel/base/clock.h"           // for Now
+#include "celerykeel/core/cold_endpoints.h"  // for ColdRateOf
+#include "celerykeel/node/node.h"            // for Node
 
 namespace celerykeel {
 
@@ -68,6 +69,21 @@
       [](const auto& entry) { return entry.second.per_second.has_value(); }));
 }
 
+size_t CountColdEndpoints(const Node& node, Duration now) {
+  return static_cast<size_t>(std::count_if(
+      node.endpoints.endpoints.begin(), node.endpoints.endpoints.end(),
+      [&](const auto& entry) {
+        return ColdRateOf(node.endpoints, entry.second, now).has_value();
+      }));
+}
+
+size_t CountEvacuatedZones(const Node& node) {
+  const auto& zones = node.endpoints.evacuations.zones;
+  return static_cast<size_t>(
+      std::count_if(zones.begin(), zones.end(),
+                    [](const auto& entry) { return entry.second.in_force; }));
+}
+
 }  // namespace
 
 NodeMetrics::NodeMetrics()
@@ -78,6 +94,9 @@
                         "attempts",
                         "Requests sent to endpoints, by how it went.")),
       turns(Counters(this->registry, "turns", "Streams, by how they ended.")),
+      cold_waits(Counters(this->registry,
+                          "cold_waits",
+                          "Calls delayed or refused at cold endpoints.")),
       before_send_seconds(
           Seconds(this->registry,
                   "before_send",
@@ -135,6 +154,10 @@
   SetGauge(metrics, "endpoints_reached", node.endpoint_path.is_cut_off ? 0 : 1);
   SetGauge(metrics, "endpoints_limited",
            static_cast<double>(CountLimitedEndpoints(node)));
+  SetGauge(metrics, "endpoints_cold",
+           static_cast<double>(CountColdEndpoints(node, now)));
+  SetGauge(metrics, "zones_evacuated",
+           static_cast<double>(CountEvacuatedZones(node)));
   SetGauge(metrics, "entries_skipped",
            static_cast<double>(node.entries_skipped));
   SetGauge(metrics, "calls_under_way",
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -47,6 +47,29 @@
     return value;
   }
 
+  // An object of texts, which may be absent.
+  ZoneRegions OptionalRegions(const char* name) const {
+    ZoneRegions regions;
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end() || found->is_null()) {
+      return regions;
+    }
+    if (!found->is_object()) {
+      this->errors.push_back(std::string(name) + ": must be an object");
+      return regions;
+    }
+    for (const auto& [zone, region] : found->items()) {
+      if (zone.empty() || !region.is_string() ||
+          region.get<std::string>().empty()) {
+        this->errors.push_back(std::string(name) +
+                               ": each zone needs the name of its region");
+        return {};
+      }
+      regions[zone] = region.get<std::string>();
+    }
+    return regions;
+  }
+
   Duration Seconds(const char* name) const {
     constexpr double kMaxSeconds = 24 * 3600.0;
     return Duration(
@@ -86,6 +109,7 @@
   options.store_call_bytes = static_cast<size_t>(
       read.Number("store_call_bytes", 1024, kMaxStoreBytes));
   options.stop_time = read.Seconds("stop_s");
+  options.zone_regions = read.OptionalRegions("zone_regions");
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
   }
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -6,6 +6,7 @@
 #include "celerykeel/node/endpoint_feed.h"  // for ApplyEndpointNews
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
 #include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/operator_feed.h"  // for ApplyOperatorNews
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 #include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
@@ -27,6 +28,18 @@
   }
 }
 
+// Sends what the peer may have missed: news are sent to each peer once.
+void SendEvacuations(Node& node, const std::string& instance) {
+  const auto link = node.peers.links.find(instance);
+  if (link == node.peers.links.end() || link->second->socket == nullptr ||
+      node.endpoints.evacuations.zones.empty()) {
+    return;
+  }
+  pb::NodeFrame frame;
+  *frame.mutable_operator_news() = KnownEvacuations(node);
+  SendFrame(link->second->socket, frame);
+}
+
 void OnHeartbeat(Node& node, const pb::NodeHeartbeat& heartbeat) {
   if (heartbeat.instance() == node.options.instance) {
     return;
@@ -64,6 +77,10 @@
   for (const pb::EndpointLoad& load : heartbeat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
   }
+  if (heartbeat.has_evacuations_digest() &&
+      heartbeat.evacuations_digest() != DigestOf(node.endpoints.evacuations)) {
+    SendEvacuations(node, heartbeat.instance());
+  }
   if (node.deployment == nullptr ||
       heartbeat.deployment_version() > node.deployment->version) {
     ReadDeploymentSoon(node);
@@ -154,6 +171,9 @@
     case pb::NodeFrame::kEndpointNews:
       ApplyEndpointNews(node, frame.endpoint_news());
       return;
+    case pb::NodeFrame::kOperatorNews:
+      ApplyOperatorNews(node, frame.operator_news());
+      return;
     case pb::NodeFrame::kLimitedCallWish:
       *answer.mutable_limited_call_grant() =
           DecideAsHome(node, frame.limited_call_wish());
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -31,14 +31,15 @@
 constexpr uint32_t kMaxAnswerBytes = 4096;
 
 std::vector<TunnelPeer> TunnelPeers(const Node& node,
-                                    const std::set<std::string>& excluded) {
+                                    const std::set<std::string>& excluded,
+                                    const PeerFilter& may_relay) {
   std::vector<TunnelPeer> peers;
   for (const auto& [instance, state] : node.peer_states) {
     const auto link = node.peers.links.find(instance);
     const auto member = node.fleet.members.find(instance);
     if (!state.opens_tunnels || excluded.contains(instance) ||
-        link == node.peers.links.end() || link->second->socket == nullptr ||
-        member == node.fleet.members.end()) {
+        (may_relay && !may_relay(instance)) || link == node.peers.links.end() ||
+        link->second->socket == nullptr || member == node.fleet.members.end()) {
       continue;
     }
     const auto tunnels = node.tunnels.find(instance);
@@ -50,6 +51,12 @@
   return peers;
 }
 
+// False for an evacuated zone, and before all evacuations were read.
+bool MayReachZone(const Node& node, const std::string& zone) {
+  const ZoneEvacuations& evacuations = node.endpoints.evacuations;
+  return evacuations.read_at && !IsEvacuated(evacuations, zone);
+}
+
 // Reads the answer to a request for a tunnel.
 Task<std::optional<pb::TunnelOpened>> ReadOpened(OutConnectionPtr connection) {
   std::array<unsigned char, kFrameLengthBytes> length{};
@@ -177,12 +184,13 @@
 Task<EndpointConnect> OpenTunnel(Node& node,
                                  EndpointEntry endpoint,
                                  Duration max_idle,
-                                 Duration time_left) {
+                                 Duration time_left,
+                                 PeerFilter may_relay) {
   const Duration until = Now() + time_left;
   std::set<std::string> asked;
   EndpointConnect tunnel;
   while (asked.size() < kMaxPeersAsked && Now() < until) {
-    const std::vector<TunnelPeer> peers = TunnelPeers(node, asked);
+    const std::vector<TunnelPeer> peers = TunnelPeers(node, asked, may_relay);
     const TunnelPeer* chosen = ChooseTunnelPeer(
         peers, endpoint.id + std::to_string(node.tunnel_pool.opened));
     if (chosen == nullptr) {
@@ -231,16 +239,23 @@
   // Only to endpoints of the own table: an instance is no open proxy.
   const auto found = node.endpoints.endpoints.find(open.endpoint());
   if (found != node.endpoints.endpoints.end() &&
+      MayReachZone(node, found->second.entry.zone) &&
       !node.endpoint_path.is_cut_off && node.tunnels_for_peers < kMaxTunnels) {
+    const std::string zone = found->second.entry.zone;
     const auto connected = co_await ConnectDirectly(
         node, found->second.entry,
         std::chrono::milliseconds(open.max_idle_ms()),
         std::chrono::milliseconds(open.connect_timeout_ms()));
     connection = connected.value_or(nullptr);
-    opened.set_verdict(connection != nullptr ? pb::TunnelOpened::OPENED
-                       : node.endpoint_path.is_cut_off
-                           ? pb::TunnelOpened::REFUSED
-                           : pb::TunnelOpened::ENDPOINT_FAILED);
+    if (connection != nullptr && !MayReachZone(node, zone)) {
+      Close(*connection);
+      connection = nullptr;
+    } else {
+      opened.set_verdict(connection != nullptr ? pb::TunnelOpened::OPENED
+                         : node.endpoint_path.is_cut_off
+                             ? pb::TunnelOpened::REFUSED
+                             : pb::TunnelOpened::ENDPOINT_FAILED);
+    }
   }
   const std::string bytes = EncodeFrame(frame);
   ErrorCode error;
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/node/attempts.h"       // for StartAttempt
 #include "celerykeel/node/isolation.h"      // for Isolation
 #include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/node/regions.h"        // for MayCarryBody
 #include "celerykeel/node/store_client.h"   // for AwaitStore
 #include "celerykeel/node/stream_takeup.h"  // for FindOriginOfTakeUp
 #include "celerykeel/node/turn_holder.h"    // for RequestTurnPermit
@@ -208,13 +209,23 @@
        {"after_ms", Now() - call.arrived_at}});
 }
 
+// The holder of the slot gets the text of a retained turn.
+bool MayStoreText(const Node& node, const Call& call, uint32_t slot) {
+  return !call.route->retained || ActiveSlot(node, slot) != nullptr ||
+         MayCarryBody(node, call, node.fleet.slots[slot].instance);
+}
+
 // Ends a stream. A retained turn must be durable before its end is sent.
 Task<> FinishCompleteTurn(Node& node, CallPtr call, Relay& relay) {
   pb::TurnEnd end = TurnEndOf(*call, relay, true);
   if (call->route->retained) {
-    if (!co_await ReportTurnEnd(node, std::move(end),
-                                relay.permit.grant.history(),
-                                TimeLeft(*call) - kEndMargin)) {
+    bool is_durable = false;
+    if (MayStoreText(node, *call, relay.permit.slot)) {
+      is_durable = co_await ReportTurnEnd(node, std::move(end),
+                                          relay.permit.grant.history(),
+                                          TimeLeft(*call) - kEndMargin);
+    }
+    if (!is_durable) {
       LogTurn(node, *call, relay, "not durable in time");
       AbortAnswer(call->caller);
       co_return;
@@ -364,6 +375,11 @@
     relay.permit = co_await RequestTurnPermit(
         node, call, std::min(kHolderTimeout, TimeLeft(*call) / 2));
     RecordVerdict(node, *call, relay.permit.grant.verdict());
+    if (!MayStoreText(node, *call, relay.permit.slot)) {
+      ReportAbortedTurn(node, *call, relay);
+      co_await Refuse(node, call, HolderNotAllowed());
+      co_return;
+    }
     if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
       if (relay.permit.may_be_counted) {
         ReportAbortedTurn(node, *call, relay);
--- a/src/celerykeel/node/turn_refusal.cc
+++ b/src/celerykeel/node/turn_refusal.cc
@@ -23,6 +23,12 @@
       std::max(TimeLeft(call) / kRetryDivisor - kRetryMargin, kHolderRetry)};
 }
 
+CallRefusal HolderNotAllowed() {
+  return {kUnavailable,
+          "not run: the program's holder is in a region that is not allowed",
+          kHolderRetry};
+}
+
 std::optional<CallRefusal> RefusalOfVerdict(pb::TurnGrant::Verdict verdict) {
   switch (verdict) {
     case pb::TurnGrant::GRANTED:
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -208,6 +208,11 @@
     }
     co_return co_await Respond(connection, std::move(refused));
   }
+  if (endpoint.has_other_weights) {
+    StandinResponse refused(http::status::misdirected_request, 11);
+    refused.set("X-Attempt-Id", id);
+    co_return co_await Respond(connection, std::move(refused));
+  }
   RecordRun(endpoint, id, request);
   if (!endpoint.deadly_body.empty() &&
       request.body().ends_with(endpoint.deadly_body)) {
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -41,6 +41,8 @@
   // Ends streams inside an event, after all complete ones.
   std::atomic<bool> ends_inside_event{false};
   std::atomic<bool> is_full{false};  // answers 503, marked as not run
+  // Answers 421 only, as to a request that expects other weights.
+  std::atomic<bool> has_other_weights{false};
   // Runs requests and closes their connections without an answer.
   std::atomic<bool> is_unresponsive{false};
   // Announces its departure in each plain answer, refusal and stream.
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -39,9 +39,12 @@
 
 // Leaves room for eight fleets of a process before the subnets of the next
 // process id.
-NodeFleet::NodeFleet(int count, std::array<std::string, 2> endpoint_versions)
+NodeFleet::NodeFleet(int count,
+                     std::array<std::string, 2> endpoint_versions,
+                     std::array<std::string, 2> endpoint_zones)
     : subnet((getpid() * 8 + next_fleet++) % 60000),
-      versions(std::move(endpoint_versions)) {
+      versions(std::move(endpoint_versions)),
+      zones(std::move(endpoint_zones)) {
   this->PutDeployment();
   for (size_t i = 0; i < std::size(this->store_access); ++i) {
     Spawn(this->standin_loop,
@@ -100,6 +103,7 @@
   options.store_partitions = kSlotCount;
   options.store_retention = std::chrono::seconds(300);
   options.stop_time = std::chrono::seconds(8);
+  options.zone_regions = {{"z", "north"}, {"za", "north"}, {"zb", "south"}};
   return options;
 }
 
@@ -124,18 +128,31 @@
       [&] { PutKeyed(this->store, "keyed.op", "config", changed); });
 }
 
+void NodeFleet::PublishWith(uint64_t version,
+                            const std::string& mark,
+                            const std::string& text) {
+  std::string changed = kDeployment;
+  changed.replace(changed.find(R"("version":7)"), 11,
+                  fmt::format(R"("version":{})", version));
+  changed.insert(changed.find(mark), text);
+  this->RunOnStandinLoop(
+      [&] { PutKeyed(this->store, "keyed.op", "config", changed); });
+}
+
 uint32_t NodeFleet::SlotOf(const std::string& program) {
   return SlotOfSubject("orchard", program, kSlotCount);
 }
 
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
-  PutKeyed(
-      this->store, "keyed.servers", fmt::format("e{}", index),
-      fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                  R"("version":"{}",)"
-                  R"("slots":24,"state":"{}","sequence":1,"born":{}}})",
-                  this->Ip(kEndpointHost + index), kEndpointPort,
-                  this->versions[index], state, this->endpoint_starts[index]));
+  PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
+           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"{}",)"
+                       R"("version":"{}","cold_left_ms":{},)"
+                       R"("slots":24,"state":"{}","sequence":{},"born":{}}})",
+                       this->Ip(kEndpointHost + index), kEndpointPort,
+                       this->zones[index], this->versions[index],
+                       this->cold_left[index].count(), state,
+                       ++this->entries_written[index],
+                       this->endpoint_starts[index]));
 }
 
 void NodeFleet::RemoveEntry(size_t endpoint) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -28,8 +28,10 @@
  public:
   /// @param versions software versions of the two endpoints; empty: the
   /// endpoint joins later.
+  /// @param zones of the two endpoints; all instances are in zone "z".
   explicit NodeFleet(int instances,
-                     std::array<std::string, 2> versions = {"v1", "v1"});
+                     std::array<std::string, 2> versions = {"v1", "v1"},
+                     std::array<std::string, 2> zones = {"z", "z"});
   ~NodeFleet();
   NodeFleet(const NodeFleet&) = delete;
   NodeFleet& operator=(const NodeFleet&) = delete;
@@ -68,6 +70,22 @@
   /// instances have received the change, from the store or from a reader.
   bool Drain(size_t endpoint);
 
+  /// @brief Writes or removes the evacuation of a zone, and waits until it is
+  /// in force, or revoked, at all instances.
+  bool Evacuate(const std::string& zone, bool in_force);
+
+  /// @brief Publishes a version of the configuration with `text` inserted
+  /// before `mark`.
+  void PublishWith(uint64_t version,
+                   const std::string& mark,
+                   const std::string& text);
+  /// @brief Waits until the version is in force at all instances.
+  bool WaitUntilInForce(uint64_t version);
+
+  /// @brief Writes an entry by which the endpoint is cold, and waits until all
+  /// instances have received it.
+  bool MakeCold(size_t endpoint, std::chrono::milliseconds left);
+
   /// @brief As Drain, while the store deletes its older records, so that the
   /// change is found only in the complete list. The state may be "ready" too.
   bool PutStateCompacted(size_t endpoint, const std::string& state);
@@ -144,6 +162,9 @@
 
   int subnet = 0;
   std::array<std::string, 2> versions;
+  std::array<std::string, 2> zones;
+  std::array<std::chrono::milliseconds, 2> cold_left{};
+  std::array<uint64_t, 2> entries_written{};
   std::array<WallMillis, 2> endpoint_starts{1, 1};  // increases with each
   asio::io_context standin_loop{1};
   std::thread standin_thread;
--- a/src/celerykeel/testing/node_fleet_state.cc
+++ b/src/celerykeel/testing/node_fleet_state.cc
@@ -123,6 +123,32 @@
   });
 }
 
+bool NodeFleet::Evacuate(const std::string& zone, bool in_force) {
+  this->RunOnStandinLoop([&] {
+    PutKeyed(this->store, "keyed.op", "evacuate/" + zone, in_force ? "{}" : "");
+  });
+  return this->WaitForAll([&](const Node& node) {
+    return IsEvacuated(node.endpoints.evacuations, zone) == in_force;
+  });
+}
+
+bool NodeFleet::WaitUntilInForce(uint64_t version) {
+  return this->WaitForAll([version](const Node& node) {
+    return node.deployment != nullptr && node.deployment->version == version;
+  });
+}
+
+bool NodeFleet::MakeCold(size_t endpoint, std::chrono::milliseconds left) {
+  const std::string id = fmt::format("e{}", endpoint);
+  this->cold_left[endpoint] = left;
+  this->RunOnStandinLoop([&] { this->PutEndpoint(endpoint, "ready"); });
+  return this->WaitForAll([&id](const Node& node) {
+    const auto found = node.endpoints.endpoints.find(id);
+    return found != node.endpoints.endpoints.end() &&
+           found->second.cold_until > Now();
+  });
+}
+
 bool NodeFleet::PutStateCompacted(size_t endpoint, const std::string& state) {
   const std::string id = fmt::format("e{}", endpoint);
   this->RunOnStandinLoop([&] {
