node: a call is not sent to an endpoint that became cold or evacuated while it waited

A call that waited for a connection after its endpoint was chosen could reach it at full speed although the endpoint had become cold; one that waited for a rate limit is covered by a test now. An endpoint that refuses connections counts as cold until its entries deny it, as it may be about to restart. A retained turn is refused for its holder's region only after the holder answered.

--- a/include/celerykeel/core/limit_home.h
+++ b/include/celerykeel/core/limit_home.h
@@ -84,7 +84,7 @@
 // five calls in any second, where others take it in four seconds.
 inline constexpr Duration kColdBurstTime = std::chrono::milliseconds(50);
 inline constexpr double kColdFractionWithoutHome = 0.1;
-inline constexpr Duration kColdPermitValidity = std::chrono::milliseconds(50);
+inline constexpr Duration kColdPermitValidity = std::chrono::milliseconds(100);
 /// @brief Longest wait of a call for a cold endpoint. A successor of the home
 /// does not know the calls that were granted ahead.
 inline constexpr Duration kMaxColdWait = std::chrono::milliseconds(100);
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -82,8 +82,4 @@
 /// @brief Returns the refusal that the caller gets after the last attempt.
 CallRefusal RefusalAfter(const Node& node, const Call& call, AttemptEnd end);
 
-/// @brief Refusal of a call to a service whose endpoints are all in evacuated
-/// zones.
-CallRefusal AllEvacuated();
-
 }  // namespace celerykeel
--- a/include/celerykeel/node/endpoint_choice.h
+++ b/include/celerykeel/node/endpoint_choice.h
@@ -37,7 +37,8 @@
 const EndpointStatus* ChooseApart(Node& node, const Call& call);
 
 /// @brief Returns false if the endpoint has a rate limit and the permit has
-/// expired, for example because the process was paused.
-bool MaySend(const EndpointChoice& choice);
+/// expired, for example because the process was paused, or if the endpoint
+/// became cold since it was chosen without a permit.
+bool MaySend(const Node& node, const EndpointChoice& choice);
 
 }  // namespace celerykeel
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -4,6 +4,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/core/cold_endpoints.h"   // for PresumeCold
 #include "celerykeel/node/attempt_log.h"      // for LogAttempt
 #include "celerykeel/node/buffered_bytes.h"   // for BufferedBytes
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseForCall
@@ -36,8 +37,6 @@
 // `max_tries` of a route counts only the others.
 constexpr uint32_t kMaxEndpointTries = 4;
 constexpr Duration kBusyRetry = std::chrono::milliseconds(250);
-// An evacuation lasts for seconds at least, and callers repeat a call once.
-constexpr Duration kEvacuationRetry = std::chrono::seconds(1);
 constexpr Duration kIsolationRetry = std::chrono::milliseconds(500);
 // A call with at most this time left counts as timed out.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
@@ -205,6 +204,9 @@
     if (connected.endpoint_failed) {
       RecordFailure(node.endpoints, endpoint.id, Now());
     }
+    if (connected.refused) {
+      PresumeCold(node.endpoints, endpoint.id);  // it may be about to restart
+    }
     attempt.end = AttemptEndOfError(*call, ExchangeError::kNotConnected);
     LogAttempt(node, *call, attempt,
                connected.refused ? "connection refused" : "not connected");
@@ -229,7 +231,7 @@
     LogAttempt(node, *call, attempt, "zone evacuated");
     co_return attempt;
   }
-  if (!MaySend(*chosen)) {
+  if (!MaySend(node, *chosen)) {
     Close(*connection);
     attempt.end = AttemptEnd::kNotRun;
     LogAttempt(node, *call, attempt, "late for the endpoint's limit");
@@ -391,11 +393,6 @@
   return {kUnavailable, "not run: no endpoint takes it now", kBusyRetry};
 }
 
-CallRefusal AllEvacuated() {
-  return {kUnavailable, "not run: all endpoints are in evacuated zones",
-          kEvacuationRetry};
-}
-
 Task<> RunAttempts(Node& node, CallPtr call) {
   const std::string body = call->request.body;
   AttemptEnd end = AttemptEnd::kNoEndpoint;
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -10,6 +10,7 @@
 #include "celerykeel/node/attempts.h"     // for RunAttempts
 #include "celerykeel/node/node.h"         // for Node
 #include "celerykeel/node/rates.h"        // for ReserveFromRate
+#include "celerykeel/node/regions.h"      // for AllEvacuated
 #include "celerykeel/node/suspect_run.h"  // for RefusalIfDeadly
 #include "celerykeel/node/turn_path.h"    // for ServeTurn
 
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -98,8 +98,13 @@
              : chosen;
 }
 
-bool MaySend(const EndpointChoice& choice) {
-  return !choice.permit || !HasExpired(*choice.permit, Now());
+bool MaySend(const Node& node, const EndpointChoice& choice) {
+  if (choice.permit) {
+    return !HasExpired(*choice.permit, Now());
+  }
+  const auto found = node.endpoints.endpoints.find(choice.endpoint.id);
+  return found == node.endpoints.endpoints.end() ||
+         !ColdRateOf(node.endpoints, found->second, Now());
 }
 
 // An endpoint whose limit allows a call at once, or that has no limit, ranks
--- a/src/celerykeel/node/operator_feed.cc
+++ b/src/celerykeel/node/operator_feed.cc
@@ -64,7 +64,7 @@
   added.set_offset(known.offset);
 }
 
-void Notify(Node& node, pb::NodeFrame frame) {
+void Notify(Node& node, const pb::NodeFrame& frame) {
   if (frame.operator_news().evacuations_size() > 0) {
     SendToAll(node.peers, frame);
   }
@@ -100,7 +100,7 @@
                             const std::vector<KeyedRecord>& records) {
   pb::NodeFrame frame;
   AddRecords(node, records, *frame.mutable_operator_news());
-  Notify(node, std::move(frame));
+  Notify(node, frame);
 }
 
 void ApplyAllEvacuations(Node& node,
@@ -125,7 +125,7 @@
   if (!evacuations.read_at) {
     evacuations.read_at = Now();
   }
-  Notify(node, std::move(frame));
+  Notify(node, frame);
 }
 
 void ApplyOperatorNews(Node& node, const pb::OperatorNews& news) {
--- a/src/celerykeel/node/regions.cc
+++ b/src/celerykeel/node/regions.cc
@@ -4,6 +4,14 @@
 
 namespace celerykeel {
 
+namespace {
+
+constexpr int kUnavailable = 503;
+// An evacuation lasts for seconds at least, and callers repeat a call once.
+constexpr Duration kEvacuationRetry = std::chrono::seconds(1);
+
+}  // namespace
+
 RegionLimits RegionLimitsOf(const Node& node, const Call& call) {
   return {
       .zone_regions = &node.options.zone_regions,
@@ -24,4 +32,14 @@
          MayCarryBody(limits, member->second.zone, node.options.zone);
 }
 
+bool MayStoreText(const Node& node, const Call& call, uint32_t slot) {
+  return !call.route->retained || ActiveSlot(node, slot) != nullptr ||
+         MayCarryBody(node, call, node.fleet.slots[slot].instance);
+}
+
+CallRefusal AllEvacuated() {
+  return {kUnavailable, "not run: all endpoints are in evacuated zones",
+          kEvacuationRetry};
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -8,7 +8,7 @@
 #include "celerykeel/node/attempts.h"       // for StartAttempt
 #include "celerykeel/node/isolation.h"      // for Isolation
 #include "celerykeel/node/node.h"           // for Node
-#include "celerykeel/node/regions.h"        // for MayCarryBody
+#include "celerykeel/node/regions.h"        // for MayStoreText
 #include "celerykeel/node/stream_takeup.h"  // for FindOriginOfTakeUp
 #include "celerykeel/node/turn_holder.h"    // for RequestTurnPermit
 #include "celerykeel/node/turn_refusal.h"   // for RefusalOfVerdict
@@ -207,12 +207,6 @@
        {"after_ms", Now() - call.arrived_at}});
 }
 
-// The holder of the slot gets the text of a retained turn.
-bool MayStoreText(const Node& node, const Call& call, uint32_t slot) {
-  return !call.route->retained || ActiveSlot(node, slot) != nullptr ||
-         MayCarryBody(node, call, node.fleet.slots[slot].instance);
-}
-
 // Ends a stream. A retained turn must be durable before its end is sent.
 Task<> FinishCompleteTurn(Node& node, CallPtr call, Relay& relay) {
   pb::TurnEnd end = TurnEndOf(*call, relay, true);
@@ -361,11 +355,6 @@
     relay.permit = co_await RequestTurnPermit(
         node, call, std::min(kHolderTimeout, TimeLeft(*call) / 2));
     RecordVerdict(node, *call, relay.permit.grant.verdict());
-    if (!MayStoreText(node, *call, relay.permit.slot)) {
-      ReportAbortedTurn(node, *call, relay);
-      co_await Refuse(node, call, HolderNotAllowed());
-      co_return;
-    }
     if (const auto refusal = RefusalOfVerdict(relay.permit.grant.verdict())) {
       if (relay.permit.may_be_counted) {
         ReportAbortedTurn(node, *call, relay);
@@ -373,6 +362,11 @@
       co_await Refuse(node, call, *refusal);
       co_return;
     }
+    if (!MayStoreText(node, *call, relay.permit.slot)) {
+      ReportAbortedTurn(node, *call, relay);
+      co_await Refuse(node, call, HolderNotAllowed());
+      co_return;
+    }
     if (!co_await AwaitCoverage(node, call, relay.permit)) {
       ReportAbortedTurn(node, *call, relay);
       co_await Refuse(node, call, StoreUnavailable(node, *call));
--- a/src/celerykeel/node/zones_unittest.cc
+++ b/src/celerykeel/node/zones_unittest.cc
@@ -63,6 +63,36 @@
   CHECK(CallsAt(fleet, 3, fleet.endpoints[0], "r") > 0);
 }
 
+// Guards against calls that waited for the rate limit of an endpoint, and are
+// sent to it after its zone has been evacuated.
+TEST_CASE("a call that waits is not sent to a zone evacuated meanwhile") {
+  NodeFleet fleet(1, {"v1", "v1"}, {"za", "zb"});
+  REQUIRE(fleet.WaitUntilServing());
+  EndpointStandin& limited = fleet.endpoints[0];
+  limited.rate_limit = 20;
+  fleet.endpoints[1].is_full = true;
+  fleet.Send(0, "GET", "/look/x", ToolHeaders("first"), "");
+  REQUIRE(fleet.WaitUntilLimited(0));
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back([&fleet, i] {
+      fleet.Send(0, "GET", "/look/x", ToolHeaders("w" + std::to_string(i)), "");
+    });
+  }
+  CHECK(fleet.Evacuate("za", true));
+  const auto arrivals = [&limited] {
+    const std::lock_guard lock(limited.mutex);
+    return limited.arrivals.size();
+  };
+  // Requests that were sent before may be on their way.
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  const size_t before = arrivals();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(arrivals() == before);
+}
+
 // Guards against callers that wait for an endpoint while there can be none, or
 // that are told nothing about a retry.
 TEST_CASE("a call to a service that is all evacuated is refused at once") {
