--- a/src/celerykeel/node/zones_unittest.cc
+++ b/src/celerykeel/node/zones_unittest.cc
@@ -73,9 +73,9 @@
   fleet.endpoints[1].is_full = true;
   fleet.Send(0, "GET", "/look/x", ToolHeaders("first"), "");
   REQUIRE(fleet.WaitUntilLimited(0));
-  std::vector<std::thread> callers;
-  for (int i = 0; i < 10; ++i) {
-    callers.emplace_back([&fleet, i] {
+  std::vector<std::thread> callers(10);
+  for (size_t i = 0; i < callers.size(); ++i) {
+    callers[i] = std::thread([&fleet, i] {
       fleet.Send(0, "GET", "/look/x", ToolHeaders("w" + std::to_string(i)), "");
     });
   }
