--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -91,7 +91,9 @@
         event > endpoint.close_after_events) {
       co_return false;
     }
-    const std::string text = fmt::format("id: {}\ndata: e{}\n\n", event, event);
+    const std::string text =
+        fmt::format("id: {}\ndata: e{}{}\n\n", event, event,
+                    std::string(endpoint.event_filler_bytes, 'x'));
     std::string piece = Framed(endpoint, text);
     keep_open = co_await Write(connection, std::move(piece));
     co_await Sleep(loop, std::chrono::milliseconds(endpoint.pause_ms));
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -32,6 +32,8 @@
   std::string id;
   std::atomic<int> events{4};    // of one stream
   std::atomic<int> pause_ms{3};  // between events
+  // Filler in the data of each event.
+  std::atomic<size_t> event_filler_bytes{0};
   // Streams comments without an end, and no events.
   std::atomic<bool> streams_only_comments{false};
   // Closes the connection after this many events; -1: never.
