node: callers that exceed the limits cost bounded memory, descriptors and time

Callers saw instances end for lack of memory, and lost refusals. Causes: the buffer of a connection had no bound, and the parser asks for more while a chunk's header or a trailer is incomplete; bodies were read before keys were checked, and counted nowhere; a head that trickles was under the idle timeout, as beast's read returns only at its end; a body had 6 s in all, so sound ones on slow links were cut off; connections with unread bytes were closed at once, which resets them.

Now: bounded buffers and fields; a budget for unfinished requests, from which those of the holder with the most memory give way; route, key and ids before the body; a refusal is followed by a bounded drain; a limit on connections; a minimum rate for bodies, 408; a timeout without progress for answers, not for the whole of a piece; a failed write stops the endpoint's work.

--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -51,6 +51,11 @@
 };
 using CallPtr = std::shared_ptr<Call>;
 
+/// @brief Sets the call's deployment, route and team, as far as they are known
+/// from the request's head.
+/// @return the refusal of a request without a known route, key or id.
+std::optional<CallRefusal> CheckHead(const Node& node, Call& call);
+
 /// @brief Serves one request: checks it, sends it to an endpoint and relays
 /// the answer.
 Task<> ServeCall(Node& node, CallerStreamPtr caller, CallRequest request);
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -25,6 +25,7 @@
   prometheus::Family<prometheus::Counter>& attempts;    // by outcome
   prometheus::Family<prometheus::Counter>& turns;       // by outcome
   prometheus::Family<prometheus::Counter>& cold_waits;  // by outcome
+  prometheus::Family<prometheus::Counter>& caller_limits;  // by limit
   prometheus::Histogram& before_send_seconds;
   prometheus::Histogram& first_event_seconds;
   prometheus::Histogram& append_seconds;
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -26,6 +26,7 @@
 #include "celerykeel/node/options.h"            // for NodeOptions
 #include "celerykeel/node/out_connection.h"     // for OutPool
 #include "celerykeel/node/peer_link.h"          // for PeerNetwork
+#include "celerykeel/node/request_memory.h"     // for RequestMemory
 #include "celerykeel/node/slot_host.h"          // for SlotHost
 #include "celerykeel/node/start_record.h"       // for StartRecord
 #include "celerykeel/node/store_client.h"       // for StoreClient
@@ -76,14 +77,17 @@
 /// @brief All state of one instance. Only the thread of the event loop uses
 /// it.
 struct Node {
-  explicit Node(NodeOptions from) : options(std::move(from)) {}
+  explicit Node(NodeOptions from)
+      : request_memory(from.memory_bytes), options(std::move(from)) {}
 
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
   size_t buffered_answer_bytes = 0;  // of incomplete answers
+  RequestMemory request_memory;
   SentRequestTable sent_requests;
   std::set<std::string> ended_isolations;   // endpoints; not reported yet
+  size_t unknown_peers = 0;                 // that have not sent a frame yet
   uint32_t tunnels_for_peers = 0;           // open for other instances
   std::map<std::string, uint32_t> tunnels;  // open over each peer
 
@@ -116,7 +120,10 @@
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
   uint64_t entries_skipped = 0;  // endpoint entries that don't decode
 
-  std::set<CallerStreamPtr> callers;  // open connections
+  std::set<CallerStreamPtr> callers;                 // open connections
+  std::map<std::string, size_t> callers_by_address;  // number of connections
+  uint64_t caller_limits_unlogged = 0;               // see RecordCallerLimit
+  Duration caller_limits_logged_at{};
   uint64_t calls_under_way = 0;
   std::unique_ptr<Tcp::acceptor> callers_acceptor;  // null: accepts no more
   StartRecord start;
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -28,6 +28,11 @@
   size_t store_call_bytes = 2097152;   // max size of a store call
   Duration stop_time{};                // from the stop signal to the kill
   ZoneRegions zone_regions;            // empty: regions are not known
+  // Limits for callers. The defaults are those of the smallest known machine.
+  size_t memory_bytes = 88UL * 1024 * 1024;  // of the machine
+  size_t max_descriptors = 3075;             // of the process
+  size_t min_body_bytes_per_second = 16384;  // of a request's body
+  size_t max_header_fields = 500;            // of a request
 };
 
 /// @brief All errors in a settings file.
--- a/include/celerykeel/node/peer_link.h
+++ b/include/celerykeel/node/peer_link.h
@@ -22,6 +22,7 @@
   std::string writing;
   bool is_writing = false;
   bool closed = false;
+  bool has_sent_frame = false;  // a complete frame was received
   // It carries the bytes of another connection from now on, and no frames.
   bool is_tunnel = false;
 };
@@ -63,9 +64,17 @@
 /// @brief Queues a frame for every connected peer.
 void SendToAll(const PeerNetwork& network, const pb::NodeFrame& frame);
 
+inline constexpr uint32_t kMaxFrameBytes = 64 * 1024 * 1024;
+/// @brief Max length of the first frame on an accepted connection: anything on
+/// the network may connect. Instances begin with a heartbeat or a request for a
+/// tunnel.
+inline constexpr uint32_t kMaxFirstFrameBytes = 1024 * 1024;
+
 /// @brief Reads frames until the connection ends or becomes a tunnel.
+/// @param first_limit max bytes of the first frame.
 Task<> ReadFrames(PeerSocketPtr socket,
-                  std::function<void(const pb::NodeFrame&)> on_frame);
+                  std::function<void(const pb::NodeFrame&)> on_frame,
+                  uint32_t first_limit = kMaxFrameBytes);
 
 void ClosePeer(const PeerSocketPtr& socket);
 
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -337,10 +337,21 @@
   }
   ReturnToPool(node.endpoint_pool, attempt.address, connection, attempt.head);
   HandleCompletion(node, *attempt.run);
-  if (!call->caller->disconnected) {
-    co_await SendCompleteAnswer(call->caller, attempt.head.status,
-                                attempt.head.headers, std::move(*body));
+  if (call->caller->disconnected) {
+    co_return true;
+  }
+  // Callers may take their answers slowly.
+  HeldMemory* memory = call->caller->memory.get();
+  if (memory != nullptr && !memory->Add(body->size())) {
+    RecordCallerLimit(node, *call->caller, "memory");
+    AbortAnswer(call->caller);
+    co_return true;
+  }
+  if (memory != nullptr) {
+    memory->SetClosable(true);
   }
+  co_await SendCompleteAnswer(call->caller, attempt.head.status,
+                              attempt.head.headers, std::move(*body));
   co_return true;
 }
 
@@ -394,7 +405,7 @@
 }
 
 Task<> RunAttempts(Node& node, CallPtr call) {
-  const std::string body = call->request.body;
+  const std::string_view body = call->request.body;
   AttemptEnd end = AttemptEnd::kNoEndpoint;
   while (MayTry(*call)) {
     Attempt attempt = co_await StartAttempt(node, call, body);
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -38,7 +38,22 @@
   return FractionOfHash(XXH3_64bits(subject.data(), subject.size()));
 }
 
-std::optional<CallRefusal> Check(const Node& node, Call& call) {
+// Refuses a request that came late in a planned stop, for example as its body
+// was slow, and might be cut at the end of the stop.
+std::optional<CallRefusal> RefusalIfStopping(const Node& node,
+                                             const Call& call) {
+  const auto& stop = node.planned_stop;
+  if (!stop || call.arrived_at <= stop->began_at + kStopNoticeTime ||
+      call.deadline <= stop->calls_end_at) {
+    return std::nullopt;
+  }
+  return CallRefusal{kUnavailable, "not run: the instance stops",
+                     kElsewhereRetry};
+}
+
+}  // namespace
+
+std::optional<CallRefusal> CheckHead(const Node& node, Call& call) {
   if (node.deployment == nullptr || !node.endpoints.evacuations.read_at) {
     return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
   }
@@ -63,21 +78,6 @@
   return std::nullopt;
 }
 
-// Refuses a request that came late in a planned stop, for example as its body
-// was slow, and might be cut at the end of the stop.
-std::optional<CallRefusal> RefusalIfStopping(const Node& node,
-                                             const Call& call) {
-  const auto& stop = node.planned_stop;
-  if (!stop || call.arrived_at <= stop->began_at + kStopNoticeTime ||
-      call.deadline <= stop->calls_end_at) {
-    return std::nullopt;
-  }
-  return CallRefusal{kUnavailable, "not run: the instance stops",
-                     kElsewhereRetry};
-}
-
-}  // namespace
-
 Duration TimeLeft(const Call& call) {
   return call.deadline - Now();
 }
@@ -119,7 +119,7 @@
   call->request = std::move(request);
   call->caller = caller;
   call->arrived_at = Now();
-  if (const auto refusal = Check(node, *call)) {
+  if (const auto refusal = CheckHead(node, *call)) {
     co_await Refuse(node, call, *refusal);
     co_return;
   }
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -1,31 +1,35 @@
 #include "celerykeel/node/caller_server.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>  // for std::function
+#include <list>        // for std::list
+#include <memory>      // for std::weak_ptr
 #include <optional>    // for std::optional
 #include <utility>     // for std::move
 
-#include "celerykeel/base/clock.h"      // for Now
-#include "celerykeel/node/call_path.h"  // for ServeCall
-#include "celerykeel/node/fleet.h"      // for LeaveFleet
-#include "celerykeel/node/node.h"       // for Node
-#include "platform/headers.h"           // for platform::DecodeRequest
+#include "celerykeel/base/clock.h"              // for Now
+#include "celerykeel/core/connection_limits.h"  // for JudgeConnection
+#include "celerykeel/node/call_path.h"          // for ServeCall
+#include "celerykeel/node/fleet.h"              // for LeaveFleet
+#include "celerykeel/node/node.h"               // for Node
+#include "celerykeel/node/request_reader.h"     // for ReadRequest
 
 namespace celerykeel {
 
 namespace {
 
 namespace http = boost::beast::http;
-using RequestParser = http::request_parser<http::string_body>;
 
-constexpr int kBadRequest = 400;
-constexpr int kTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
+// After a failed accept, for example without a free descriptor.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+// Bounds what the kernel holds for a caller that does not read, and lets one
+// that does take 40 MB/s at a round trip of 1.5 ms. The kernel doubles it.
+constexpr int kSendBufferBytes = 65536;
+// An idle connection keeps a buffer of at most this size: an ordinary head.
+constexpr size_t kMaxIdleBufferBytes = 4096;
 // Time after which callers use other instances: the platform probes readiness
 // once a second and needs two failures, and callers follow a little later. New
 // connections are accepted until then.
@@ -44,122 +48,103 @@
           static_cast<uint16_t>(std::atoi(address.c_str() + colon + 1))};
 }
 
-// Returns true if the body has a transfer coding other than chunked. Like two
-// length headers, an unknown coding could smuggle a second request past this
-// instance. Beast itself refuses two length headers.
-bool HasAmbiguousLength(const http::request<http::string_body>& message) {
-  const auto coding = message[http::field::transfer_encoding];
-  return !coding.empty() && !boost::beast::iequals(coding, "chunked");
+// Returns true if a request is being served or has partly arrived.
+bool HasRequestInProgress(CallerStream& caller) {
+  ErrorCode error;
+  return caller.busy || caller.buffer.size() > 0 ||
+         caller.stream.socket().available(error) > 0;
 }
 
-enum class ReadEnd { kRequest, kClosed, kRefused };
-
-// Reads one request. The idle timeout applies until its first byte, the header
-// timeout from then on.
-Task<ReadEnd> ReadRequest(Node& node,
-                          CallerStreamPtr caller,
-                          RequestParser& parser) {
-  const CallerLimits limits =
-      node.deployment == nullptr ? CallerLimits{} : node.deployment->limits;
-  parser.header_limit(static_cast<uint32_t>(limits.header_bytes) + 1024);
-  parser.body_limit(limits.body_bytes);
-  parser.eager(false);
-  ErrorCode error;
-  bool began = caller->buffer.size() > 0;
-  caller->stream.expires_after(
-      ToSteadyDuration(began ? limits.header_timeout : limits.idle_timeout));
-  while (!parser.is_header_done() && !error) {
-    co_await http::async_read_some(caller->stream, caller->buffer, parser,
-                                   Into(error));
-    if (!began) {
-      began = true;
-      caller->stream.expires_after(ToSteadyDuration(limits.header_timeout));
+// Closes the connection that is idle longest. @return false if all have a
+// request in progress.
+bool CloseLongestIdle(Node& node, const std::string* address) {
+  const CallerStreamPtr* oldest = nullptr;
+  for (const CallerStreamPtr& caller : node.callers) {
+    if ((address == nullptr || caller->address == *address) &&
+        caller->stream.socket().is_open() && !HasRequestInProgress(*caller) &&
+        (oldest == nullptr || caller->idle_since < (*oldest)->idle_since)) {
+      oldest = &caller;
     }
   }
-  caller->busy = parser.is_header_done();
-  if (!error && boost::beast::iequals(parser.get()[http::field::expect],
-                                      "100-continue")) {
-    static constexpr std::string_view kContinue =
-        "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(caller->stream,
-                               asio::buffer(kContinue.data(), kContinue.size()),
-                               Into(error));
-  }
-  if (!error) {
-    caller->stream.expires_after(ToSteadyDuration(limits.header_timeout * 2));
-    co_await http::async_read(caller->stream, caller->buffer, parser,
-                              Into(error));
-  }
-  if (!error) {
-    co_return ReadEnd::kRequest;
-  }
-  caller->keep_alive = false;
-  std::optional<CallRefusal> refusal;
-  if (error == http::error::body_limit) {
-    refusal = CallRefusal{kTooLarge, "the body is too long", {}};
-  } else if (error == http::error::header_limit ||
-             error == http::error::buffer_overflow) {
-    refusal = CallRefusal{kHeadTooLarge, "the header is too long", {}};
-  } else if (error != http::error::end_of_stream &&
-             error != http::error::partial_message &&
-             error.category() ==
-                 make_error_code(http::error::end_of_stream).category()) {
-    refusal = CallRefusal{kBadRequest, "the request can't be read", {}};
+  if (oldest == nullptr) {
+    return false;
   }
-  if (!refusal) {
-    co_return ReadEnd::kClosed;
+  ErrorCode ignored;  // the connection ends in any case
+  (*oldest)->stream.socket().close(ignored);
+  return true;
+}
+
+void AddCaller(Node& node, const CallerStreamPtr& caller) {
+  ErrorCode error;
+  const auto remote = caller->stream.socket().remote_endpoint(error);
+  caller->address = error ? std::string() : remote.address().to_string();
+  caller->idle_since = Now();
+  node.callers.insert(caller);
+  ++node.callers_by_address[caller->address];
+}
+
+void RemoveCaller(Node& node, const CallerStreamPtr& caller) {
+  node.callers.erase(caller);
+  const auto found = node.callers_by_address.find(caller->address);
+  if (found != node.callers_by_address.end() && --found->second == 0) {
+    node.callers_by_address.erase(found);
   }
-  co_await SendRefusal(caller, *refusal);
-  co_return ReadEnd::kRefused;
 }
 
-CallRequest TakeRequest(RequestParser& parser) {
-  CallRequest request;
-  auto& message = parser.get();
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.host = std::string(message[http::field::host]);
-  for (const auto& field : message) {
-    request.headers.emplace_back(std::string(field.name_string()),
-                                 std::string(field.value()));
+// Keeps descriptors for endpoints, peers and the store. @return false if the
+// connection must be closed.
+bool MayStay(Node& node, const CallerStreamPtr& caller) {
+  const OpenConnections open{
+      .total = node.callers.size() - 1,
+      .of_address = node.callers_by_address[caller->address] - 1};
+  const auto verdict =
+      JudgeConnection(ConnectionLimitsOf(node.options.max_descriptors), open);
+  if (verdict == ConnectionVerdict::kAccept) {
+    return true;
   }
-  request.body = std::move(message.body());
-  platform::DecodeRequest(request);
-  return request;
+  RecordCallerLimit(node, *caller, "connections");
+  caller->busy = true;  // not the idle one to close
+  const bool is_closed =
+      CloseLongestIdle(node, verdict == ConnectionVerdict::kReplaceIdleOfAddress
+                                 ? &caller->address
+                                 : nullptr);
+  caller->busy = false;
+  return is_closed;
 }
 
 Task<> ServeConnection(Node& node, CallerStreamPtr caller) {
-  node.callers.insert(caller);
-  // An error is ignored: without TCP_NODELAY the kernel may delay small writes,
+  // Errors are ignored: without TCP_NODELAY the kernel may delay small writes,
   // but answers still arrive completely.
-  ErrorCode no_delay_error;
-  caller->stream.socket().set_option(Tcp::no_delay(true), no_delay_error);
+  ErrorCode option_error;
+  caller->stream.socket().set_option(Tcp::no_delay(true), option_error);
+  caller->stream.socket().set_option(
+      asio::socket_base::send_buffer_size(kSendBufferBytes), option_error);
   while (!caller->aborted && !caller->disconnected && caller->keep_alive) {
-    RequestParser parser;
-    const ReadEnd end = co_await ReadRequest(node, caller, parser);
-    if (end != ReadEnd::kRequest) {
+    std::optional<CallRequest> request = co_await ReadRequest(node, caller);
+    if (!request) {
       break;
     }
     caller->busy = true;
     caller->head_sent = false;
-    caller->keep_alive = parser.get().keep_alive() && !node.stopping;
-    if (HasAmbiguousLength(parser.get())) {
-      caller->keep_alive = false;
-      co_await SendRefusal(caller,
-                           {kBadRequest, "the body's length is ambiguous", {}});
-      break;
-    }
     WatchCaller(caller);
     ++node.calls_under_way;
-    co_await ServeCall(node, caller, TakeRequest(parser));
+    co_await ServeCall(node, caller, std::move(*request));
     --node.calls_under_way;
     caller->busy = false;
     caller->on_caller_disconnect = nullptr;
+    caller->memory.reset();
+    caller->idle_since = Now();
+    if (caller->buffer.size() == 0 &&
+        caller->buffer.capacity() > kMaxIdleBufferBytes) {
+      caller->buffer = {};
+    }
     // Cancels WatchCaller, which may still be waiting.
     ErrorCode ignored;
     caller->stream.socket().cancel(ignored);
   }
-  node.callers.erase(caller);
+  RemoveCaller(node, caller);
+  caller->memory.reset();
+  caller->read_timer.cancel();
   ErrorCode ignored;  // the connection ends in any case
   if (!caller->aborted) {
     caller->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -167,6 +152,16 @@
   caller->stream.socket().close(ignored);
 }
 
+void Admit(Node& node, Tcp::socket socket) {
+  auto caller = std::make_shared<CallerStream>(std::move(socket));
+  AddCaller(node, caller);
+  if (MayStay(node, caller)) {
+    Spawn(node.io, ServeConnection(node, std::move(caller)));
+  } else {
+    RemoveCaller(node, caller);
+  }
+}
+
 // Answer to any request on the readiness or the metrics address.
 struct StatusAnswer {
   bool is_ok = true;
@@ -174,13 +169,18 @@
 };
 using StatusSource = std::function<StatusAnswer()>;
 
-Task<> AnswerStatus(Tcp::socket socket, StatusSource source) {
-  auto caller = std::make_shared<CallerStream>(std::move(socket));
+constexpr size_t kStatusHeadBytes = 8192;
+constexpr size_t kMaxStatusConnections = 32;
+using StatusConnections = std::list<std::weak_ptr<CallerStream>>;
+
+Task<> AnswerStatus(CallerStreamPtr caller, StatusSource source) {
   constexpr auto kIdle = std::chrono::seconds(30);
   constexpr int kOk = 200;
   constexpr int kUnavailable = 503;
+  caller->buffer.max_size(kStatusHeadBytes);
   while (!caller->aborted) {
-    http::request_parser<http::string_body> parser;
+    http::request_parser<http::empty_body> parser;
+    parser.header_limit(kStatusHeadBytes);
     caller->stream.expires_after(kIdle);
     ErrorCode error;
     co_await http::async_read(caller->stream, caller->buffer, parser,
@@ -199,15 +199,34 @@
   }
 }
 
+// Beyond the limit the oldest connection is closed, so that a prober is always
+// answered.
+void LimitStatusConnections(StatusConnections& connections) {
+  std::erase_if(connections, [](const auto& weak) { return weak.expired(); });
+  if (connections.size() >= kMaxStatusConnections) {
+    if (const CallerStreamPtr oldest = connections.front().lock()) {
+      ErrorCode ignored;  // the connection ends in any case
+      oldest->stream.socket().close(ignored);
+    }
+    connections.pop_front();
+  }
+}
+
 Task<> ServeStatus(Node& node, std::string address, StatusSource source) {
   Tcp::acceptor acceptor(node.io, ParseListen(address));
+  StatusConnections connections;
   while (true) {
     ErrorCode error;
     Tcp::socket socket(node.io);
     co_await acceptor.async_accept(socket, Into(error));
-    if (!error) {
-      Spawn(node.io, AnswerStatus(std::move(socket), source));
+    if (error) {
+      co_await Sleep(node.io, kAcceptPause);
+      continue;
     }
+    LimitStatusConnections(connections);
+    auto caller = std::make_shared<CallerStream>(std::move(socket));
+    connections.push_back(caller);
+    Spawn(node.io, AnswerStatus(std::move(caller), source));
   }
 }
 
@@ -220,20 +239,11 @@
     Tcp::socket socket(node.io);
     node.callers_acceptor->accept(socket, error);
     if (!error) {
-      auto caller = std::make_shared<CallerStream>(std::move(socket));
-      node.callers.insert(caller);
-      Spawn(node.io, ServeConnection(node, std::move(caller)));
+      Admit(node, std::move(socket));
     }
   }
 }
 
-// Returns true if a request is being served or has partly arrived.
-bool HasRequestInProgress(CallerStream& caller) {
-  ErrorCode error;
-  return caller.busy || caller.buffer.size() > 0 ||
-         caller.stream.socket().available(error) > 0;
-}
-
 }  // namespace
 
 Task<> ServeCallers(Node& node) {
@@ -244,12 +254,12 @@
     Tcp::socket socket(node.io);
     co_await node.callers_acceptor->async_accept(socket, Into(error));
     if (error) {
-      constexpr Duration kPause = std::chrono::milliseconds(20);
-      co_await Sleep(node.io, kPause);
+      // Probably no descriptor is left.
+      CloseLongestIdle(node, nullptr);
+      co_await Sleep(node.io, kAcceptPause);
       continue;
     }
-    auto caller = std::make_shared<CallerStream>(std::move(socket));
-    Spawn(node.io, ServeConnection(node, std::move(caller)));
+    Admit(node, std::move(socket));
   }
 }
 
--- a/src/celerykeel/node/caller_stream.cc
+++ b/src/celerykeel/node/caller_stream.cc
@@ -21,9 +21,12 @@
 namespace http = boost::beast::http;
 
 constexpr int kVersion11 = 11;
-// A caller that has not accepted a write completely within this time is
-// considered disconnected.
+// A caller that takes no bytes of an answer for this time is considered
+// disconnected.
 constexpr auto kWriteTimeout = std::chrono::seconds(10);
+// From the end of a refused request's answer to the close of its connection.
+constexpr auto kDrainTime = std::chrono::seconds(2);
+constexpr size_t kDrainPieceBytes = 16384;
 
 template <typename Message>
 void FillHead(Message& message,
@@ -38,18 +41,100 @@
   message.keep_alive(caller.keep_alive);
 }
 
+// Stops the work for a caller that is gone.
+void HandleFailedWrite(CallerStream& caller) {
+  caller.disconnected = true;
+  caller.aborted = true;
+  if (caller.on_caller_disconnect) {
+    caller.on_caller_disconnect();
+  }
+}
+
+void RecordProgress(const CallerStream& caller) {
+  if (caller.memory != nullptr) {
+    caller.memory->RecordProgress();
+  }
+}
+
+// The timeout applies to each piece that the kernel accepts, as a large answer
+// on a slow link takes long.
 Task<> WriteAll(CallerStreamPtr caller, std::string bytes) {
-  caller->stream.expires_after(kWriteTimeout);
+  std::string_view rest(bytes);
+  ErrorCode error;
+  while (!rest.empty() && !error) {
+    caller->stream.expires_after(kWriteTimeout);
+    const size_t count = co_await caller->stream.async_write_some(
+        asio::buffer(rest.data(), rest.size()), Into(error));
+    rest.remove_prefix(count);
+    RecordProgress(*caller);
+  }
+  caller->stream.expires_never();
+  if (error) {
+    HandleFailedWrite(*caller);
+  }
+}
+
+// As WriteAll, for a message or its head.
+template <typename Serializer>
+Task<> WriteMessage(CallerStreamPtr caller,
+                    Serializer& serializer,
+                    bool is_head_only) {
   ErrorCode error;
-  co_await asio::async_write(caller->stream, asio::buffer(bytes), Into(error));
+  while (!error && !serializer.is_done() &&
+         !(is_head_only && serializer.is_header_done())) {
+    caller->stream.expires_after(kWriteTimeout);
+    co_await http::async_write_some(caller->stream, serializer, Into(error));
+    RecordProgress(*caller);
+  }
+  caller->stream.expires_never();
   if (error) {
-    caller->disconnected = true;
-    caller->aborted = true;
+    HandleFailedWrite(*caller);
+  }
+}
+
+void OnReadTimer(const CallerStreamPtr& caller, const ErrorCode& cancelled) {
+  if (cancelled) {
+    return;
+  }
+  caller->is_read_timer_set = false;
+  if (caller->read_deadline == CallerStream::kNoDeadline) {
+    return;
+  }
+  if (asio::steady_timer::clock_type::now() < caller->read_deadline) {
+    SetReadDeadline(caller, caller->read_deadline);
+    return;
   }
+  caller->read_timed_out = true;
+  caller->stream.cancel();
 }
 
 }  // namespace
 
+// The timer is only ever moved to an earlier time: a later deadline is set when
+// it fires, so that each piece of a body costs no timer operation.
+void SetReadDeadline(const CallerStreamPtr& caller,
+                     asio::steady_timer::time_point until) {
+  caller->read_deadline = until;
+  if (until == CallerStream::kNoDeadline ||
+      (caller->is_read_timer_set && caller->read_timer.expiry() <= until)) {
+    return;
+  }
+  caller->is_read_timer_set = true;
+  caller->read_timer.expires_at(until);
+  // Not an owner: a connection ends without waiting for its timer.
+  caller->read_timer.async_wait(
+      [weak = std::weak_ptr<CallerStream>(caller)](const ErrorCode& cancelled) {
+        if (const CallerStreamPtr held = weak.lock()) {
+          OnReadTimer(held, cancelled);
+        }
+      });
+}
+
+void CloseForMemory(CallerStream& caller) {
+  caller.closed_for_memory = true;
+  caller.stream.cancel();
+}
+
 Task<> SendCompleteAnswer(CallerStreamPtr caller,
                           int status,
                           HeaderList headers,
@@ -60,13 +145,8 @@
   message.body() = std::move(body);
   message.prepare_payload();
   caller->head_sent = true;
-  caller->stream.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await http::async_write(caller->stream, message, Into(error));
-  if (error) {
-    caller->disconnected = true;
-    caller->aborted = true;
-  }
+  http::response_serializer<http::string_body> serializer(message);
+  co_await WriteMessage(caller, serializer, false);
 }
 
 Task<> SendRefusal(CallerStreamPtr caller, CallRefusal refusal) {
@@ -87,14 +167,9 @@
   FillHead(message, *caller, headers);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
+  serializer.split(true);
   caller->head_sent = true;
-  caller->stream.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await http::async_write_header(caller->stream, serializer, Into(error));
-  if (error) {
-    caller->disconnected = true;
-    caller->aborted = true;
-  }
+  co_await WriteMessage(caller, serializer, true);
 }
 
 Task<> SendBodyChunk(CallerStreamPtr caller, std::string piece) {
@@ -108,6 +183,22 @@
   co_await WriteAll(caller, "0\r\n\r\n");
 }
 
+Task<> CloseAfterRefusal(CallerStreamPtr caller, size_t max_bytes) {
+  caller->keep_alive = false;
+  caller->is_draining = true;
+  ErrorCode error;
+  caller->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+  caller->read_timed_out = false;
+  SetReadDeadline(caller, asio::steady_timer::clock_type::now() + kDrainTime);
+  size_t dropped = caller->buffer.size();
+  caller->buffer.clear();
+  while (!error && dropped < max_bytes && !caller->closed_for_memory) {
+    dropped += co_await caller->stream.async_read_some(
+        caller->buffer.prepare(kDrainPieceBytes), Into(error));
+  }
+  caller->is_draining = false;
+}
+
 void AbortAnswer(const CallerStreamPtr& caller) {
   caller->aborted = true;
   caller->keep_alive = false;
--- a/src/celerykeel/node/edge_main.cc
+++ b/src/celerykeel/node/edge_main.cc
@@ -1,5 +1,7 @@
 #include <boost/asio/signal_set.hpp>
 
+#include <malloc.h>  // for mallopt
+
 #include <csignal>   // for SIGTERM
 #include <cstdlib>   // for std::getenv
 #include <iostream>  // for std::cout
@@ -44,7 +46,17 @@
   }
 }
 
+// Returns the memory of large bodies to the machine when they end. By default
+// the allocator raises these limits with the sizes that it sees, up to 32 MiB.
+void LimitRetainedMemory() {
+  constexpr int kMmapThreshold = 512 * 1024;
+  constexpr int kTrimThreshold = 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
+  mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
+}
+
 int Run(NodeOptions options) {
+  LimitRetainedMemory();
   std::signal(SIGPIPE, SIG_IGN);
   Node node(std::move(options));
   OpenLog(node.log, node.options.instance);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -104,6 +104,9 @@
       cold_waits(Counters(this->registry,
                           "cold_waits",
                           "Calls delayed or refused at cold endpoints.")),
+      caller_limits(Counters(this->registry,
+                             "caller_limits",
+                             "Callers refused or disconnected, by limit.")),
       before_send_seconds(
           Seconds(this->registry,
                   "before_send",
@@ -179,6 +182,10 @@
            static_cast<double>(CountEvacuatedZones(node)));
   SetGauge(metrics, "entries_skipped",
            static_cast<double>(node.entries_skipped));
+  SetGauge(metrics, "caller_connections",
+           static_cast<double>(node.callers.size()));
+  SetGauge(metrics, "request_memory_bytes",
+           static_cast<double>(node.request_memory.shares.UsedBytes()));
   SetGauge(metrics, "calls_under_way",
            static_cast<double>(node.calls_under_way));
   SetGauge(metrics, "endpoint_connections_opened",
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>   // for std::ifstream
 #include <iterator>  // for std::istreambuf_iterator
+#include <optional>  // for std::optional
 
 #include <nlohmann/json.hpp>  // for nlohmann::json
 
@@ -70,6 +71,17 @@
     return regions;
   }
 
+  // @return nothing if the field is missing or null.
+  std::optional<size_t> OptionalCount(const char* name,
+                                      double lowest,
+                                      double highest) const {
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end() || found->is_null()) {
+      return std::nullopt;
+    }
+    return static_cast<size_t>(this->Number(name, lowest, highest));
+  }
+
   Duration Seconds(const char* name) const {
     constexpr double kMaxSeconds = 24 * 3600.0;
     return Duration(
@@ -77,6 +89,30 @@
   }
 };
 
+void ReadCallerLimits(const FieldReader& read, NodeOptions& options) {
+  constexpr double kMinMemory = 32;
+  constexpr double kMaxMemory = 1e6;
+  constexpr double kMinDescriptors = 300;
+  constexpr double kMaxDescriptors = 1e7;
+  constexpr double kMaxRate = 1e8;
+  constexpr double kMinFields = 50;
+  constexpr double kMaxFields = 10000;
+  constexpr size_t kMegabyte = 1024UL * 1024;
+  if (const auto memory =
+          read.OptionalCount("memory_mb", kMinMemory, kMaxMemory)) {
+    options.memory_bytes = *memory * kMegabyte;
+  }
+  options.max_descriptors =
+      read.OptionalCount("max_fds", kMinDescriptors, kMaxDescriptors)
+          .value_or(options.max_descriptors);
+  options.min_body_bytes_per_second =
+      read.OptionalCount("min_body_bytes_per_s", 1, kMaxRate)
+          .value_or(options.min_body_bytes_per_second);
+  options.max_header_fields =
+      read.OptionalCount("max_header_fields", kMinFields, kMaxFields)
+          .value_or(options.max_header_fields);
+}
+
 }  // namespace
 
 tl::expected<NodeOptions, OptionErrors> ParseNodeOptions(
@@ -110,6 +146,7 @@
       read.Number("store_call_bytes", 1024, kMaxStoreBytes));
   options.stop_time = read.Seconds("stop_s");
   options.zone_regions = read.OptionalRegions("zone_regions");
+  ReadCallerLimits(read, options);
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
   }
--- a/src/celerykeel/node/options_unittest.cc
+++ b/src/celerykeel/node/options_unittest.cc
@@ -34,5 +34,28 @@
   }
 }
 
+// A platform may not know the limits for callers, and leave them out or empty.
+TEST_CASE("limits for callers are optional, and checked") {
+  for (const char* none : {"", R"(,"memory_mb":null,"max_fds":null)"}) {
+    const auto options = ParseNodeOptions(SettingsWith(none));
+    REQUIRE(options.has_value());
+    CHECK(options->memory_bytes == 88UL * 1024 * 1024);
+    CHECK(options->max_descriptors == 3075);
+  }
+  const auto given = ParseNodeOptions(SettingsWith(
+      R"(,"memory_mb":512,"max_fds":10250,"min_body_bytes_per_s":1000,)"
+      R"("max_header_fields":100)"));
+  REQUIRE(given.has_value());
+  CHECK(given->memory_bytes == 512UL * 1024 * 1024);
+  CHECK(given->max_descriptors == 10250);
+  CHECK(given->min_body_bytes_per_second == 1000);
+  CHECK(given->max_header_fields == 100);
+  const auto wrong = ParseNodeOptions(
+      SettingsWith(R"(,"memory_mb":1,"max_fds":10,"min_body_bytes_per_s":0,)"
+                   R"("max_header_fields":"x")"));
+  REQUIRE_FALSE(wrong.has_value());
+  CHECK(wrong.error().errors.size() == 4);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -19,7 +19,9 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kMaxIdleConnections = 16;  // connections per address
-constexpr size_t kMaxExchangeBodyBytes = 64UL * 1024 * 1024;
+// Of an answer of the store or of an endpoint's health check. The store sends a
+// few MiB at a time, and the smallest machine has 88 MB.
+constexpr size_t kMaxExchangeBodyBytes = 16UL * 1024 * 1024;
 constexpr int kVersion11 = 11;
 // The kernel closes a connection if sent bytes stay unacknowledged this long.
 constexpr unsigned kTcpUserTimeoutMillis = 2500;
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -210,11 +210,41 @@
   }
 }
 
+// Closes a connection that has not sent a frame within this time.
+constexpr Duration kFirstFrameTimeout = std::chrono::seconds(3);
+// Connections without a frame. The largest known fleet has 83 instances.
+constexpr size_t kMaxUnknownPeers = 128;
+
+// Counts a connection that has not sent a frame during its lifetime.
+class UnknownPeer {
+ public:
+  explicit UnknownPeer(size_t& counted) : count(counted) { ++this->count; }
+  ~UnknownPeer() { --this->count; }
+  UnknownPeer(const UnknownPeer&) = delete;
+  UnknownPeer& operator=(const UnknownPeer&) = delete;
+
+ private:
+  size_t& count;
+};
+
 Task<> ServePeer(Node& node, PeerSocketPtr peer) {
+  auto unknown = std::make_shared<UnknownPeer>(node.unknown_peers);
   // GCC 12 destroys a lambda twice if it is created inside a co_await.
   std::function<void(const pb::NodeFrame&)> on_frame =
-      [&node, peer](const pb::NodeFrame& frame) { OnFrame(node, peer, frame); };
-  co_await ReadFrames(peer, std::move(on_frame));
+      [&node, peer,
+       held = std::move(unknown)](const pb::NodeFrame& frame) mutable {
+        held.reset();
+        OnFrame(node, peer, frame);
+      };
+  co_await ReadFrames(peer, std::move(on_frame), kMaxFirstFrameBytes);
+}
+
+Task<> CloseIfUnknown(Node& node, std::weak_ptr<PeerSocket> weak) {
+  co_await Sleep(node.io, kFirstFrameTimeout);
+  if (const PeerSocketPtr peer = weak.lock();
+      peer != nullptr && !peer->has_sent_frame) {
+    ClosePeer(peer);
+  }
 }
 
 }  // namespace
@@ -227,7 +257,14 @@
   while (true) {
     auto peer = std::make_shared<PeerSocket>(node.io);
     co_await acceptor.async_accept(peer->socket, Into(error));
-    if (!error) {
+    if (error) {
+      constexpr Duration kPause = std::chrono::milliseconds(20);
+      co_await Sleep(node.io, kPause);
+      continue;
+    }
+    if (node.unknown_peers < kMaxUnknownPeers) {
+      std::weak_ptr<PeerSocket> weak = peer;
+      Spawn(node.io, CloseIfUnknown(node, std::move(weak)));
       Spawn(node.io, ServePeer(node, std::move(peer)));
     }
   }
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -13,8 +13,9 @@
 
 namespace {
 
-constexpr uint32_t kMaxFrameBytes = 64 * 1024 * 1024;
-constexpr size_t kMaxQueuedBytes = 64UL * 1024 * 1024;
+// Of one connection. An answer of the store is the largest frame, and the
+// smallest machine has 88 MB.
+constexpr size_t kMaxQueuedBytes = 24UL * 1024 * 1024;
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long.
 constexpr unsigned kTcpUserTimeoutMillis = 1500;
@@ -94,7 +95,8 @@
 }
 
 Task<> ReadFrames(PeerSocketPtr peer,
-                  std::function<void(const pb::NodeFrame&)> on_frame) {
+                  std::function<void(const pb::NodeFrame&)> on_frame,
+                  uint32_t first_limit) {
   ErrorCode error;
   setsockopt(peer->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &kTcpUserTimeoutMillis, sizeof(kTcpUserTimeoutMillis));
@@ -112,7 +114,7 @@
     while (bytes.size() - used >= kFrameLengthBytes) {
       const uint32_t size = boost::endian::load_big_u32(
           reinterpret_cast<const unsigned char*>(bytes.data() + used));
-      if (size > kMaxFrameBytes) {
+      if (size > (peer->has_sent_frame ? kMaxFrameBytes : first_limit)) {
         ClosePeer(peer);
         co_return;
       }
@@ -126,6 +128,7 @@
         co_return;
       }
       used += kFrameLengthBytes + size;
+      peer->has_sent_frame = true;
       on_frame(frame);
     }
     bytes.erase(0, used);
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -165,6 +165,10 @@
       call->isolation = nullptr;  // the next suspect may begin there
     }
     std::string piece = RecordRelayed(*call, relay, events);
+    if (call->route->retained) {
+      // Without memory the turn goes on: its output is at most one record.
+      call->caller->memory->Add(piece.size());
+    }
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
                            attempt.head.headers);
@@ -383,6 +387,16 @@
     call->preferred_endpoint = relay.permit.grant.endpoint();
     relay.body = relay.permit.grant.history();
   }
+  // The history and the input are held twice: one copy is sent to endpoints,
+  // the other is recorded at the end.
+  if (HeldMemory* memory = call->caller->memory.get();
+      memory != nullptr &&
+      !memory->Add(2 * relay.body.size() + call->request.body.size())) {
+    RecordCallerLimit(node, *call->caller, "memory");
+    ReportAbortedTurn(node, *call, relay);
+    co_await Refuse(node, call, kNoMemory);
+    co_return;
+  }
   relay.body += call->request.body;
   if (call->caller->disconnected) {
     ReportAbortedTurn(node, *call, relay);
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -157,6 +157,11 @@
   co_return false;
 }
 
+std::string RawAnswerOf(EndpointStandin& endpoint) {
+  const std::lock_guard lock(endpoint.mutex);
+  return endpoint.raw_answer;
+}
+
 StandinResponse Plain(const EndpointStandin& endpoint,
                       const std::string& id,
                       std::string body) {
@@ -227,6 +232,10 @@
   if (endpoint.is_unresponsive) {
     co_return false;
   }
+  if (std::string raw = RawAnswerOf(endpoint); !raw.empty()) {
+    co_await Write(connection, std::move(raw));
+    co_return false;
+  }
   if (endpoint.endless != Endless::kNotEndless) {
     co_return co_await SendEndless(endpoint, connection, id);
   }
@@ -302,6 +311,11 @@
   }
 }
 
+void SetRawAnswer(EndpointStandin& endpoint, std::string bytes) {
+  const std::lock_guard lock(endpoint.mutex);
+  endpoint.raw_answer = std::move(bytes);
+}
+
 int RunsOf(EndpointStandin& endpoint, const std::string& id) {
   const std::lock_guard lock(endpoint.mutex);
   return endpoint.runs[id];
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -71,6 +71,7 @@
   std::atomic<int> streams{0};       // under way
   std::atomic<int> most_streams{0};  // that were under way at once
   StandinSockets sockets;
+  std::string raw_answer;           // see SetRawAnswer; guarded by `mutex`
   std::mutex mutex;                 // guards the members below
   std::map<std::string, int> runs;  // by request id
   std::vector<std::chrono::steady_clock::time_point> arrivals;  // of requests
@@ -87,6 +88,10 @@
 /// @brief Ends the endpoint's process; it starts again after `down_ms`.
 void Crash(EndpointStandin& endpoint);
 
+/// @brief Lets the endpoint send `bytes` instead of answers, and close the
+/// connection. Empty: it answers again.
+void SetRawAnswer(EndpointStandin& endpoint, std::string bytes);
+
 /// @brief Returns how many times the endpoint ran a request.
 int RunsOf(EndpointStandin& endpoint, const std::string& id);
 
--- a/src/celerykeel/testing/http_standin.h
+++ b/src/celerykeel/testing/http_standin.h
@@ -6,7 +6,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cstdint>     // for uint64_t
 #include <functional>  // for std::function
+#include <limits>      // for std::numeric_limits
 #include <memory>      // for std::shared_ptr, std::unique_ptr
 #include <vector>      // for std::vector
 
@@ -53,10 +55,13 @@
 inline Task<> ServeStandinConnection(StandinConnectionPtr connection,
                                      StandinHandler handler) {
   while (true) {
-    StandinRequest request;
+    http::request_parser<http::string_body> parser;
+    // The default is 1 MiB.
+    parser.body_limit(std::numeric_limits<uint64_t>::max());
     ErrorCode error;
-    co_await http::async_read(connection->stream, connection->buffer, request,
+    co_await http::async_read(connection->stream, connection->buffer, parser,
                               Into(error));
+    StandinRequest request = parser.release();
     if (error) {
       co_return;
     }
