node, core: endpoints are assessed by what calls to them came to

Callers waited at endpoints that were slow or failed calls while their health was good, and with many instances also at healthy ones: all instances took the endpoint that had been the least loaded up to a second ago.

core/endpoint_speed and core/endpoint_assessment: the time of calls against the median of their route, failures as a share of calls, from all instances together (NodeHeartbeat.speeds, at most 16 endpoints), halving every 1.5 s; at most a third of a service counts as slow, and gets a few probes. Calls without a subject draw two endpoints in proportion to slots / speed; a hot key's calls spread over the others from a load of 0.6 on. ChooseEndpoint moves to endpoint_rank.cc.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -47,8 +47,24 @@
   Duration isolated_until{};
   Duration runs_alone_until{};  // runs such a call until then at the latest
   std::string isolated_by;      // instance that sent the call
+  // Usual time of its calls, as a multiple of its peers'; 1: the same. Set by
+  // AssessSpeeds.
+  double speed_factor = 1;
+  // While it is slow: when this instance next sends it a call to see whether it
+  // still is, and the time between such calls.
+  Duration probe_at{};
+  Duration probe_interval{};
 };
 
+/// @brief Speed factor from which an endpoint counts as slow.
+inline constexpr double kSlowFactor = 2;
+
+/// @brief True if the endpoint is much slower than its peers, or fails calls.
+bool IsSlow(const EndpointStatus& endpoint);
+
+/// @brief Calls in flight per slot, as far as known.
+double LoadOf(const EndpointStatus& endpoint);
+
 /// @brief The endpoints of all services, by id.
 struct EndpointTable {
   std::map<std::string, EndpointStatus, std::less<>> endpoints;
@@ -131,6 +147,11 @@
   std::string_view only{};  // id of the only endpoint allowed; empty: any
   // The call may crash its endpoint: it goes where the fewest calls run.
   bool is_suspect = false;
+  // Differs between calls, so that they spread over endpoints; empty: the
+  // subject.
+  std::string_view call{};
+  // The call may be repeated, so it may try a slow endpoint again.
+  bool may_probe = false;
 };
 
 /// @brief True if an endpoint of this service and version takes new calls.
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -3,9 +3,10 @@
 #include <functional>  // for std::function
 #include <optional>    // for std::optional
 
-#include "celerykeel/node/answer_reader.h"  // for AnswerReader
-#include "celerykeel/node/call_path.h"      // for CallPtr
-#include "celerykeel/node/crash_watch.h"    // for SentRun
+#include "celerykeel/node/answer_reader.h"    // for AnswerReader
+#include "celerykeel/node/call_path.h"        // for CallPtr
+#include "celerykeel/node/crash_watch.h"      // for SentRun
+#include "celerykeel/node/endpoint_speeds.h"  // for AttemptTimer
 
 namespace celerykeel {
 
@@ -49,7 +50,8 @@
   AnswerHead head;
   AnswerHeaderValues answer;  // decoded from `head`
   std::shared_ptr<InFlight> counted;
-  std::shared_ptr<SentRun> run;  // set once sent
+  std::shared_ptr<AttemptTimer> timer;  // set once an endpoint is chosen
+  std::shared_ptr<SentRun> run;         // set once sent
   // Limit of the endpoint when it was chosen, in calls per second.
   std::optional<double> limit;
 };
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -9,6 +9,7 @@
 
 #include "celerykeel/core/deployment.h"         // for Deployment
 #include "celerykeel/core/endpoint_path.h"      // for EndpointPath
+#include "celerykeel/core/endpoint_speed.h"     // for EndpointSpeeds
 #include "celerykeel/core/endpoint_table.h"     // for EndpointTable
 #include "celerykeel/core/program_admission.h"  // for ProgramAdmission
 #include "celerykeel/core/rate_borrower.h"      // for RateBorrower
@@ -67,6 +68,12 @@
   Duration calls_end_at{};  // calls that are under way then are aborted
 };
 
+/// @brief Lines of a kind that were logged within a second.
+struct LoggedLines {
+  Duration since{};
+  uint64_t count = 0;
+};
+
 /// @brief All state of one instance. Only the thread of the event loop uses
 /// it.
 struct Node {
@@ -75,6 +82,7 @@
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
+  EndpointSpeeds speeds;
   size_t buffered_answer_bytes = 0;  // of incomplete answers
   SentRequestTable sent_requests;
   std::set<std::string> ended_isolations;   // endpoints; not reported yet
@@ -108,6 +116,7 @@
 
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
   bool catching_up = false;      // with a peer's newer configuration
+  LoggedLines speed_lines;       // on endpoints that became slow or fast
   uint64_t entries_skipped = 0;  // endpoint entries that don't decode
 
   std::set<CallerStreamPtr> callers;  // open connections
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -1,10 +1,7 @@
 #include "celerykeel/core/endpoint_table.h"
 
-#include <algorithm>  // for std::any_of, std::min, std::max
+#include <algorithm>  // for std::min, std::max
 #include <cstddef>    // for size_t
-#include <tuple>      // for std::tuple
-
-#include "celerykeel/core/rendezvous.h"  // for RendezvousWeight
 
 namespace celerykeel {
 
@@ -15,36 +12,6 @@
 constexpr uint32_t kMaxDoublings = 4;  // enough to reach kMaxAvoidance
 // Enough for several releases of the largest planned service.
 constexpr size_t kMaxDepartures = 16384;
-// Load (calls per slot) from which another endpoint is preferred to the
-// subject's last one.
-constexpr double kMaxPreferredLoad = 0.85;
-// A loaded endpoint keeps its subject unless another one has a load this much
-// lower, as a move costs reading the subject's prompt again.
-constexpr double kPreferredLoadMargin = 0.3;
-// Load from which a call that does not prefer its subject's endpoint goes to a
-// less loaded one. Below it, an endpoint in the own zone is preferred.
-constexpr double kMaxSameZoneLoad = 0.34;
-
-double Load(const EndpointStatus& endpoint) {
-  return double(endpoint.in_flight + endpoint.in_flight_from_peers) /
-         std::max(endpoint.entry.slots, 1U);
-}
-
-bool TakesWork(const EndpointTable& table,
-               const EndpointStatus& endpoint,
-               const EndpointCriteria& criteria) {
-  return endpoint.entry.service == criteria.service &&
-         (criteria.only.empty() || endpoint.entry.id == criteria.only) &&
-         !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
-         (criteria.version.empty() ||
-          endpoint.entry.version == criteria.version) &&
-         (criteria.recorded_versions == nullptr ||
-          IsVersionInUse(*criteria.recorded_versions, endpoint.entry.service,
-                         endpoint.entry.version)) &&
-         (criteria.excluded == nullptr ||
-          !criteria.excluded->contains(endpoint.entry.id));
-}
-
 // True if an entry that is removed now may reappear: the store became available
 // again less than kEntryReturnTime ago.
 bool MayReappear(const EndpointTable& table, Duration now) {
@@ -52,17 +19,16 @@
          now < *table.store_available_since + kEntryReturnTime;
 }
 
-// Returns the wait for the endpoint's rate limit; 0 if it is short enough to
-// keep the subject's last endpoint.
-Duration LimitWait(const EndpointStatus& endpoint,
-                   bool is_preferred,
-                   Duration now) {
-  const Duration wait =
-      std::max(endpoint.limited_until - now, Duration::zero());
-  return is_preferred && wait <= kPreferredLimitWait ? Duration::zero() : wait;
+}  // namespace
+
+bool IsSlow(const EndpointStatus& endpoint) {
+  return endpoint.speed_factor >= kSlowFactor;
 }
 
-}  // namespace
+double LoadOf(const EndpointStatus& endpoint) {
+  return double(endpoint.in_flight + endpoint.in_flight_from_peers) /
+         std::max(endpoint.entry.slots, 1U);
+}
 
 void RecordEntry(EndpointTable& table, const EndpointEntry& entry) {
   EndpointStatus& endpoint = table.endpoints[entry.id];
@@ -185,55 +151,4 @@
   }
 }
 
-bool TakesWork(const EndpointTable& table, const StreamOrigin& origin) {
-  const EndpointCriteria criteria{.service = origin.service,
-                                  .zone = {},
-                                  .subject = {},
-                                  .preferred = {},
-                                  .version = origin.version};
-  return std::any_of(table.endpoints.begin(), table.endpoints.end(),
-                     [&](const auto& entry) {
-                       return TakesWork(table, entry.second, criteria);
-                     });
-}
-
-// Ranks endpoints by recent failures, a lapsed entry, an isolation, the wait
-// for their rate limit, load above the limit, the subject's last endpoint or
-// the zone, and the subject's rendezvous weight, in this order. Endpoints to
-// avoid rank last instead of being excluded: if all of them fail, a call is
-// still tried at one of them.
-EndpointStatus* ChooseEndpoint(EndpointTable& table,
-                               const EndpointCriteria& criteria,
-                               Duration now) {
-  const bool prefers_subject = criteria.prefers_subject && !criteria.is_suspect;
-  const double ignored_load = criteria.is_suspect ? 0
-                              : prefers_subject   ? kMaxPreferredLoad
-                                                  : kMaxSameZoneLoad;
-  EndpointStatus* best = nullptr;
-  std::tuple<bool, bool, bool, Duration, double, bool, uint64_t> lowest;
-  for (auto& [id, endpoint] : table.endpoints) {
-    if (!TakesWork(table, endpoint, criteria)) {
-      continue;
-    }
-    const bool is_preferred = id == criteria.preferred;
-    const bool keeps_subject = prefers_subject && is_preferred;
-    const double load =
-        Load(endpoint) - (keeps_subject ? kPreferredLoadMargin : 0);
-    const std::tuple<bool, bool, bool, Duration, double, bool, uint64_t> rank{
-        endpoint.avoid_until > now,
-        endpoint.lapsed_at.has_value(),
-        criteria.is_suspect ? endpoint.runs_alone_until > now
-                            : endpoint.isolated_until > now,
-        LimitWait(endpoint, is_preferred, now),
-        load < ignored_load ? 0 : load,
-        prefers_subject ? !is_preferred : endpoint.entry.zone != criteria.zone,
-        ~RendezvousWeight(criteria.subject, id)};
-    if (best == nullptr || rank < lowest) {
-      best = &endpoint;
-      lowest = rank;
-    }
-  }
-  return best;
-}
-
 }  // namespace celerykeel
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -187,6 +187,7 @@
   attempt.version = endpoint.version;
   attempt.limit = chosen->limit;
   attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
+  attempt.timer = std::make_shared<AttemptTimer>(node, *call, endpoint.id);
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
@@ -197,6 +198,7 @@
   if (connection == nullptr) {
     if (connected.endpoint_failed) {
       RecordFailure(node.endpoints, endpoint.id, Now());
+      attempt.timer->Failed();
     }
     attempt.end = AttemptEndOfError(*call, ExchangeError::kNotConnected);
     LogAttempt(node, *call, attempt,
@@ -235,6 +237,7 @@
   }
   ++call->runs;  // decremented if the endpoint did not run it
   attempt.run = std::make_shared<SentRun>(node, endpoint, call->identity);
+  attempt.timer->Restart();
   const auto until = Until(HeadTimeout(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
   // A server may answer before it has read the complete body, so the answer is
@@ -247,6 +250,7 @@
     attempt.end = AttemptEndOfError(*call, head.error());
     if (attempt.end == AttemptEnd::kMayHaveRun) {
       RecordFailure(node.endpoints, endpoint.id, Now());
+      attempt.timer->Failed();
     }
     LogAttempt(node, *call, attempt, OutcomeOf(head.error()));
     if (head.error() == ExchangeError::kClosed) {
@@ -276,9 +280,15 @@
     Close(*connection);
     call->attempt = nullptr;
     attempt.end = AttemptEnd::kMayHaveRun;
+    attempt.timer->Failed();
     LogAttempt(node, *call, attempt, "unsealed");
     co_return attempt;
   }
+  if (attempt.head.status >= kFirstServerError) {
+    attempt.timer->Failed();
+  } else if (!attempt.head.is_event_stream) {
+    attempt.timer->Answered();
+  }
   attempt.run->Begin();
   SettleRate(node, *call);
   RecordSuccess(node.endpoints, endpoint.id);
@@ -396,6 +406,9 @@
       }
       end = AttemptEnd::kMayHaveRun;
       RecordFailure(node.endpoints, attempt.endpoint, Now());
+      if (!may_retry) {
+        attempt.timer->Failed();
+      }
     }
     if (call->caller->disconnected || end == AttemptEnd::kCallerDisconnected) {
       co_return;
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -49,7 +49,10 @@
       .only = call.isolation == nullptr ? std::string_view()
                                         : call.isolation->Endpoint(),
       .is_suspect = SuspicionOf(node.crash_watch.records, call.identity, now) !=
-                    Suspicion::kNone};
+                    Suspicion::kNone,
+      .call = header_values.id,
+      .may_probe = call.route->repeat == RepeatRule::kIdempotent &&
+                   call.tries == 0 && call.isolation == nullptr};
   return ChooseEndpoint(node.endpoints, criteria, now);
 }
 
--- a/src/celerykeel/node/endpoint_link.cc
+++ b/src/celerykeel/node/endpoint_link.cc
@@ -25,6 +25,7 @@
   for (const auto& [id, failed_at] : node.endpoint_path.failed) {
     RecordSuccess(node.endpoints, id);
   }
+  node.speeds.own.clear();
   AnnounceSoon(node);
 }
 
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -2,14 +2,15 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/node/endpoint_feed.h"  // for KnownAnnouncements
-#include "celerykeel/node/isolation.h"      // for ReportEndedIsolations
-#include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys, WriteKey
-#include "celerykeel/node/node.h"           // for Node
-#include "celerykeel/node/rate_lending.h"   // for RewriteDriftedReserves
-#include "celerykeel/node/rates.h"          // for ReportLoans
-#include "celerykeel/node/suspect_run.h"    // for ForgetSuspectRuns
+#include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/endpoint_feed.h"    // for KnownAnnouncements
+#include "celerykeel/node/endpoint_speeds.h"  // for AssessEndpoints
+#include "celerykeel/node/isolation.h"        // for ReportEndedIsolations
+#include "celerykeel/node/keyed_topic.h"      // for ReadAllKeys, WriteKey
+#include "celerykeel/node/node.h"             // for Node
+#include "celerykeel/node/rate_lending.h"     // for RewriteDriftedReserves
+#include "celerykeel/node/rates.h"            // for ReportLoans
+#include "celerykeel/node/suspect_run.h"      // for ForgetSuspectRuns
 
 namespace celerykeel {
 
@@ -76,6 +77,7 @@
       load.set_in_flight(endpoint.in_flight);
     }
   }
+  AddSpeedNews(node, beat);
   return frame;
 }
 
@@ -261,11 +263,13 @@
   Duration report_at{};
   while (true) {
     const Duration now = Now();
+    TickSpeeds(node.speeds, now);
     DialAll(node);
     if (now >= heartbeat_at) {
       heartbeat_at = now + kHeartbeatInterval;
       SendHeartbeats(node);
       SumLoads(node);
+      AssessEndpoints(node);
       ForgetLostMembers(node, now);
       DropLapsed(node.endpoints, now);
       ForgetEndedLimits(node);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -62,6 +62,12 @@
       [](const SlotHolder& holder) { return holder.instance.empty(); }));
 }
 
+size_t CountSlowEndpoints(const Node& node) {
+  return static_cast<size_t>(std::count_if(
+      node.endpoints.endpoints.begin(), node.endpoints.endpoints.end(),
+      [](const auto& entry) { return IsSlow(entry.second); }));
+}
+
 size_t CountLimitedEndpoints(const Node& node) {
   return static_cast<size_t>(std::count_if(
       node.endpoint_limits.limits.begin(), node.endpoint_limits.limits.end(),
@@ -135,6 +141,8 @@
   SetGauge(metrics, "endpoints_reached", node.endpoint_path.is_cut_off ? 0 : 1);
   SetGauge(metrics, "endpoints_limited",
            static_cast<double>(CountLimitedEndpoints(node)));
+  SetGauge(metrics, "endpoints_slow",
+           static_cast<double>(CountSlowEndpoints(node)));
   SetGauge(metrics, "entries_skipped",
            static_cast<double>(node.entries_skipped));
   SetGauge(metrics, "calls_under_way",
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -2,10 +2,11 @@
 
 #include <utility>  // for std::move
 
-#include "celerykeel/base/clock.h"          // for Now
-#include "celerykeel/node/endpoint_feed.h"  // for ApplyEndpointNews
-#include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
-#include "celerykeel/node/node.h"           // for Node
+#include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/endpoint_feed.h"    // for ApplyEndpointNews
+#include "celerykeel/node/endpoint_speeds.h"  // for ApplySpeedNews
+#include "celerykeel/node/feeds.h"            // for ReadDeploymentSoon
+#include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 #include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
@@ -64,6 +65,7 @@
   for (const pb::EndpointLoad& load : heartbeat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
   }
+  ApplySpeedNews(node, heartbeat);
   if (node.deployment == nullptr ||
       heartbeat.deployment_version() > node.deployment->version) {
     ReadDeploymentSoon(node);
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -152,6 +152,7 @@
     if (events.empty()) {
       continue;
     }
+    attempt.timer->Answered();
     if (!co_await MayDeliver(node, call, relay)) {
       co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
                                               : StreamEnd::kNotCovered;
@@ -281,6 +282,7 @@
         end = AttemptEndOfStream(stream_end);
         if (stream_end == StreamEnd::kAborted) {
           RecordFailure(node.endpoints, attempt.endpoint, Now());
+          attempt.timer->Failed();
           co_await CheckForCrash(node, attempt.run->Endpoint());
         }
         if (stream_end == StreamEnd::kNotCovered) {
