node, core: with prices, calls leave their zone when waiting costs more

Without prices a call leaves its zone by the load alone, also when waiting costs less than the bytes, and new programs ignore zones. With the settings caller_time_price and cross_zone_byte_price (default 0: as before), each instance computes for each service the share of its zone's calls that goes to each other zone (core/zone_shares), from the calls in flight and the zones that heartbeats carry already. Shares follow from the demand and the slots, which do not depend on the present share, and move in steps of at most 0.1; they return at once after a calm time. Failures, limits and isolations rank before; programs stay where they are. Metrics zone_share and zone_crossings, log line "zone shares".

zone_shares_unittest: 10 and 300 instances with knowledge up to 3 s old. With half of the slots, the zone's load stays under 0.85 and the share swings by less than 0.15; a zone that flaps each second: by less than 0.2.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -12,6 +12,7 @@
 #include "celerykeel/core/service_versions.h"  // for ServiceVersions
 #include "celerykeel/core/stream_origin.h"     // for StreamOrigin
 #include "celerykeel/core/time.h"              // for Duration, WallMillis
+#include "celerykeel/core/zone_shares.h"       // for ZoneShares
 
 namespace celerykeel {
 
@@ -152,11 +153,19 @@
   std::string_view call{};
   // The call may be repeated, so it may try a slow endpoint again.
   bool may_probe = false;
+  // Shares of the service's calls between zones, if there are prices.
+  const ZoneShares* zone_shares = nullptr;
 };
 
 /// @brief True if an endpoint of this service and version takes new calls.
 bool TakesWork(const EndpointTable& table, const StreamOrigin& origin);
 
+/// @brief True if the endpoint takes new calls now: it is not leaving, and none
+/// of the states that rank before the load keeps calls away from it.
+bool IsUsable(const EndpointTable& table,
+              const EndpointStatus& endpoint,
+              Duration now);
+
 /// @brief Chooses an endpoint; nullptr if the service has none that takes new
 /// calls and is not excluded.
 EndpointStatus* ChooseEndpoint(EndpointTable& table,
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -33,9 +33,18 @@
   InFlight(const InFlight&) = delete;
   InFlight& operator=(const InFlight&) = delete;
 
+  /// @brief Counts bytes sent to the endpoint or received from it.
+  void AddBytes(size_t more) {
+    this->bytes += more;
+    this->is_sent = true;
+  }
+
  private:
   Node& node;
   std::string endpoint;
+  Duration began_at{};
+  size_t bytes = 0;
+  bool is_sent = false;
 };
 
 /// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -27,6 +27,10 @@
   prometheus::Histogram& before_send_seconds;
   prometheus::Histogram& first_event_seconds;
   prometheus::Histogram& append_seconds;
+  // Calls sent to other zones, by service, zone and reason.
+  prometheus::Family<prometheus::Counter>& crossings;
+  // Shares of a service's calls that go to other zones, by service and zone.
+  prometheus::Family<prometheus::Gauge>& zone_shares;
   prometheus::Family<prometheus::Gauge>&
       levels;  // by name; set in RenderMetrics
 };
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -29,6 +29,7 @@
 #include "celerykeel/node/slot_host.h"          // for SlotHost
 #include "celerykeel/node/store_client.h"       // for StoreClient
 #include "celerykeel/node/version_feed.h"       // for VersionFeed
+#include "celerykeel/node/zone_traffic.h"       // for ZoneTraffic
 
 namespace celerykeel {
 
@@ -83,6 +84,7 @@
   // which then decrement their counts in these members.
   EndpointTable endpoints;
   EndpointSpeeds speeds;
+  ZoneTraffic zone_traffic;
   size_t buffered_answer_bytes = 0;  // of incomplete answers
   SentRequestTable sent_requests;
   std::set<std::string> ended_isolations;   // endpoints; not reported yet
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -6,7 +6,8 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/time.h"  // for Duration
+#include "celerykeel/core/time.h"         // for Duration
+#include "celerykeel/core/zone_shares.h"  // for ZonePrices
 
 namespace celerykeel {
 
@@ -26,6 +27,7 @@
   size_t store_record_bytes = 262144;  // max size of a record
   size_t store_call_bytes = 2097152;   // max size of a store call
   Duration stop_time{};                // from the stop signal to the kill
+  ZonePrices zone_prices;  // 0: a call leaves its zone by the load alone
 };
 
 /// @brief All errors in a settings file.
--- a/src/celerykeel/core/endpoint_rank.cc
+++ b/src/celerykeel/core/endpoint_rank.cc
@@ -1,6 +1,6 @@
-#include <algorithm>  // for std::any_of, std::partial_sort
+#include <algorithm>  // for std::any_of, std::copy_if, std::partial_sort
 #include <cmath>      // for std::log, std::exp
-#include <iterator>   // for std::ssize
+#include <iterator>   // for std::ssize, std::back_inserter
 #include <tuple>      // for std::tuple
 #include <utility>    // for std::pair
 #include <vector>     // for std::vector
@@ -31,6 +31,11 @@
 // endpoint.
 constexpr double kMinSubjectLoad = 0.6;
 constexpr double kSubjectLoadSpread = 0.6;
+// Mean load of a zone's endpoints from which calls leave it, whatever the
+// shares say: from the first for some, from the sum for all. Shares follow a
+// change only after some updates.
+constexpr double kMinFullZoneLoad = 0.9;
+constexpr double kFullZoneSpread = 0.3;
 constexpr double kMinFraction = 1e-12;  // has a logarithm
 // How strongly the load of an endpoint reduces its share of the calls. Old
 // loads make the shares of all instances swing together if this is much higher.
@@ -151,23 +156,54 @@
   return best == nullptr || LoadOf(*best) >= full ? nullptr : best;
 }
 
-// Returns the candidates in the own zone, or all of them if there is none or
-// the zone's load is high. The load from which it counts as high differs from
-// call to call, so that calls leave and return gradually.
-Candidates NearCandidates(const Candidates& candidates,
-                          const EndpointCriteria& criteria) {
+Candidates InZone(const Candidates& candidates, std::string_view zone) {
   Candidates near;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
+               [zone](const EndpointStatus* endpoint) {
+                 return endpoint->entry.zone == zone;
+               });
+  return near;
+}
+
+// Returns the candidates in the zone that the call should go to, or all of them
+// if there is none or the zone's load is high. The load from which it counts as
+// high differs from call to call, so that calls leave and return gradually.
+Candidates InZoneOfCall(const Candidates& candidates,
+                        const EndpointCriteria& criteria) {
+  const ZoneShares* shares = criteria.zone_shares;
+  if (shares == nullptr && criteria.prefers_subject) {
+    return candidates;
+  }
+  Candidates near;
+  if (shares != nullptr) {
+    // All new calls on a subject go to the same zone.
+    const double draw =
+        criteria.prefers_subject
+            ? FractionOfHash(RendezvousWeight(criteria.subject, criteria.zone))
+            : Draw(criteria, criteria.zone);
+    near = InZone(candidates, ZoneOfCall(*shares, criteria.zone, draw));
+  }
+  if (near.empty()) {
+    near = InZone(candidates, criteria.zone);
+  }
   double load = 0;
-  for (EndpointStatus* endpoint : candidates) {
-    if (endpoint->entry.zone == criteria.zone) {
-      near.push_back(endpoint);
-      load += WeightedLoad(*endpoint);
-    }
+  for (const EndpointStatus* endpoint : near) {
+    load += WeightedLoad(*endpoint);
   }
-  const double high = kMaxSameZoneLoad * (1 + Draw(criteria, criteria.zone));
+  const double high =
+      shares != nullptr
+          ? kMinFullZoneLoad + kFullZoneSpread * Draw(criteria, "")
+          : kMaxSameZoneLoad * (1 + Draw(criteria, ""));
   return load < high * double(near.size()) ? near : candidates;
 }
 
+bool Contains(const Candidates& candidates, std::string_view id) {
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [id](const EndpointStatus* endpoint) {
+                       return endpoint->entry.id == id;
+                     });
+}
+
 // Returns the part of the calls that an endpoint should get, relative to the
 // others. An endpoint that is slow gets little more than probes, unless the
 // others are full.
@@ -214,6 +250,14 @@
                      });
 }
 
+bool IsUsable(const EndpointTable& table,
+              const EndpointStatus& endpoint,
+              Duration now) {
+  return !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
+         !endpoint.lapsed_at && endpoint.avoid_until <= now &&
+         endpoint.isolated_until <= now && endpoint.limited_until <= now;
+}
+
 // Ranks endpoints by recent failures, a lapsed entry, an isolation and the wait
 // for their rate limit, in this order. Endpoints to avoid rank last instead of
 // being excluded: if all of them fail, a call is still tried at one of them.
@@ -243,17 +287,22 @@
     return nullptr;
   }
   const bool prefers_subject = criteria.prefers_subject && !criteria.is_suspect;
-  if (criteria.is_suspect || (prefers_subject && !criteria.preferred.empty())) {
+  // With prices, a program that has lost its endpoint counts as a new one.
+  const bool has_endpoint = criteria.zone_shares == nullptr
+                                ? !criteria.preferred.empty()
+                                : Contains(equals, criteria.preferred);
+  if (criteria.is_suspect || (prefers_subject && has_endpoint)) {
     return LeastLoaded(equals, criteria);
   }
   if (EndpointStatus* probed = ChooseToProbe(equals, criteria, now)) {
     return probed;
   }
+  const Candidates near = InZoneOfCall(equals, criteria);
   if (prefers_subject) {
-    EndpointStatus* chosen = ChooseBySubject(equals, criteria);
-    return chosen != nullptr ? chosen : ChooseOfTwo(equals, criteria);
+    EndpointStatus* chosen = ChooseBySubject(near, criteria);
+    return chosen != nullptr ? chosen : ChooseOfTwo(near, criteria);
   }
-  return ChooseOfTwo(NearCandidates(equals, criteria), criteria);
+  return ChooseOfTwo(near, criteria);
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/core/endpoint_table_unittest.cc
+++ b/src/celerykeel/core/endpoint_table_unittest.cc
@@ -91,6 +91,47 @@
   }
 }
 
+// Guards against shares between zones that override a failure or a limit, or
+// move a program from the endpoint that has read its prompt.
+TEST_CASE("shares between zones: what ranks first, and where programs stay") {
+  EndpointTable table;
+  for (const char* id : {"a1", "a2", "b1", "b2"}) {
+    EndpointEntry entry = Entry(id, std::string(id) + ":5", 1700);
+    entry.zone = entry.id.substr(0, 1);
+    RecordEntry(table, entry);
+  }
+  ZoneShares shares;
+  EndpointCriteria criteria{
+      .service = "s", .zone = "a", .subject = "p", .preferred = {}};
+  criteria.zone_shares = &shares;
+  const auto zone = [&] {
+    return ChooseEndpoint(table, criteria, kNow)->entry.zone;
+  };
+  CHECK(zone() == "a");
+  shares.shares["b"] = 1;
+  CHECK(zone() == "b");
+  RecordFailure(table, "b1", kNow);
+  RecordLimitedUntil(table, "b2", kNow + seconds(1));
+  CHECK(zone() == "a");
+  CHECK_FALSE(IsUsable(table, table.endpoints["b2"], kNow));
+
+  criteria.prefers_subject = true;
+  criteria.preferred = "a2";
+  CHECK(ChooseEndpoint(table, criteria, kNow)->entry.id == "a2");
+  criteria.preferred = "gone";
+  shares.shares.clear();
+  CHECK(zone() == "a");
+
+  SUBCASE("a zone that is full is left whatever the shares say") {
+    table.endpoints["a1"].in_flight = 40;
+    table.endpoints["a2"].in_flight = 40;
+    RecordSuccess(table, "b1");
+    RecordLimitedUntil(table, "b2", {});
+    criteria.prefers_subject = false;
+    CHECK(zone() == "b");
+  }
+}
+
 TEST_CASE("an endpoint whose rate limit is used up is the last choice") {
   EndpointTable table;
   RecordEntry(table, Entry("e1", "1.2.3.4:5", 1700));
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -12,6 +12,7 @@
 #include "celerykeel/node/endpoint_link.h"    // for ConnectToEndpoint
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/suspect_run.h"      // for PrepareSuspect
+#include "celerykeel/node/zone_traffic.h"     // for RecordServiceCall
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
 namespace celerykeel {
@@ -152,7 +153,7 @@
 }  // namespace
 
 InFlight::InFlight(Node& counting_node, std::string endpoint_id)
-    : node(counting_node), endpoint(std::move(endpoint_id)) {
+    : node(counting_node), endpoint(std::move(endpoint_id)), began_at(Now()) {
   if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
       found != this->node.endpoints.endpoints.end()) {
     ++found->second.in_flight;
@@ -164,6 +165,10 @@
       found != this->node.endpoints.endpoints.end() &&
       found->second.in_flight > 0) {
     --found->second.in_flight;
+    if (this->is_sent) {
+      RecordServiceCall(this->node.zone_traffic, found->second.entry.service,
+                        Now() - this->began_at, this->bytes);
+    }
   }
 }
 
@@ -238,6 +243,8 @@
   ++call->runs;  // decremented if the endpoint did not run it
   attempt.run = std::make_shared<SentRun>(node, endpoint, call->identity);
   attempt.timer->Restart();
+  attempt.counted->AddBytes(body.size());
+  CountCrossing(node, endpoint, endpoint.id == call->preferred_endpoint);
   const auto until = Until(HeadTimeout(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
   // A server may answer before it has read the complete body, so the answer is
@@ -319,6 +326,7 @@
       body = tl::unexpected(ExchangeError::kClosed);
     }
   }
+  attempt.counted->AddBytes(body ? body->size() : 0);
   if (!body) {
     if (connection != nullptr) {
       Close(*connection);
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -52,7 +52,8 @@
                     Suspicion::kNone,
       .call = header_values.id,
       .may_probe = call.route->repeat == RepeatRule::kIdempotent &&
-                   call.tries == 0 && call.isolation == nullptr};
+                   call.tries == 0 && call.isolation == nullptr,
+      .zone_shares = ZoneSharesOf(node, call.service)};
   return ChooseEndpoint(node.endpoints, criteria, now);
 }
 
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -11,6 +11,7 @@
 #include "celerykeel/node/rate_lending.h"     // for RewriteDriftedReserves
 #include "celerykeel/node/rates.h"            // for ReportLoans
 #include "celerykeel/node/suspect_run.h"      // for ForgetSuspectRuns
+#include "celerykeel/node/zone_traffic.h"     // for UpdateZoneTraffic
 
 namespace celerykeel {
 
@@ -270,6 +271,7 @@
       SendHeartbeats(node);
       SumLoads(node);
       AssessEndpoints(node);
+      UpdateZoneTraffic(node);
       ForgetLostMembers(node, now);
       DropLapsed(node.endpoints, now);
       ForgetEndedLimits(node);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -98,6 +98,13 @@
                              "append",
                              "From a slot's append to its acknowledgement.",
                              ShortTimeBuckets())),
+      crossings(Counters(this->registry,
+                         "zone_crossings",
+                         "Calls sent to endpoints in other zones.")),
+      zone_shares(prometheus::BuildGauge()
+                      .Name("celerykeel_zone_share")
+                      .Help("Share of a service's calls for another zone.")
+                      .Register(this->registry)),
       levels(prometheus::BuildGauge()
                  .Name("celerykeel_level")
                  .Help("State of the moment, by what it is of.")
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -47,6 +47,11 @@
     return value;
   }
 
+  double OptionalNumber(const char* name, double lowest, double highest) const {
+    return this->settings.contains(name) ? this->Number(name, lowest, highest)
+                                         : lowest;
+  }
+
   Duration Seconds(const char* name) const {
     constexpr double kMaxSeconds = 24 * 3600.0;
     return Duration(
@@ -86,6 +91,16 @@
   options.store_call_bytes = static_cast<size_t>(
       read.Number("store_call_bytes", 1024, kMaxStoreBytes));
   options.stop_time = read.Seconds("stop_s");
+  constexpr double kMaxPrice = 1e6;
+  options.zone_prices = {.per_gigabyte = read.OptionalNumber(
+                             "cross_zone_byte_price", 0, kMaxPrice),
+                         .per_caller_second = read.OptionalNumber(
+                             "caller_time_price", 0, kMaxPrice)};
+  if (options.zone_prices.per_gigabyte > 0 &&
+      options.zone_prices.per_caller_second <= 0) {
+    invalid.errors.emplace_back(
+        "cross_zone_byte_price: needs a caller_time_price above 0");
+  }
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
   }
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -167,6 +167,7 @@
       call->isolation = nullptr;  // the next suspect may begin there
     }
     std::string piece = RecordRelayed(*call, relay, events);
+    attempt.counted->AddBytes(piece.size());
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
                            attempt.head.headers);
