core: failures that all endpoints of a service share make none slow

Requests that fail at each endpoint (for example a caller's requests that end in 500) raised the factor of all endpoints of the service, a third of them to slow. The lower quartile of the failure shares is now the usual one. Only endpoints whose mean deviates by 1.25 are reported, as skewed times made sums deviate. "requests that fail everywhere make no endpoint slow" failed before.

--- a/include/celerykeel/core/endpoint_speed.h
+++ b/include/celerykeel/core/endpoint_speed.h
@@ -6,6 +6,7 @@
 #include <map>          // for std::map
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
+#include <tuple>        // for std::tie
 #include <vector>       // for std::vector
 
 #include "celerykeel/core/endpoint_table.h"  // for EndpointTable
@@ -40,7 +41,11 @@
   std::string route;
   // The endpoint has read the subject's prompt before, or should have.
   bool is_preferred = false;
-  auto operator<=>(const RouteKey&) const = default;
+
+  bool operator<(const RouteKey& other) const {
+    return std::tie(this->service, this->route, this->is_preferred) <
+           std::tie(other.service, other.route, other.is_preferred);
+  }
 };
 
 /// @brief A call that has no answer yet.
--- a/src/celerykeel/core/endpoint_assessment.cc
+++ b/src/celerykeel/core/endpoint_assessment.cc
@@ -42,13 +42,23 @@
   return samples.timed <= 0 ? 0 : samples.log_ratios / samples.timed;
 }
 
-double FactorOf(const SpeedSamples& samples, double centre) {
-  double factor = std::exp((MeanLogRatio(samples) - centre) * samples.timed /
-                           (samples.timed + kPriorCalls));
+double FailureShare(const SpeedSamples& samples) {
+  return samples.failures / (samples.calls + kPriorCalls);
+}
+
+// What is usual for the endpoints of a service.
+struct Centre {
+  double log_ratio = 0;
+  double failure_share = 0;
+};
+
+double FactorOf(const SpeedSamples& samples, const Centre& centre) {
+  double factor = std::exp((MeanLogRatio(samples) - centre.log_ratio) *
+                           samples.timed / (samples.timed + kPriorCalls));
   if (factor < kMinDeviation && factor > 1 / kMinDeviation) {
     factor = 1;
   }
-  const double share = samples.failures / (samples.calls + kPriorCalls);
+  const double share = FailureShare(samples) - centre.failure_share;
   if (samples.failures >= kMinFailures && share >= kMinFailureShare) {
     factor *= 1 + kFailureWeight * share;
   }
@@ -58,23 +68,32 @@
 // Endpoints of one service, with the samples of all instances.
 using ServiceSamples = std::vector<std::pair<EndpointStatus*, SpeedSamples>>;
 
-// Returns the median of the endpoints' mean log ratios. Samples of all
-// endpoints may be skewed in the same way, for example since all of them became
-// slower while the routes' medians still are of the time before.
-double CentreOf(const ServiceSamples& service) {
+double Quantile(std::vector<double>& values, size_t divisor) {
+  const auto at =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / divisor);
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
+// Returns the median of the endpoints' mean log ratios, and the lower quartile
+// of their failures. Samples of all endpoints may be skewed in the same way:
+// all became slower while the routes' medians still are of the time before, or
+// some callers send requests that fail everywhere.
+Centre CentreOf(const ServiceSamples& service) {
   std::vector<double> means;
+  std::vector<double> failures;
   for (const auto& [endpoint, samples] : service) {
     if (samples.timed >= kMinCentredCalls) {
       means.push_back(MeanLogRatio(samples));
     }
+    if (samples.calls >= kMinCentredCalls) {
+      failures.push_back(FailureShare(samples));
+    }
   }
-  if (means.size() < kMinCentred) {
-    return 0;
-  }
-  const auto middle =
-      means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
-  return *middle;
+  constexpr size_t kHalf = 2;
+  constexpr size_t kQuarter = 4;
+  return {means.size() < kMinCentred ? 0 : Quantile(means, kHalf),
+          failures.size() < kMinCentred ? 0 : Quantile(failures, kQuarter)};
 }
 
 // Times between the probes of this instance differ, so that instances which
@@ -104,7 +123,7 @@
                    std::string_view self,
                    size_t instances,
                    Duration now) {
-  const double centre = CentreOf(service);
+  const Centre centre = CentreOf(service);
   std::vector<double> slow;
   for (const auto& [endpoint, samples] : service) {
     if (const double factor = FactorOf(samples, centre);
--- a/src/celerykeel/core/endpoint_speed.cc
+++ b/src/celerykeel/core/endpoint_speed.cc
@@ -26,6 +26,7 @@
 // A report begins with a sum of log ratios of this size: one call that took 2.7
 // times as long as usual, or several with smaller deviations.
 constexpr double kMinReportedSum = 1;
+constexpr double kMinReportedMean = 0.22;  // of log ratios: 1.25 times
 constexpr double kMaxReported = 1e6;
 
 double Seconds(Duration duration) {
@@ -123,7 +124,8 @@
 }
 
 bool Deviates(const SpeedSamples& samples) {
-  return std::abs(samples.log_ratios) >= kMinReportedSum ||
+  return std::abs(samples.log_ratios) >=
+             std::max(kMinReportedSum, kMinReportedMean * samples.timed) ||
          samples.failures >= 1;
 }
 
@@ -206,7 +208,9 @@
 std::vector<SpeedReport> ReportSpeeds(const EndpointSpeeds& speeds,
                                       Duration now) {
   std::vector<SpeedReport> reports;
-  for (const auto& [endpoint, samples] : OwnWithOverdue(speeds, now)) {
+  for (const auto& entry : OwnWithOverdue(speeds, now)) {
+    const std::string& endpoint = entry.first;
+    const SpeedSamples& samples = entry.second;
     const bool reported = std::any_of(
         speeds.peers.begin(), speeds.peers.end(), [&](const auto& peer) {
           const auto found = peer.second.find(endpoint);
--- a/src/celerykeel/core/endpoint_speed_unittest.cc
+++ b/src/celerykeel/core/endpoint_speed_unittest.cc
@@ -279,6 +279,29 @@
   CHECK(count_slow(seconds(107)) == 0);
 }
 
+// Guards against endpoints that count as failing because some callers send
+// requests which fail at each of them.
+TEST_CASE("requests that fail everywhere make no endpoint slow") {
+  EndpointTable table;
+  EndpointSpeeds speeds;
+  std::vector<SpeedReport> reports;
+  for (const char* id : {"e1", "e2", "e3", "e4"}) {
+    RecordEntry(table, {.id = id,
+                        .service = "s",
+                        .address = "a:1",
+                        .zone = "z",
+                        .version = "v",
+                        .slots = 4,
+                        .started_at = 1});
+    reports.push_back({id, {.calls = 30, .failures = 15}});
+  }
+  RecordSpeedReports(speeds, "peer", reports, seconds(100));
+  AssessSpeeds(speeds, table, "self", 2, seconds(100));
+  for (const auto& [id, endpoint] : table.endpoints) {
+    CHECK_FALSE(IsSlow(endpoint));
+  }
+}
+
 // Guards against a process that was paused, and takes its own pause for slow
 // endpoints.
 TEST_CASE("after a pause of the process, no endpoint counts as slow") {
