node: calls that may not be repeated leave older idle connections to others

24,769 new connections were opened for 50,112 requests on one deployment. A call that may not be repeated takes only connections idle for under 300 ms, and closed all older ones of its endpoint while it looked for one. It now leaves them. Calls that may be repeated take the oldest connection that was idle for 300 ms or more, so that the fresh ones remain for the others. The bound of 300 ms is unchanged.

The effect on a deployment was not measured. A caller's disconnect no longer counts as a failure of the endpoint's answer.

--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -10,6 +10,12 @@
 
 namespace celerykeel {
 
+/// @brief A call that is not idempotent uses only a connection that was idle
+/// for less than this, as the endpoint could close a longer idle one just when
+/// the call is sent.
+inline constexpr Duration kMaxIdleUnlessIdempotent =
+    std::chrono::milliseconds(300);
+
 /// @brief Outcome of one attempt at an endpoint, up to the head of its answer.
 enum class AttemptEnd {
   kAnswered,    // the answer may be relayed
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -71,6 +71,9 @@
   std::map<std::string, std::deque<OutConnectionPtr>, std::less<>> idle;
   std::set<OutConnectionPtr> busy;  // in use by Exchange
   uint64_t opened = 0;              // connections opened since the start
+  // Uses that accept a longer idle time take the oldest connection that was
+  // idle for this long, and leave the others to uses that don't.
+  Duration spared_idle = Duration::max();
   ConnectFault fault = ConnectFault::kNone;
 };
 
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -26,9 +26,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
-// A call that is not idempotent uses only a recently used connection, as the
-// endpoint could close a longer idle one just when the call is sent.
-constexpr Duration kMaxIdleUnlessIdempotent = std::chrono::milliseconds(300);
 constexpr Duration kMaxIdleIfIdempotent = std::chrono::seconds(60);
 // Answers to earlier requests that are skipped before the call's own answer.
 constexpr int kMaxStaleAnswers = 2;
@@ -414,7 +411,7 @@
       }
       end = AttemptEnd::kMayHaveRun;
       RecordFailure(node.endpoints, attempt.endpoint, Now());
-      if (!may_retry) {
+      if (!may_retry && !call->caller->disconnected) {
         attempt.timer->Failed();
       }
     }
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -56,12 +56,25 @@
   if (found == pool.idle.end()) {
     return nullptr;
   }
+  std::deque<OutConnectionPtr>& idle = found->second;
   const Duration now = Now();
-  while (!found->second.empty()) {
-    OutConnectionPtr connection = std::move(found->second.back());
-    found->second.pop_back();
-    const Duration idle = now - connection->idle_since;
-    if (idle < std::min(max_idle, connection->idle_limit) &&
+  while (!idle.empty()) {
+    // The most recently used connection is the last one.
+    if (now - idle.back()->idle_since >= max_idle) {
+      return nullptr;  // calls that accept longer idle ones may use them
+    }
+    const bool takes_oldest =
+        max_idle > pool.spared_idle &&
+        now - idle.front()->idle_since >= pool.spared_idle;
+    OutConnectionPtr connection =
+        std::move(takes_oldest ? idle.front() : idle.back());
+    if (takes_oldest) {
+      idle.pop_front();
+    } else {
+      idle.pop_back();
+    }
+    const Duration idle_for = now - connection->idle_since;
+    if (idle_for < std::min(max_idle, connection->idle_limit) &&
         IsOpenAndIdle(*connection)) {
       connection->was_idle = true;
       return connection;
--- a/src/celerykeel/node/start.cc
+++ b/src/celerykeel/node/start.cc
@@ -3,6 +3,7 @@
 #include <random>  // for std::random_device
 
 #include "celerykeel/node/asio.h"           // for Spawn
+#include "celerykeel/node/attempts.h"       // for kMaxIdleUnlessIdempotent
 #include "celerykeel/node/caller_server.h"  // for ServeCallers
 #include "celerykeel/node/endpoint_feed.h"  // for FollowEndpoints
 #include "celerykeel/node/endpoint_link.h"  // for ProbeEndpoints
@@ -25,6 +26,7 @@
 
 void StartNode(Node& node) {
   node.incarnation = DrawIncarnation();
+  node.endpoint_pool.spared_idle = kMaxIdleUnlessIdempotent;
   node.fleet.self = node.options.instance;
   node.fleet.slots.resize(node.options.store_partitions);
   WriteLog(node.log, LogLevel::kUnusual, "started",
