--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -14,6 +14,7 @@
 #include "celerykeel/core/stream_origin.h"     // for StreamOrigin
 #include "celerykeel/core/time.h"              // for Duration, WallMillis
 #include "celerykeel/core/zone_evacuations.h"  // for ZoneEvacuations
+#include "celerykeel/core/zone_shares.h"       // for ZoneShares
 
 namespace celerykeel {
 
@@ -56,6 +57,13 @@
   std::optional<uint64_t> presumed_cold_at;
   // Sequence number of the newest entry that was used for `cold_until`.
   std::optional<uint64_t> cold_said_at;
+  // Usual time of its calls, as a multiple of its peers'; 1: the same. Set by
+  // AssessSpeeds.
+  double speed_factor = 1;
+  // While it is slow: when this instance next sends it a call to see whether it
+  // still is, and the time between such calls.
+  Duration probe_at{};
+  Duration probe_interval{};
 };
 
 /// @brief Properties of the cold endpoints of a service.
@@ -64,6 +72,15 @@
   Duration after_start{};
 };
 
+/// @brief Speed factor from which an endpoint counts as slow.
+inline constexpr double kSlowFactor = 2;
+
+/// @brief True if the endpoint is much slower than its peers, or fails calls.
+bool IsSlow(const EndpointStatus& endpoint);
+
+/// @brief Calls in flight per slot, as far as known.
+double LoadOf(const EndpointStatus& endpoint);
+
 /// @brief The endpoints of all services, by id.
 struct EndpointTable {
   std::map<std::string, EndpointStatus, std::less<>> endpoints;
@@ -151,6 +168,13 @@
   // The call may crash its endpoint: it goes where the fewest calls run.
   bool is_suspect = false;
   RegionLimits regions{};
+  // Differs between calls, so that they spread over endpoints; empty: the
+  // subject.
+  std::string_view call{};
+  // The call may be repeated, so it may try a slow endpoint again.
+  bool may_probe = false;
+  // Shares of the service's calls between zones, if there are prices.
+  const ZoneShares* zone_shares = nullptr;
 };
 
 /// @brief True if the service has endpoints that take calls, and all of them
@@ -160,6 +184,12 @@
 /// @brief True if an endpoint of this service and version takes new calls.
 bool TakesWork(const EndpointTable& table, const StreamOrigin& origin);
 
+/// @brief True if the endpoint takes new calls now: it is not leaving, and none
+/// of the states that rank before the load keeps calls away from it.
+bool IsUsable(const EndpointTable& table,
+              const EndpointStatus& endpoint,
+              Duration now);
+
 /// @brief Chooses an endpoint; nullptr if the service has none that takes new
 /// calls and is not excluded.
 EndpointStatus* ChooseEndpoint(EndpointTable& table,
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -3,12 +3,19 @@
 #include <functional>  // for std::function
 #include <optional>    // for std::optional
 
-#include "celerykeel/node/answer_reader.h"  // for AnswerReader
-#include "celerykeel/node/call_path.h"      // for CallPtr
-#include "celerykeel/node/crash_watch.h"    // for SentRun
+#include "celerykeel/node/answer_reader.h"    // for AnswerReader
+#include "celerykeel/node/call_path.h"        // for CallPtr
+#include "celerykeel/node/crash_watch.h"      // for SentRun
+#include "celerykeel/node/endpoint_speeds.h"  // for AttemptTimer
 
 namespace celerykeel {
 
+/// @brief A call that is not idempotent uses only a connection that was idle
+/// for less than this, as the endpoint could close a longer idle one just when
+/// the call is sent.
+inline constexpr Duration kMaxIdleUnlessIdempotent =
+    std::chrono::milliseconds(300);
+
 /// @brief Outcome of one attempt at an endpoint, up to the head of its answer.
 enum class AttemptEnd {
   kAnswered,    // the answer may be relayed
@@ -32,9 +39,18 @@
   InFlight(const InFlight&) = delete;
   InFlight& operator=(const InFlight&) = delete;
 
+  /// @brief Counts bytes sent to the endpoint or received from it.
+  void AddBytes(size_t more) {
+    this->bytes += more;
+    this->is_sent = true;
+  }
+
  private:
   Node& node;
   std::string endpoint;
+  Duration began_at{};
+  size_t bytes = 0;
+  bool is_sent = false;
 };
 
 /// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
@@ -49,7 +65,8 @@
   AnswerHead head;
   AnswerHeaderValues answer;  // decoded from `head`
   std::shared_ptr<InFlight> counted;
-  std::shared_ptr<SentRun> run;  // set once sent
+  std::shared_ptr<AttemptTimer> timer;  // set once an endpoint is chosen
+  std::shared_ptr<SentRun> run;         // set once sent
   // Limit of the endpoint when it was chosen, in calls per second.
   std::optional<double> limit;
 };
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -8,6 +8,7 @@
 
 #include "celerykeel/core/region_limits.h"  // for ZoneRegions
 #include "celerykeel/core/time.h"           // for Duration
+#include "celerykeel/core/zone_shares.h"    // for ZonePrices
 
 namespace celerykeel {
 
@@ -33,6 +34,7 @@
   size_t max_descriptors = 3075;             // of the process
   size_t min_body_bytes_per_second = 16384;  // of a request's body
   size_t max_header_fields = 500;            // of a request
+  ZonePrices zone_prices;  // 0: a call leaves its zone by the load alone
 };
 
 /// @brief All errors in a settings file.
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -14,6 +14,7 @@
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/regions.h"          // for MayCarryBody
 #include "celerykeel/node/suspect_run.h"      // for PrepareSuspect
+#include "celerykeel/node/zone_traffic.h"     // for RecordServiceCall
 #include "platform/headers.h"                 // for platform::EncodeAttempt
 
 namespace celerykeel {
@@ -27,9 +28,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
-// A call that is not idempotent uses only a recently used connection, as the
-// endpoint could close a longer idle one just when the call is sent.
-constexpr Duration kMaxIdleUnlessIdempotent = std::chrono::milliseconds(300);
 constexpr Duration kMaxIdleIfIdempotent = std::chrono::seconds(60);
 // Answers to earlier requests that are skipped before the call's own answer.
 constexpr int kMaxStaleAnswers = 2;
@@ -154,7 +152,7 @@
 }  // namespace
 
 InFlight::InFlight(Node& counting_node, std::string endpoint_id)
-    : node(counting_node), endpoint(std::move(endpoint_id)) {
+    : node(counting_node), endpoint(std::move(endpoint_id)), began_at(Now()) {
   if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
       found != this->node.endpoints.endpoints.end()) {
     ++found->second.in_flight;
@@ -166,6 +164,10 @@
       found != this->node.endpoints.endpoints.end() &&
       found->second.in_flight > 0) {
     --found->second.in_flight;
+    if (this->is_sent) {
+      RecordServiceCall(this->node.zone_traffic, found->second.entry.service,
+                        Now() - this->began_at, this->bytes);
+    }
   }
 }
 
@@ -189,6 +191,7 @@
   attempt.version = endpoint.version;
   attempt.limit = chosen->limit;
   attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
+  attempt.timer = std::make_shared<AttemptTimer>(node, *call, endpoint.id);
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
@@ -203,6 +206,7 @@
   if (connection == nullptr) {
     if (connected.endpoint_failed) {
       RecordFailure(node.endpoints, endpoint.id, Now());
+      attempt.timer->Failed();
     }
     if (connected.refused) {
       PresumeCold(node.endpoints, endpoint.id);  // it may be about to restart
@@ -251,6 +255,9 @@
   }
   ++call->runs;  // decremented if the endpoint did not run it
   attempt.run = std::make_shared<SentRun>(node, endpoint, call->identity);
+  attempt.timer->Restart();
+  attempt.counted->AddBytes(body.size());
+  CountCrossing(node, endpoint, endpoint.id == call->preferred_endpoint);
   const auto until = Until(HeadTimeout(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
   // A server may answer before it has read the complete body, so the answer is
@@ -263,6 +270,7 @@
     attempt.end = AttemptEndOfError(*call, head.error());
     if (attempt.end == AttemptEnd::kMayHaveRun) {
       RecordFailure(node.endpoints, endpoint.id, Now());
+      attempt.timer->Failed();
     }
     LogAttempt(node, *call, attempt, OutcomeOf(head.error()));
     if (head.error() == ExchangeError::kClosed) {
@@ -292,9 +300,15 @@
     Close(*connection);
     call->attempt = nullptr;
     attempt.end = AttemptEnd::kMayHaveRun;
+    attempt.timer->Failed();
     LogAttempt(node, *call, attempt, "unsealed");
     co_return attempt;
   }
+  if (attempt.head.status >= kFirstServerError) {
+    attempt.timer->Failed();
+  } else if (!attempt.head.is_event_stream) {
+    attempt.timer->Answered();
+  }
   attempt.run->Begin();
   SettleRate(node, *call);
   RecordSuccess(node.endpoints, endpoint.id);
@@ -325,6 +339,7 @@
       body = tl::unexpected(ExchangeError::kClosed);
     }
   }
+  attempt.counted->AddBytes(body ? body->size() : 0);
   if (!body) {
     if (connection != nullptr) {
       Close(*connection);
@@ -426,6 +441,9 @@
       }
       end = AttemptEnd::kMayHaveRun;
       RecordFailure(node.endpoints, attempt.endpoint, Now());
+      if (!may_retry && !call->caller->disconnected) {
+        attempt.timer->Failed();
+      }
     }
     if (call->caller->disconnected || end == AttemptEnd::kCallerDisconnected) {
       co_return;
--- a/src/celerykeel/node/endpoint_choice.cc
+++ b/src/celerykeel/node/endpoint_choice.cc
@@ -54,7 +54,11 @@
                                         : call.isolation->Endpoint(),
       .is_suspect = SuspicionOf(node.crash_watch.records, call.identity, now) !=
                     Suspicion::kNone,
-      .regions = RegionLimitsOf(node, call)};
+      .regions = RegionLimitsOf(node, call),
+      .call = header_values.id,
+      .may_probe = call.route->repeat == RepeatRule::kIdempotent &&
+                   call.tries == 0 && call.isolation == nullptr,
+      .zone_shares = ZoneSharesOf(node, call.service)};
   return ChooseEndpoint(node.endpoints, criteria, now);
 }
 
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -70,6 +70,12 @@
       }));
 }
 
+size_t CountSlowEndpoints(const Node& node) {
+  return static_cast<size_t>(std::count_if(
+      node.endpoints.endpoints.begin(), node.endpoints.endpoints.end(),
+      [](const auto& entry) { return IsSlow(entry.second); }));
+}
+
 size_t CountLimitedEndpoints(const Node& node) {
   return static_cast<size_t>(std::count_if(
       node.endpoint_limits.limits.begin(), node.endpoint_limits.limits.end(),
@@ -121,6 +127,13 @@
                              "append",
                              "From a slot's append to its acknowledgement.",
                              ShortTimeBuckets())),
+      crossings(Counters(this->registry,
+                         "zone_crossings",
+                         "Calls sent to endpoints in other zones.")),
+      zone_shares(prometheus::BuildGauge()
+                      .Name("celerykeel_zone_share")
+                      .Help("Share of a service's calls for another zone.")
+                      .Register(this->registry)),
       levels(prometheus::BuildGauge()
                  .Name("celerykeel_level")
                  .Help("State of the moment, by what it is of.")
@@ -180,6 +193,8 @@
            static_cast<double>(CountColdEndpoints(node, now)));
   SetGauge(metrics, "zones_evacuated",
            static_cast<double>(CountEvacuatedZones(node)));
+  SetGauge(metrics, "endpoints_slow",
+           static_cast<double>(CountSlowEndpoints(node)));
   SetGauge(metrics, "entries_skipped",
            static_cast<double>(node.entries_skipped));
   SetGauge(metrics, "caller_connections",
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -5,6 +5,7 @@
 #include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/node/deployment_copy.h"  // for GiveDeployment
 #include "celerykeel/node/endpoint_feed.h"    // for ApplyEndpointNews
+#include "celerykeel/node/endpoint_speeds.h"  // for ApplySpeedNews
 #include "celerykeel/node/feeds.h"            // for GetDeploymentSoon
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/operator_feed.h"    // for ApplyOperatorNews
@@ -79,6 +80,7 @@
   for (const pb::EndpointLoad& load : heartbeat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
   }
+  ApplySpeedNews(node, heartbeat);
   if (heartbeat.has_evacuations_digest() &&
       heartbeat.evacuations_digest() != DigestOf(node.endpoints.evacuations)) {
     SendEvacuations(node, heartbeat.instance());
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -151,6 +151,7 @@
     if (events.empty()) {
       continue;
     }
+    attempt.timer->Answered();
     if (!co_await MayDeliver(node, call, relay)) {
       co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
                                               : StreamEnd::kNotCovered;
@@ -169,6 +170,7 @@
       // Without memory the turn goes on: its output is at most one record.
       call->caller->memory->Add(piece.size());
     }
+    attempt.counted->AddBytes(piece.size());
     if (!call->caller->head_sent) {
       co_await BeginStream(call->caller, attempt.head.status,
                            attempt.head.headers);
@@ -288,6 +290,7 @@
         end = AttemptEndOfStream(stream_end);
         if (stream_end == StreamEnd::kAborted) {
           RecordFailure(node.endpoints, attempt.endpoint, Now());
+          attempt.timer->Failed();
           co_await CheckForCrash(node, attempt.run->Endpoint());
         }
         if (stream_end == StreamEnd::kNotCovered) {
