core: turns wait for the store unless it will not return in their time

Turns were refused after 0.6 s whenever the store was expected after a third of their time, and a program fails with the third refusal. Not measured yet on its own.

--- a/include/celerykeel/core/outage_estimate.h
+++ b/include/celerykeel/core/outage_estimate.h
@@ -41,9 +41,10 @@
 Duration ExpectedOutageLeft(const OutageEstimate& estimate, Duration now);
 
 /// @brief Returns how long a call waits for the store before it is refused: a
-/// third of its time if the store is expected back by then. Otherwise it is
-/// refused after the first probes at the latest, so that its caller has time
-/// for a retry.
+/// third of its time. A program fails with the third failure of a turn, so a
+/// turn that waits bridges a longer outage than one that is refused at once. If
+/// earlier outages show that the store will not return within the caller's time,
+/// the call is refused after the first probes.
 /// @param time_left until the caller's deadline.
 Duration WorthwhileWait(const OutageEstimate& estimate,
                         Duration time_left,
--- a/src/celerykeel/core/endpoint_speed_unittest.cc
+++ b/src/celerykeel/core/endpoint_speed_unittest.cc
@@ -46,6 +46,7 @@
                                            .zone = "z",
                                            .version = "v",
                                            .slots = kSlots,
+                                           .warming = std::nullopt,
                                            .started_at = 1});
       }
       this->At(0.4 * this->Uniform(), [this, i] { this->Heartbeat(i); });
@@ -264,6 +265,7 @@
                         .zone = "z",
                         .version = "v",
                         .slots = 4,
+                        .warming = std::nullopt,
                         .started_at = 1});
     reports.push_back({id, {.calls = 20, .failures = e < 5 ? 18.0 : 0.0}});
   }
@@ -292,6 +294,7 @@
                         .zone = "z",
                         .version = "v",
                         .slots = 4,
+                        .warming = std::nullopt,
                         .started_at = 1});
     reports.push_back({id, {.calls = 30, .failures = 15}});
   }
@@ -313,6 +316,7 @@
                       .zone = "z",
                       .version = "v",
                       .slots = 4,
+                      .warming = std::nullopt,
                       .started_at = 1});
   EndpointStatus& endpoint = table.endpoints["e"];
   Duration now = seconds(100);
--- a/src/celerykeel/core/outage_estimate.cc
+++ b/src/celerykeel/core/outage_estimate.cc
@@ -58,7 +58,8 @@
                         Duration time_left,
                         Duration now) {
   const Duration longest = time_left / kWaitDivisor;
-  if (!estimate.began_at || ExpectedOutageLeft(estimate, now) <= longest) {
+  const bool knows_outages = estimate.began_at && estimate.count > 0;
+  if (!knows_outages || ExpectedOutageLeft(estimate, now) <= time_left) {
     return longest;
   }
   return std::clamp(estimate.noticed_at + kFirstProbes - now, Duration::zero(),
