--- a/src/celerykeel/soak/caller_limits_unittest.cc
+++ b/src/celerykeel/soak/caller_limits_unittest.cc
@@ -141,7 +141,7 @@
   EdgeProcess edge(R"(,"max_fds":400)");
   REQUIRE(edge.WaitUntilServing());
   const size_t descriptors = edge.Descriptors();
-  constexpr size_t kMostCallers = (400 - 200) / 3 * 2;
+  constexpr size_t kMostCallers = (400UL - 200) / 3 * 2;
   Crowd crowd(edge.Ip(), EdgeProcess::kCallersPort, 300, {});
   crowd.Send(1, std::chrono::milliseconds(500), [] { return false; });
   CHECK(edge.Descriptors() <= descriptors + kMostCallers + 4);
