core, node: refused callers are told when to return, and programs are known to their home

What callers saw: nine of ten answers 429 said 20 ms or less, so that a caller with one retry spent it for nothing. A program's next call at another instance was taken for a new program and refused. Calls inside the rate were refused while other instances held the tokens.

Cause: the home of a rate told the time until the next token accrues, to all callers alike; it did not know programs, only counts of them; it did not recall loans, and loans outlived a lower rate.

Change: core/team_queue keeps, for each team, the refused callers with a time of their own (core/retry_schedule) and the programs in progress (core/recent_programs), both bounded. Instances report programs to the home (ProgramsBegun). Homes recall tokens lent ahead (RateRecall), and a version with a lower rate or burst returns unreserved tokens at once. Older builds are served as before.

--- a/include/celerykeel/core/program_admission.h
+++ b/include/celerykeel/core/program_admission.h
@@ -39,6 +39,16 @@
                      Duration time_left,
                      Duration now);
 
+/// @brief Returns the time after which AdmitNewProgram would admit a program
+/// that it refused, if running programs use the full rate.
+Duration NewProgramWait(const ProgramAdmission& gate,
+                        double available_tokens,
+                        const RateLimits& limits);
+
+/// @brief Withdraws a program that AdmitNewProgram admitted and that did not
+/// begin.
+void RecordProgramNotStarted(ProgramAdmission& gate, Duration now);
+
 /// @brief Returns true if a team's level is so far below its burst that new
 /// programs need admission.
 bool IsScarce(double available_tokens, const RateLimits& limits);
--- a/include/celerykeel/core/rate_borrower.h
+++ b/include/celerykeel/core/rate_borrower.h
@@ -100,6 +100,12 @@
                                     const RateShare& share,
                                     Duration now);
 
+/// @brief Closes the granted loans of a share that no call has reserved a part
+/// of, and returns the reports for its home.
+std::vector<LoanReport> ReturnUnreserved(RateBorrower& borrower,
+                                         const RateShare& share,
+                                         Duration now);
+
 /// @brief Drops expired loans, closes loans that demand does not need or that
 /// expire soon, and reports the tokens left of the others, so that the home no
 /// longer counts used tokens as lent. Each change is returned once; the caller
--- a/include/celerykeel/core/rate_home.h
+++ b/include/celerykeel/core/rate_home.h
@@ -40,6 +40,7 @@
 /// @brief A loan as recorded by the home.
 struct OutstandingLoan {
   double tokens = 0;  // that the borrower may still hold
+  double ahead = 0;   // part of `tokens` lent ahead of requests
   Duration expires_at{};
 };
 
@@ -110,6 +111,16 @@
                 const LendingStart& start,
                 Duration now);
 
+/// @brief Returns the borrowers with the most tokens lent ahead of requests, if
+/// these and the level cover what is needed.
+/// @param level tokens that may be lent now.
+/// @param most number of borrowers returned at most.
+std::vector<Incarnation> BorrowersWithSpareTokens(
+    const RateHome& home,
+    const RequestedLoan& requested,
+    double level,
+    size_t most);
+
 /// @brief Returns the tokens available at the home at `now`, or nothing if the
 /// home has no bucket for the share.
 std::optional<double> LevelAtHome(RateHome& home,
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -24,6 +24,11 @@
   prometheus::Family<prometheus::Counter>& refusals;  // by status and reason
   prometheus::Family<prometheus::Counter>& attempts;  // by outcome
   prometheus::Family<prometheus::Counter>& turns;     // by outcome
+  // First calls of programs that homes of rates and full services decided on,
+  // by outcome.
+  prometheus::Family<prometheus::Counter>& programs;
+  prometheus::Family<prometheus::Counter>& rate_recalls;
+  prometheus::Histogram& told_seconds;  // Retry-After of refusals
   prometheus::Histogram& before_send_seconds;
   prometheus::Histogram& first_event_seconds;
   prometheus::Histogram& append_seconds;
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -6,28 +6,30 @@
 #include <optional>  // for std::optional
 #include <set>       // for std::set
 #include <string>    // for std::string
+#include <vector>    // for std::vector
 
-#include "celerykeel/core/deployment.h"         // for Deployment
-#include "celerykeel/core/endpoint_path.h"      // for EndpointPath
-#include "celerykeel/core/endpoint_table.h"     // for EndpointTable
-#include "celerykeel/core/program_admission.h"  // for ProgramAdmission
-#include "celerykeel/core/rate_borrower.h"      // for RateBorrower
-#include "celerykeel/core/rate_home.h"          // for RateHome
-#include "celerykeel/core/slot_table.h"         // for KnownFleet
-#include "celerykeel/core/spent_programs.h"     // for SpentPrograms
-#include "celerykeel/node/asio.h"               // for asio::io_context
-#include "celerykeel/node/caller_stream.h"      // for CallerStream
-#include "celerykeel/node/crash_store.h"        // for CrashStore
-#include "celerykeel/node/crash_watch.h"        // for CrashWatch
-#include "celerykeel/node/endpoint_limits.h"    // for EndpointLimitState
-#include "celerykeel/node/log_sink.h"           // for LogSink
-#include "celerykeel/node/metrics.h"            // for NodeMetrics
-#include "celerykeel/node/options.h"            // for NodeOptions
-#include "celerykeel/node/out_connection.h"     // for OutPool
-#include "celerykeel/node/peer_link.h"          // for PeerNetwork
-#include "celerykeel/node/slot_host.h"          // for SlotHost
-#include "celerykeel/node/store_client.h"       // for StoreClient
-#include "celerykeel/node/version_feed.h"       // for VersionFeed
+#include "celerykeel/core/deployment.h"       // for Deployment
+#include "celerykeel/core/endpoint_path.h"    // for EndpointPath
+#include "celerykeel/core/endpoint_table.h"   // for EndpointTable
+#include "celerykeel/core/rate_borrower.h"    // for RateBorrower
+#include "celerykeel/core/rate_home.h"        // for RateHome
+#include "celerykeel/core/recent_programs.h"  // for RecentPrograms
+#include "celerykeel/core/slot_table.h"       // for KnownFleet
+#include "celerykeel/core/spent_programs.h"   // for SpentPrograms
+#include "celerykeel/core/team_queue.h"       // for TeamQueue
+#include "celerykeel/node/asio.h"             // for asio::io_context
+#include "celerykeel/node/caller_stream.h"    // for CallerStream
+#include "celerykeel/node/crash_store.h"      // for CrashStore
+#include "celerykeel/node/crash_watch.h"      // for CrashWatch
+#include "celerykeel/node/endpoint_limits.h"  // for EndpointLimitState
+#include "celerykeel/node/log_sink.h"         // for LogSink
+#include "celerykeel/node/metrics.h"          // for NodeMetrics
+#include "celerykeel/node/options.h"          // for NodeOptions
+#include "celerykeel/node/out_connection.h"   // for OutPool
+#include "celerykeel/node/peer_link.h"        // for PeerNetwork
+#include "celerykeel/node/slot_host.h"        // for SlotHost
+#include "celerykeel/node/store_client.h"     // for StoreClient
+#include "celerykeel/node/version_feed.h"     // for VersionFeed
 
 namespace celerykeel {
 
@@ -37,11 +39,22 @@
   uint64_t deployment_version = 0;
   bool store_reached = false;
   bool opens_tunnels = false;             // reaches the endpoints
+  uint32_t rate_protocol = 0;             // see NodeHeartbeat
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
   // Set if the peer is a reader: when it read the endpoints that it reported.
   std::optional<Duration> endpoints_read_at;
 };
 
+/// @brief Refusals of a team at its home since the last log line.
+struct RefusalLog {
+  Duration logged_at{};
+  uint64_t no_token = 0;  // calls that lacked a token
+  uint64_t programs_held_back = 0;
+  uint64_t plain_held_back = 0;
+  uint64_t returned = 0;  // calls that came back when they were told to
+  Duration longest_told{};
+};
+
 /// @brief State of the team rates: loans taken as a borrower, loans given as a
 /// home, and programs in progress.
 struct TeamRateState {
@@ -53,12 +66,15 @@
   // Teams with a loan request in flight that was made ahead of need.
   std::set<std::string> loan_requests_ahead;
   // As the home, by team.
-  std::map<std::string, ProgramAdmission> program_admissions;
+  std::map<std::string, TeamQueue> queues;
+  std::map<std::string, Duration> recalled_at;  // time of the last recall
+  // Time of the last log line on refusals, by team.
+  std::map<std::string, RefusalLog> refusal_logs;
   std::map<std::string, Duration>
       scarcity_valid_until;  // by team, reported by homes
-  // Number of programs not reported to the home yet, by team.
-  std::map<std::string, uint32_t> unreported_programs;
-  std::map<ProgramName, Duration> recent_programs;  // programs served recently
+  // Hashes of programs not reported to the home yet, by team.
+  std::map<std::string, std::vector<uint64_t>> unreported_programs;
+  RecentPrograms recent_programs;  // served here
 };
 
 /// @brief The planned stop of an instance.
--- a/include/celerykeel/node/rate_lending.h
+++ b/include/celerykeel/node/rate_lending.h
@@ -4,6 +4,7 @@
 
 #include "celerykeel/core/deployment.h"  // for DeployedTeam
 #include "celerykeel/core/rate_home.h"   // for RequestedLoan, RateShare
+#include "celerykeel/core/team_queue.h"  // for TeamCall
 #include "celerykeel/node.pb.h"          // for pb::RateWish
 #include "celerykeel/node/asio.h"        // for Task
 #include "celerykeel/node/slot_host.h"   // for HeldSlotPtr
@@ -23,11 +24,10 @@
 /// contain it.
 const DeployedTeam* FindTeam(const Node& node, const std::string& name);
 
-/// @brief The state of a team's programs that a loan request reports.
+/// @brief What a loan request tells about the team's calls.
 struct ProgramsUpdate {
-  bool newcomer = false;  // the loan is for the first request of a program
-  Duration time_left{};   // of that program
-  uint32_t begun = 0;     // programs begun without asking the home
+  TeamCall call;       // that needs a token, if the request is for one
+  uint32_t begun = 0;  // programs begun without asking the home
 };
 
 /// @brief Answers a loan request of a peer or of this instance.
@@ -41,6 +41,9 @@
 /// not the home.
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish requested);
 
+/// @brief Records programs that an instance reports to this home.
+void ApplyProgramsBegun(Node& node, const pb::ProgramsBegun& begun);
+
 /// @brief Applies a borrower's report on the use of loans given here.
 void ApplyLoanReports(Node& node, const pb::RateNews& news);
 
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -18,6 +18,8 @@
 struct ProgramStart {
   bool may_begin = false;  // no sign of an earlier request
   Duration time_left{};    // until the program should finish
+  uint64_t caller = 0;     // the same for the request and its retry
+  Duration max_wait{};     // that the caller can wait before a retry
 };
 
 /// @brief Permission for one request from its team's rate.
@@ -51,8 +53,9 @@
 /// @brief Returns the permit of a request that no endpoint ran.
 void ReturnPermit(Node& node, const RatePermit& permit);
 
-/// @brief Forgets programs that were not served recently.
-void ForgetPrograms(Node& node);
+/// @brief Returns the tokens of a team that no request has reserved to its
+/// home, which can then lend them to other instances.
+void ReturnTokens(Node& node, const std::string& team);
 
 /// @brief Reports the use of loans to their homes, which can then lend returned
 /// tokens again.
--- a/src/celerykeel/core/program_admission.cc
+++ b/src/celerykeel/core/program_admission.cc
@@ -70,6 +70,18 @@
   return true;
 }
 
+Duration NewProgramWait(const ProgramAdmission& gate,
+                        double available_tokens,
+                        const RateLimits& limits) {
+  const double soon = available_tokens + limits.rate * gate.average_duration_s;
+  return AccrualTime(gate.committed + gate.tokens_per_program - soon,
+                     limits.rate);
+}
+
+void RecordProgramNotStarted(ProgramAdmission& gate, Duration now) {
+  RecordTokensUsed(gate, gate.tokens_per_program, now);
+}
+
 bool IsScarce(double available_tokens, const RateLimits& limits) {
   return available_tokens < kScarceFraction * limits.burst;
 }
--- a/src/celerykeel/core/rate_borrower.cc
+++ b/src/celerykeel/core/rate_borrower.cc
@@ -94,6 +94,21 @@
   });
 }
 
+// Closing a loan forfeits its reserved tokens, so loans with any remain.
+void CloseUnreserved(const RateShare& share,
+                     BorrowedShare& held,
+                     Duration now,
+                     std::vector<LoanReport>& reports) {
+  std::erase_if(held.loans, [&](const auto& entry) {
+    const auto& [request, loan] = entry;
+    const bool is_unreserved = IsLive(loan, now) && loan.reserved < kRounding;
+    if (is_unreserved) {
+      reports.push_back({share, request, loan.tokens, true});
+    }
+    return is_unreserved;
+  });
+}
+
 }  // namespace
 
 void RecordDemand(RateBorrower& borrower,
@@ -255,6 +270,17 @@
   return reports;
 }
 
+std::vector<LoanReport> ReturnUnreserved(RateBorrower& borrower,
+                                         const RateShare& share,
+                                         Duration now) {
+  std::vector<LoanReport> reports;
+  if (const auto found = borrower.shares.find(share);
+      found != borrower.shares.end()) {
+    CloseUnreserved(share, found->second, now, reports);
+  }
+  return reports;
+}
+
 std::vector<LoanReport> ReviewShare(RateBorrower& borrower,
                                     const RateShare& share,
                                     Duration now) {
@@ -271,14 +297,7 @@
   // Closes all loans without reserved tokens if much more is held than the
   // expected demand needs.
   if (FreeTokensOf(held, now) > 2 * AheadTokens(held, now) + 1) {
-    std::erase_if(held.loans, [&](const auto& entry) {
-      const auto& [request, loan] = entry;
-      const bool is_unreserved = IsLive(loan, now) && loan.reserved < kRounding;
-      if (is_unreserved) {
-        reports.push_back({share, request, loan.tokens, true});
-      }
-      return is_unreserved;
-    });
+    CloseUnreserved(share, held, now, reports);
   }
   return reports;
 }
--- a/src/celerykeel/core/rate_home.cc
+++ b/src/celerykeel/core/rate_home.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/core/rate_home.h"
 
-#include <algorithm>  // for std::min, std::max, std::clamp
+#include <algorithm>  // for std::min, std::max, std::clamp, std::sort
+#include <utility>    // for std::pair
 
 namespace celerykeel {
 
@@ -11,6 +12,8 @@
 constexpr double kAheadFraction = 0.25;
 // Time after which a refused borrower asks again if loans were recalled for it.
 constexpr Duration kRecallDelay = std::chrono::milliseconds(20);
+// Fewer tokens are not worth the messages.
+constexpr double kMinRecalledTokens = 0.5;
 constexpr double kTokenTolerance =
     1e-6;  // tokens; tolerance for rounding errors
 
@@ -128,10 +131,50 @@
   // borrower accepts one.
   OutstandingLoan& loan = bucket.loans[requested.id];
   loan.tokens += answer.tokens;
+  loan.ahead = std::max(answer.tokens - requested.needed, 0.0);
   loan.expires_at = now + kLoanValidity + kLoanMargin;
   return answer;
 }
 
+std::vector<Incarnation> BorrowersWithSpareTokens(
+    const RateHome& home,
+    const RequestedLoan& requested,
+    double level,
+    size_t most) {
+  const auto found = home.buckets.find(requested.share);
+  if (found == home.buckets.end()) {
+    return {};
+  }
+  std::map<Incarnation, double> spare;
+  for (const auto& [id, loan] : found->second.loans) {
+    if (id.borrower != requested.id.borrower && loan.ahead > 0) {
+      spare[id.borrower] += loan.ahead;
+    }
+  }
+  std::erase_if(spare, [](const auto& entry) {
+    return entry.second < kMinRecalledTokens;
+  });
+  double available = level;
+  for (const auto& [borrower, tokens] : spare) {
+    available += tokens;
+  }
+  if (available + kTokenTolerance < requested.needed) {
+    return {};
+  }
+  std::vector<std::pair<double, Incarnation>> largest;
+  for (const auto& [borrower, tokens] : spare) {
+    largest.emplace_back(tokens, borrower);
+  }
+  std::sort(largest.rbegin(), largest.rend());
+  std::vector<Incarnation> borrowers;
+  for (const auto& [tokens, borrower] : largest) {
+    if (borrowers.size() < most) {
+      borrowers.push_back(borrower);
+    }
+  }
+  return borrowers;
+}
+
 std::optional<double> LevelAtHome(RateHome& home,
                                   const RateShare& share,
                                   const RateLimits& limits,
@@ -165,6 +208,7 @@
     bucket.loans.erase(loan);
   } else {
     loan->second.tokens = tokens;
+    loan->second.ahead = std::min(loan->second.ahead, tokens);
   }
 }
 
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -25,6 +25,8 @@
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
 // Callers use other instances this long after a planned stop began.
 constexpr Duration kStopNoticeTime = std::chrono::seconds(3);
+// Callers wait before a retry for at most this part of the time that they have.
+constexpr int kRetryDivisor = 3;
 // Another instance takes the request at once.
 constexpr Duration kElsewhereRetry = std::chrono::milliseconds(50);
 
@@ -37,6 +39,13 @@
   return FractionOfHash(XXH3_64bits(subject.data(), subject.size()));
 }
 
+// A retry has a new id but the same content. Calls of different programs may
+// have the same content.
+uint64_t CallerOf(const Call& call) {
+  const std::string& program = call.request.header_values.program;
+  return call.identity.hash_low ^ XXH3_64bits(program.data(), program.size());
+}
+
 std::optional<CallRefusal> Check(const Node& node, Call& call) {
   if (node.deployment == nullptr) {
     return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
@@ -94,6 +103,9 @@
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal) {
   SettleRate(node, *call);
   CountRefusal(node.metrics, refusal.status, refusal.reason);
+  if (refusal.retry_after > Duration::zero()) {
+    Observe(node.metrics.told_seconds, refusal.retry_after);
+  }
   WriteLog(
       node.log, LogLevel::kOrdinary, "refused",
       {{"id", call->request.header_values.id},
@@ -156,8 +168,9 @@
     const CallHeaderValues& header_values = call->request.header_values;
     const ProgramStart start{
         .may_begin = is_turn && header_values.previous_turn.empty(),
-        .time_left =
-            header_values.program_time_left.value_or(Duration::zero())};
+        .time_left = header_values.program_time_left.value_or(Duration::zero()),
+        .caller = CallerOf(*call),
+        .max_wait = TimeLeft(*call) / kRetryDivisor};
     auto taken = co_await ReserveFromRate(node, *call->team,
                                           header_values.program, start);
     if (!taken) {
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -1,9 +1,10 @@
 #include "celerykeel/node/feeds.h"
 
-#include <utility>  // for std::move
+#include <utility>  // for std::move, std::exchange
 
 #include "celerykeel/node/keyed_topic.h"  // for ReadAllKeys
 #include "celerykeel/node/node.h"         // for Node
+#include "celerykeel/node/rates.h"        // for ReturnTokens
 #include "platform/deployment_json.h"     // for platform::DecodeDeployment
 
 namespace celerykeel {
@@ -17,6 +18,19 @@
 // The store may serve data that is seconds old, so the read is repeated.
 constexpr Duration kRereadPause = std::chrono::milliseconds(150);
 
+// Tokens held by a higher rate would leave other instances none for as long as
+// these loans last.
+void ReturnTokensOfCutRates(Node& node, const Deployment& before) {
+  for (const auto& [name, team] : before.teams) {
+    if (const auto found = node.deployment->teams.find(name);
+        found != node.deployment->teams.end() &&
+        (found->second.limits.rate < team.limits.rate ||
+         found->second.limits.burst < team.limits.burst)) {
+      ReturnTokens(node, name);
+    }
+  }
+}
+
 void ApplyDeployment(Node& node, const KeyedRecord& record) {
   if (record.key != platform::kConfigurationKey || record.dropped) {
     return;
@@ -31,7 +45,11 @@
       decoded->version <= node.deployment->version) {
     return;
   }
-  node.deployment = std::make_shared<const Deployment>(std::move(*decoded));
+  const auto before = std::exchange(
+      node.deployment, std::make_shared<const Deployment>(std::move(*decoded)));
+  if (before != nullptr) {
+    ReturnTokensOfCutRates(node, *before);
+  }
   WriteLog(node.log, LogLevel::kUnusual, "configuration in force",
            {{"version", node.deployment->version},
             {"routes", static_cast<uint64_t>(node.deployment->routes.size())},
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -68,6 +68,7 @@
         Now() - *node.endpoints_read_at);
     beat.set_endpoints_age_ms(static_cast<uint32_t>(age.count()));
   }
+  beat.set_rate_protocol(1);
   ListHeldSlots(node, beat);
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
     if (endpoint.in_flight > 0) {
@@ -275,7 +276,6 @@
       ForgetSuspectRuns(node);
       ExpireSlots(node);
       ConfirmSlots(node);
-      ForgetPrograms(node);
       DropUnusedSpent(node.spent_programs, now);
     }
     UpdateStoredCrashes(node);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -44,6 +44,10 @@
   return {0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4};
 }
 
+Boundaries TellTimeBuckets() {
+  return {0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16, 32};
+}
+
 void SetGauge(NodeMetrics& metrics, const std::string& name, double value) {
   metrics.levels.Add({{"of", name}}).Set(value);
 }
@@ -78,6 +82,18 @@
                         "attempts",
                         "Requests sent to endpoints, by how it went.")),
       turns(Counters(this->registry, "turns", "Streams, by how they ended.")),
+      programs(Counters(this->registry,
+                        "programs",
+                        "First calls of programs while their team is short of "
+                        "tokens or their service is full, by outcome.")),
+      rate_recalls(Counters(this->registry,
+                            "rate_recalls",
+                            "Recalls of tokens from other instances.")),
+      told_seconds(Seconds(this->registry,
+                           "told",
+                           "Time after which refused callers are told to "
+                           "return.",
+                           TellTimeBuckets())),
       before_send_seconds(
           Seconds(this->registry,
                   "before_send",
--- /dev/null
+++ b/src/celerykeel/node/overload_unittest.cc
@@ -0,0 +1,53 @@
+#include <doctest/doctest.h>
+
+#include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, ToolHeaders
+
+namespace celerykeel {
+namespace {
+
+using testing::CallerAnswer;
+using testing::NodeFleet;
+using testing::ToolHeaders;
+using testing::TurnHeaders;
+
+// The team of this key has a burst of ten calls and almost no rate.
+constexpr char kTightKey[] = "k3";
+
+CallerAnswer SendTurn(NodeFleet& fleet, size_t index, const std::string& id) {
+  HeaderList headers = TurnHeaders(id, "p", "", 9999);
+  headers[1].second = std::string("Bearer ") + kTightKey;
+  return fleet.Send(index, "POST", "/stream/plain/x", headers, "in");
+}
+
+CallerAnswer SendLook(NodeFleet& fleet, size_t index, const std::string& id) {
+  return fleet.Send(index, "GET", "/look/x", ToolHeaders(id, kTightKey), "");
+}
+
+// Guards against a program whose next call arrives at an instance that has not
+// served it, is taken for a new program, and is refused although the team has
+// tokens.
+TEST_CASE("a program in progress is not a new one at another instance") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  REQUIRE(SendTurn(fleet, 0, "t1").status == 200);
+  for (int i = 0; i < 6; ++i) {
+    REQUIRE(SendLook(fleet, 1, "l" + std::to_string(i)).status == 200);
+  }
+  CHECK(SendTurn(fleet, 1, "t2").status == 200);
+}
+
+// Guards against callers that are told to return when there is no token for
+// them.
+TEST_CASE("a caller over the rate is told when a token accrues") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  CallerAnswer answer;
+  for (int i = 0; i < 12 && answer.status != 429; ++i) {
+    answer = SendLook(fleet, 0, "l" + std::to_string(i));
+  }
+  REQUIRE(answer.status == 429);
+  CHECK(std::stod(answer.retry_after) >= 10);
+}
+
+}  // namespace
+}  // namespace celerykeel
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/feeds.h"          // for ReadDeploymentSoon
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
+#include "celerykeel/node/rates.h"          // for ReturnTokens
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 #include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
 #include "celerykeel/node/tunnel.h"         // for ServeTunnel
@@ -55,6 +56,7 @@
   state.deployment_version = heartbeat.deployment_version();
   state.store_reached = heartbeat.store_reached();
   state.opens_tunnels = heartbeat.opens_tunnels();
+  state.rate_protocol = heartbeat.rate_protocol();
   state.endpoints_read_at.reset();
   if (heartbeat.has_endpoints_age_ms()) {
     state.endpoints_read_at =
@@ -174,6 +176,12 @@
     case pb::NodeFrame::kRateNews:
       ApplyLoanReports(node, frame.rate_news());
       return;
+    case pb::NodeFrame::kProgramsBegun:
+      ApplyProgramsBegun(node, frame.programs_begun());
+      return;
+    case pb::NodeFrame::kRateRecall:
+      ReturnTokens(node, frame.rate_recall().team());
+      return;
     default:
       WriteLog(node.log, LogLevel::kUnusual, "frame of an unknown kind");
   }
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -3,9 +3,10 @@
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"     // for Now
-#include "celerykeel/node/node.h"      // for Node
-#include "celerykeel/node/slot_log.h"  // for Enqueue
+#include "celerykeel/base/clock.h"        // for Now
+#include "celerykeel/node/node.h"         // for Node
+#include "celerykeel/node/rate_recall.h"  // for RecallTokens
+#include "celerykeel/node/slot_log.h"     // for Enqueue
 
 namespace celerykeel {
 
@@ -19,8 +20,6 @@
 // The reserve is rewritten when it differs from kReserveFraction of the
 // available tokens by more than this fraction of the burst.
 constexpr double kReserveDrift = 0.15;
-// Retry time for a request whose program is not admitted.
-constexpr Duration kNewProgramRetry = std::chrono::milliseconds(900);
 // Reserves are rewritten for this long after the last loan request.
 constexpr Duration kActiveLendingTime = std::chrono::seconds(4);
 
@@ -107,6 +106,11 @@
   co_return !slot->lost && (rate.recorded || durable.value_or(false));
 }
 
+double Level(Node& node, const RateShare& share, const RateLimits& limits) {
+  return LevelAtHome(node.rates.home, share, limits, Now())
+      .value_or(limits.burst);
+}
+
 }  // namespace
 
 uint32_t HomeSlot(const Node& node, const std::string& team) {
@@ -135,29 +139,65 @@
   const std::string name = team->name;
   const RateLimits limits = team->limits;
   InitializeBucket(node, *slot, *team);
-  const double at_home =
-      LevelAtHome(node.rates.home, requested.share, limits, Now())
-          .value_or(limits.burst);
+  const double at_home = Level(node, requested.share, limits);
   grant.set_scarce(IsScarce(at_home, limits));
-  ProgramAdmission& gate = node.rates.program_admissions[name];
-  RecordProgramsStarted(gate, programs.begun, Now());
-  if (programs.newcomer &&
-      !AdmitNewProgram(gate, at_home, limits, programs.time_left, Now())) {
-    grant.set_retry_after_ns(static_cast<uint64_t>(kNewProgramRetry.count()));
-    co_return grant;
+  TeamQueue& queue = node.rates.queues[name];
+  RecordProgramsStarted(queue.admission, programs.begun, Now());
+  // Tokens lent ahead would be missing at the times that callers were told.
+  const bool is_waiting = requested.needed > 0;
+  if (IsOverRate(queue, Now())) {
+    requested.wanted = requested.needed;
+  }
+  const QueuedCall queued =
+      is_waiting ? Classify(queue, programs.call, Now())
+                 : QueuedCall{.call_class = CallClass::kNewProgram};
+  if (is_waiting) {
+    if (const auto told = RefuseUnlessAdmitted(queue, programs.call, queued,
+                                               at_home, limits, Now())) {
+      RecordRefusal(node, name, queued, *told, true);
+      grant.set_retry_after_ns(static_cast<uint64_t>(told->count()));
+      co_return grant;
+    }
   }
   if (!co_await MakeLendable(node, slot, name, at_home, requested.needed)) {
+    WithdrawAdmission(queue, queued, Now());
     grant.set_not_home(true);
     co_return grant;
   }
-  const LendingStart start{.first = true,
-                           .acting_from = {},
-                           .keep = CurrentReserve(slot->rates[name])};
-  const LendResult answer =
-      Lend(node.rates.home, requested, limits, start, Now());
-  RecordTokensUsed(node.rates.program_admissions[name], answer.tokens, Now());
+  const auto lend = [&] {
+    const LendingStart start{.first = true,
+                             .acting_from = {},
+                             .keep = CurrentReserve(slot->rates[name]) +
+                                     TokensHeld(queue, queued, Now())};
+    return Lend(node.rates.home, requested, limits, start, Now());
+  };
+  LendResult answer = lend();
+  if (is_waiting && answer.tokens <= 0) {
+    const double kept = CurrentReserve(slot->rates[name]);
+    const double held = TokensHeld(queue, queued, Now());
+    const bool recalled = co_await RecallTokens(node, requested, limits,
+                                                requested.needed + kept + held);
+    if (recalled) {
+      answer = lend();
+    }
+  }
+  if (is_waiting && answer.tokens <= 0) {
+    WithdrawAdmission(queue, queued, Now());
+    const double level = Level(node, requested.share, limits) -
+                         CurrentReserve(slot->rates[name]) -
+                         TokensHeld(queue, queued, Now());
+    const Duration told =
+        TellReturn(queue, programs.call, queued, level, limits, Now());
+    RecordRefusal(node, name, queued, told, false);
+    grant.set_retry_after_ns(static_cast<uint64_t>(told.count()));
+    co_return grant;
+  }
+  RecordTokensUsed(queue.admission, answer.tokens, Now());
+  if (is_waiting) {
+    RecordServed(queue, programs.call, Now());
+    RecordReturn(node, name, queued);
+  }
   grant.set_tokens(answer.tokens);
-  grant.set_retry_after_ns(static_cast<uint64_t>(answer.retry_after.count()));
   co_return grant;
 }
 
@@ -175,11 +215,27 @@
       .wanted = requested.wanted()};
   co_return co_await LendAsHome(
       node, slot, asked,
-      {.newcomer = requested.newcomer(),
-       .time_left = std::chrono::milliseconds(requested.time_left_ms()),
+      {.call = {.program = requested.program(),
+                .caller = requested.caller(),
+                .newcomer = requested.newcomer(),
+                .program_time_left =
+                    std::chrono::milliseconds(requested.time_left_ms()),
+                .max_wait = std::chrono::milliseconds(requested.max_wait_ms())},
        .begun = requested.begun()});
 }
 
+void ApplyProgramsBegun(Node& node, const pb::ProgramsBegun& begun) {
+  const DeployedTeam* team = FindTeam(node, begun.team());
+  if (team == nullptr ||
+      ActiveSlot(node, HomeSlot(node, team->name)) == nullptr) {
+    return;
+  }
+  TeamQueue& queue = node.rates.queues[team->name];
+  for (const uint64_t program : begun.programs()) {
+    RecordProgramReport(queue, program, Now());
+  }
+}
+
 void ApplyLoanReports(Node& node, const pb::RateNews& news) {
   for (const pb::RateUse& use : news.uses()) {
     // Reports to a former home have no effect, because its successor counts
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -24,7 +24,9 @@
 constexpr Duration kRetryAfterSilentHome = std::chrono::milliseconds(400);
 // How long a home's report that a team is short of tokens is valid.
 constexpr Duration kScarcityReportValidity = std::chrono::milliseconds(600);
-constexpr Duration kRecentProgramTime = std::chrono::seconds(10);
+// Programs of a team that wait to be reported at most; later ones are reported
+// with one of their next calls.
+constexpr size_t kMaxUnreportedPrograms = 512;
 
 double FleetSize(const Node& node) {
   return double(node.fleet.members.size() + 1);
@@ -104,6 +106,57 @@
   }
 }
 
+uint32_t MillisOf(Duration duration) {
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint32_t>(std::max<int64_t>(millis, 0));
+}
+
+// Reports programs served here to the home, so that it and other instances
+// take their next calls for what they are.
+// @return the number that a home of an older build is told instead.
+uint32_t ReportPrograms(Node& node, uint32_t home, const std::string& team) {
+  const auto found = node.rates.unreported_programs.find(team);
+  if (found == node.rates.unreported_programs.end()) {
+    return 0;
+  }
+  pb::NodeFrame frame;
+  pb::ProgramsBegun& begun = *frame.mutable_programs_begun();
+  begun.set_team(team);
+  for (const uint64_t program : found->second) {
+    begun.add_programs(program);
+  }
+  const auto count = static_cast<uint32_t>(found->second.size());
+  node.rates.unreported_programs.erase(found);
+  if (ActiveSlot(node, home) != nullptr) {
+    ApplyProgramsBegun(node, begun);
+    return 0;
+  }
+  const PeerLinkPtr link = LinkToHolder(node, home);
+  if (link == nullptr) {
+    return 0;
+  }
+  const auto state = node.peer_states.find(link->instance);
+  if (state == node.peer_states.end() || state->second.rate_protocol < 1) {
+    return count;
+  }
+  SendFrame(link->socket, frame);
+  return 0;
+}
+
+void RecordServedProgram(Node& node,
+                         const std::string& team,
+                         uint64_t program) {
+  if (program == 0 ||
+      !RecordProgram(node.rates.recent_programs, program, Now())) {
+    return;
+  }
+  if (auto& unreported = node.rates.unreported_programs[team];
+      unreported.size() < kMaxUnreportedPrograms) {
+    unreported.push_back(program);
+  }
+}
+
 Task<HomeAnswer> RequestLoanFromPeer(Node& node,
                                      PeerLinkPtr link,
                                      RequestedLoan requested,
@@ -115,11 +168,12 @@
   asked.set_request(requested.id.request);
   asked.set_needed(requested.needed);
   asked.set_wanted(requested.wanted);
-  asked.set_newcomer(programs.newcomer);
-  asked.set_time_left_ms(static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(programs.time_left)
-          .count()));
+  asked.set_newcomer(programs.call.newcomer);
+  asked.set_time_left_ms(MillisOf(programs.call.program_time_left));
   asked.set_begun(programs.begun);
+  asked.set_max_wait_ms(MillisOf(programs.call.max_wait));
+  asked.set_program(programs.call.program);
+  asked.set_caller(programs.call.caller);
   const auto answer = co_await CallPeer(node.io, node.peers, link,
                                         std::move(frame), kHomeAnswerTimeout);
   if (!answer || !answer->has_rate_grant()) {
@@ -139,7 +193,7 @@
       node.rates.borrower, RateShareOf(team), needed, node.incarnation, Now());
   // A lost request loses this count. The programs that begin later and are
   // reported with later requests make up for it.
-  programs.begun = std::exchange(node.rates.unreported_programs[team], 0);
+  programs.begun = ReportPrograms(node, number, team);
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
     const pb::RateGrant grant =
         co_await LendAsHome(node, slot, requested, programs);
@@ -187,13 +241,22 @@
   for (const auto& [home, items] : by_home) {
     SendLoanReports(node, home, items);
   }
+  std::vector<std::string> teams;
+  for (const auto& [team, programs] : node.rates.unreported_programs) {
+    teams.push_back(team);
+  }
+  for (const std::string& team : teams) {
+    const uint32_t home = HomeSlot(node, team);
+    if (ActiveSlot(node, home) != nullptr || LinkToHolder(node, home)) {
+      ReportPrograms(node, home, team);
+    }
+  }
 }
 
-void ForgetPrograms(Node& node) {
-  const Duration now = Now();
-  std::erase_if(node.rates.recent_programs, [now](const auto& entry) {
-    return entry.second + kRecentProgramTime < now;
-  });
+void ReturnTokens(Node& node, const std::string& team) {
+  SendLoanReports(
+      node, HomeSlot(node, team),
+      ReturnUnreserved(node.rates.borrower, RateShareOf(team), Now()));
 }
 
 Task<tl::expected<RatePermit, Duration>> ReserveFromRate(Node& node,
@@ -204,18 +267,17 @@
     co_return RatePermit{};
   }
   RecordDemand(node.rates.borrower, RateShareOf(team.name), Now());
-  const ProgramName name{team.name, program};
+  const uint64_t hash = program.empty() ? 0 : HashOfProgram(team.name, program);
   const auto scarce = node.rates.scarcity_valid_until.find(team.name);
   const bool is_scarce =
       scarce != node.rates.scarcity_valid_until.end() && Now() < scarce->second;
-  const bool begins = start.may_begin && !program.empty() &&
-                      !node.rates.recent_programs.contains(name);
+  const bool begins = start.may_begin && hash != 0 &&
+                      !IsRecent(node.rates.recent_programs, hash);
   // While a team is short of tokens, its home decides on new programs.
   const bool newcomer = begins && is_scarce;
   if (!newcomer) {
     if (auto permit = ReservePermitLocally(node, team)) {
-      node.rates.recent_programs[name] = Now();
-      node.rates.unreported_programs[team.name] += begins ? 1 : 0;
+      RecordServedProgram(node, team.name, hash);
       RequestLoanAheadIfDue(node, team.name, Now());
       co_return std::move(*permit);
     }
@@ -225,15 +287,18 @@
   while (true) {
     asked = co_await RequestLoanFromHome(
         node, team.name, 1,
-        {.newcomer = newcomer, .time_left = start.time_left, .begun = 0});
+        {.call = {.program = hash,
+                  .caller = start.caller,
+                  .newcomer = newcomer,
+                  .program_time_left = start.time_left,
+                  .max_wait = start.max_wait},
+         .begun = 0});
     RecordHomeAnswer(node, team.name, asked.answered);
     const bool program_refused =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
     if (!program_refused) {
       if (auto permit = ReservePermitLocally(node, team)) {
-        node.rates.recent_programs[name] = Now();
-        node.rates.unreported_programs[team.name] +=
-            begins && !newcomer ? 1 : 0;
+        RecordServedProgram(node, team.name, hash);
         co_return std::move(*permit);
       }
     }
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -31,7 +31,7 @@
 {"name":"look","host":"h","path_prefix":"/look/","route_kind":"idempotent","timeout_ms":1000,"service":"llm","max_attempts":2},
 {"name":"pay","host":"h","path_prefix":"/pay/","route_kind":"non_idempotent","timeout_ms":1000,"service":"llm","max_attempts":2}],
 "services":[{"name":"llm","health_path":"/healthz","max_conns":210,"runtime":{"slots":24,"kv_capacity":657246,"chunk_tokens":20}}],
-"tenants":[{"name":"orchard","api_keys":["k1"],"rate_per_s":1000,"burst":1000},{"name":"small","api_keys":["k2"],"rate_per_s":0.001,"burst":4}]})";
+"tenants":[{"name":"orchard","api_keys":["k1"],"rate_per_s":1000,"burst":1000},{"name":"small","api_keys":["k2"],"rate_per_s":0.001,"burst":4},{"name":"tight","api_keys":["k3"],"rate_per_s":0.001,"burst":10}]})";
 
 std::atomic<int> next_fleet{0};
 
