core, node: a full service refuses new programs, so that those in progress end

What callers saw: engines whose slots are all taken began programs that they could not finish.

Before an instance refuses, it asks the home of the team's rate whether the program is in progress.

--- a/include/celerykeel/core/deployment.h
+++ b/include/celerykeel/core/deployment.h
@@ -82,6 +82,8 @@
   std::unordered_map<std::string, DeployedTeam> teams;
   std::unordered_map<std::string, std::string> team_by_key;
   std::unordered_map<std::string, std::vector<size_t>> routes_by_host;
+  // Priorities of the routes of each service and of all teams, ascending.
+  std::unordered_map<std::string, std::vector<uint32_t>> priorities;
   CallerLimits limits;
 };
 
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -6,6 +6,7 @@
 #include "celerykeel/node/answer_reader.h"  // for AnswerReader
 #include "celerykeel/node/call_path.h"      // for CallPtr
 #include "celerykeel/node/crash_watch.h"    // for SentRun
+#include "celerykeel/node/in_flight.h"      // for InFlight
 
 namespace celerykeel {
 
@@ -23,20 +24,6 @@
   kNotIsolated,  // not sent: may be deadly, and no endpoint is free to try it
 };
 
-/// @brief Counts an attempt as in flight at its endpoint during the lifetime of
-/// this object.
-class InFlight {
- public:
-  InFlight(Node& counting_node, std::string endpoint_id);
-  ~InFlight();
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
-
- private:
-  Node& node;
-  std::string endpoint;
-};
-
 /// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
 /// kAnswered.
 struct Attempt {
--- /dev/null
+++ b/include/celerykeel/node/capacity.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>  // for std::optional
+
+#include "celerykeel/node/call_path.h"  // for CallPtr
+
+namespace celerykeel {
+
+struct Node;
+
+/// @brief Updates the gates of the services whose endpoints are engines, from
+/// the calls in flight that this instance and its peers report.
+void UpdateCapacity(Node& node);
+
+/// @brief Refuses the first call of a program if its service is full.
+Task<std::optional<CallRefusal>> RefusalIfServiceFull(Node& node, CallPtr call);
+
+}  // namespace celerykeel
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -6,45 +6,58 @@
 #include <optional>  // for std::optional
 #include <set>       // for std::set
 #include <string>    // for std::string
+#include <utility>   // for std::pair
 #include <vector>    // for std::vector
 
-#include "celerykeel/core/deployment.h"       // for Deployment
-#include "celerykeel/core/endpoint_path.h"    // for EndpointPath
-#include "celerykeel/core/endpoint_table.h"   // for EndpointTable
-#include "celerykeel/core/rate_borrower.h"    // for RateBorrower
-#include "celerykeel/core/rate_home.h"        // for RateHome
-#include "celerykeel/core/recent_programs.h"  // for RecentPrograms
-#include "celerykeel/core/slot_table.h"       // for KnownFleet
-#include "celerykeel/core/spent_programs.h"   // for SpentPrograms
-#include "celerykeel/core/team_queue.h"       // for TeamQueue
-#include "celerykeel/node/asio.h"             // for asio::io_context
-#include "celerykeel/node/caller_stream.h"    // for CallerStream
-#include "celerykeel/node/crash_store.h"      // for CrashStore
-#include "celerykeel/node/crash_watch.h"      // for CrashWatch
-#include "celerykeel/node/endpoint_limits.h"  // for EndpointLimitState
-#include "celerykeel/node/log_sink.h"         // for LogSink
-#include "celerykeel/node/metrics.h"          // for NodeMetrics
-#include "celerykeel/node/options.h"          // for NodeOptions
-#include "celerykeel/node/out_connection.h"   // for OutPool
-#include "celerykeel/node/peer_link.h"        // for PeerNetwork
-#include "celerykeel/node/slot_host.h"        // for SlotHost
-#include "celerykeel/node/store_client.h"     // for StoreClient
-#include "celerykeel/node/version_feed.h"     // for VersionFeed
+#include "celerykeel/core/capacity_admission.h"  // for CapacityGate
+#include "celerykeel/core/deployment.h"          // for Deployment
+#include "celerykeel/core/endpoint_path.h"       // for EndpointPath
+#include "celerykeel/core/endpoint_table.h"      // for EndpointTable
+#include "celerykeel/core/rate_borrower.h"       // for RateBorrower
+#include "celerykeel/core/rate_home.h"           // for RateHome
+#include "celerykeel/core/recent_programs.h"     // for RecentPrograms
+#include "celerykeel/core/slot_table.h"          // for KnownFleet
+#include "celerykeel/core/spent_programs.h"      // for SpentPrograms
+#include "celerykeel/core/team_queue.h"          // for TeamQueue
+#include "celerykeel/node/asio.h"                // for asio::io_context
+#include "celerykeel/node/caller_stream.h"       // for CallerStream
+#include "celerykeel/node/crash_store.h"         // for CrashStore
+#include "celerykeel/node/crash_watch.h"         // for CrashWatch
+#include "celerykeel/node/endpoint_limits.h"     // for EndpointLimitState
+#include "celerykeel/node/log_sink.h"            // for LogSink
+#include "celerykeel/node/metrics.h"             // for NodeMetrics
+#include "celerykeel/node/options.h"             // for NodeOptions
+#include "celerykeel/node/out_connection.h"      // for OutPool
+#include "celerykeel/node/peer_link.h"           // for PeerNetwork
+#include "celerykeel/node/slot_host.h"           // for SlotHost
+#include "celerykeel/node/store_client.h"        // for StoreClient
+#include "celerykeel/node/version_feed.h"        // for VersionFeed
 
 namespace celerykeel {
 
+/// @brief Calls in flight from one instance, by service and team.
+using TeamLoads = std::map<std::pair<std::string, std::string>, uint32_t>;
+
 /// @brief The state that a peer's last heartbeat reported besides its
 /// membership.
 struct PeerState {
   uint64_t deployment_version = 0;
   bool store_reached = false;
-  bool opens_tunnels = false;             // reaches the endpoints
-  uint32_t rate_protocol = 0;             // see NodeHeartbeat
+  bool opens_tunnels = false;  // reaches the endpoints
+  uint32_t rate_protocol = 0;  // see NodeHeartbeat
+  TeamLoads team_loads;
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
   // Set if the peer is a reader: when it read the endpoints that it reported.
   std::optional<Duration> endpoints_read_at;
 };
 
+/// @brief Programs of a team that full services refused since the last log
+/// line.
+struct FullServiceLog {
+  Duration logged_at{};
+  uint64_t held_back = 0;
+};
+
 /// @brief Refusals of a team at its home since the last log line.
 struct RefusalLog {
   Duration logged_at{};
@@ -67,6 +80,7 @@
   std::set<std::string> loan_requests_ahead;
   // As the home, by team.
   std::map<std::string, TeamQueue> queues;
+  std::map<std::string, Duration> home_since;   // of `home_epochs`
   std::map<std::string, Duration> recalled_at;  // time of the last recall
   // Time of the last log line on refusals, by team.
   std::map<std::string, RefusalLog> refusal_logs;
@@ -91,6 +105,7 @@
   // Declared before `io` to outlive it: the destruction of the loop ends calls,
   // which then decrement their counts in these members.
   EndpointTable endpoints;
+  TeamLoads team_loads;              // at services whose endpoints are engines
   size_t buffered_answer_bytes = 0;  // of incomplete answers
   SentRequestTable sent_requests;
   std::set<std::string> ended_isolations;   // endpoints; not reported yet
@@ -114,6 +129,8 @@
   SlotHost slots;
   SpentPrograms spent_programs;
   TeamRateState rates;
+  std::map<std::string, CapacityGate> capacity_gates;       // by service
+  std::map<std::string, FullServiceLog> full_service_logs;  // by team
   EndpointLimitState endpoint_limits;
   EndpointPath endpoint_path;
   VersionFeed version_feed;
--- a/include/celerykeel/node/rate_lending.h
+++ b/include/celerykeel/node/rate_lending.h
@@ -37,6 +37,13 @@
                                RequestedLoan requested,
                                ProgramsUpdate programs);
 
+/// @brief As the home, returns whether the program may be in progress: it is,
+/// or this instance has not been the home for long enough to know.
+bool MayBeInProgressAtHome(Node& node,
+                           const HeldSlot& slot,
+                           const std::string& name,
+                           uint64_t program);
+
 /// @brief Answers a loan request of a peer, with `not_home` if this instance is
 /// not the home.
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish requested);
--- a/include/celerykeel/node/rates.h
+++ b/include/celerykeel/node/rates.h
@@ -47,6 +47,11 @@
                                                      std::string program,
                                                      RatePermit permit);
 
+/// @brief Asks the home of the team's rate whether a program is in progress.
+/// @param program see HashOfProgram.
+/// @return true also if the home can't tell.
+Task<bool> MayBeInProgress(Node& node, std::string team, uint64_t program);
+
 /// @brief Spends the permit of a request that ran or may have run.
 void UsePermit(Node& node, const RatePermit& permit);
 
--- a/src/celerykeel/core/deployment.cc
+++ b/src/celerykeel/core/deployment.cc
@@ -1,5 +1,8 @@
 #include "celerykeel/core/deployment.h"
 
+#include <map>  // for std::map
+#include <set>  // for std::set
+
 namespace celerykeel {
 
 namespace {
@@ -8,14 +11,35 @@
   return host.substr(0, host.find(':'));
 }
 
+void IndexPriorities(Deployment& deployment) {
+  std::set<uint32_t> of_teams;
+  for (const auto& [name, team] : deployment.teams) {
+    if (team.priority) {
+      of_teams.insert(*team.priority);
+    }
+  }
+  std::map<std::string, std::set<uint32_t>> in_use;
+  for (const CallRoute& route : deployment.routes) {
+    for (const ServiceWeight& weight : route.services) {
+      in_use[weight.service].insert(route.priority);
+    }
+  }
+  for (auto& [service, priorities] : in_use) {
+    priorities.insert(of_teams.begin(), of_teams.end());
+    deployment.priorities[service].assign(priorities.begin(), priorities.end());
+  }
+}
+
 }  // namespace
 
 void IndexDeployment(Deployment& deployment) {
   deployment.routes_by_host.clear();
   deployment.team_by_key.clear();
+  deployment.priorities.clear();
   for (size_t i = 0; i < deployment.routes.size(); ++i) {
     deployment.routes_by_host[deployment.routes[i].host].push_back(i);
   }
+  IndexPriorities(deployment);
   for (const auto& [name, team] : deployment.teams) {
     for (const std::string& key : team.keys) {
       deployment.team_by_key[key] = name;
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -56,7 +56,12 @@
   return {.endpoint_id = endpoint.id,
           .team = call.team == nullptr ? "" : call.team->name,
           .time_left = TimeLeft(call),
-          .urgency = std::nullopt,
+          .urgency =
+              node.options.sends_priority
+                  ? std::optional(UrgencyOf(*call.deployment, call.service,
+                                            PriorityOf(*call.route, call.team),
+                                            call.begins_program))
+                  : std::nullopt,
           .resume_after = call.last_event};
 }
 
@@ -151,22 +156,6 @@
 
 }  // namespace
 
-InFlight::InFlight(Node& counting_node, std::string endpoint_id)
-    : node(counting_node), endpoint(std::move(endpoint_id)) {
-  if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
-      found != this->node.endpoints.endpoints.end()) {
-    ++found->second.in_flight;
-  }
-}
-
-InFlight::~InFlight() {
-  if (const auto found = this->node.endpoints.endpoints.find(this->endpoint);
-      found != this->node.endpoints.endpoints.end() &&
-      found->second.in_flight > 0) {
-    --found->second.in_flight;
-  }
-}
-
 Task<Attempt> StartAttempt(Node& node, CallPtr call, std::string_view body) {
   Attempt attempt;
   if (const auto end = co_await PrepareSuspect(node, call)) {
@@ -186,7 +175,9 @@
   attempt.address = endpoint.address;
   attempt.version = endpoint.version;
   attempt.limit = chosen->limit;
-  attempt.counted = std::make_shared<InFlight>(node, endpoint.id);
+  attempt.counted = std::make_shared<InFlight>(
+      node, endpoint.id, call->service,
+      call->team == nullptr ? std::string() : call->team->name);
   call->tried.insert(endpoint.id);
   ++call->tries;
   const bool once = call->route->repeat != RepeatRule::kIdempotent;
@@ -223,12 +214,13 @@
   }
   attempt.over = connected.peer;
   call->attempt = connection;
-  const OutRequest out{.method = call->request.method,
-                       .target = call->request.target,
-                       .host = call->request.host,
-                       .headers = platform::EncodeAttempt(
-                           call->request, HeaderValuesFor(*call, endpoint)),
-                       .body = body};
+  const OutRequest out{
+      .method = call->request.method,
+      .target = call->request.target,
+      .host = call->request.host,
+      .headers = platform::EncodeAttempt(
+          call->request, HeaderValuesFor(*call, endpoint)),
+      .body = body};
   if (!call->sent_after) {
     call->sent_after = Now() - call->arrived_at;
     Observe(node.metrics.before_send_seconds, *call->sent_after);
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/rendezvous.h"   // for FractionOfHash
 #include "celerykeel/node/attempts.h"     // for RunAttempts
+#include "celerykeel/node/capacity.h"     // for RefusalIfServiceFull
 #include "celerykeel/node/node.h"         // for Node
 #include "celerykeel/node/rates.h"        // for ReserveFromRate
 #include "celerykeel/node/suspect_run.h"  // for RefusalIfDeadly
@@ -164,6 +165,13 @@
     co_await Refuse(node, call, *refusal);
     co_return;
   }
+  call->service = ServiceAt(*call->route, SplitPoint(call->request));
+  if (is_turn) {
+    if (const auto refusal = co_await RefusalIfServiceFull(node, call)) {
+      co_await Refuse(node, call, *refusal);
+      co_return;
+    }
+  }
   if (call->team != nullptr) {
     const CallHeaderValues& header_values = call->request.header_values;
     const ProgramStart start{
@@ -180,7 +188,6 @@
     }
     call->rate_permit = std::move(*taken);
   }
-  call->service = ServiceAt(*call->route, SplitPoint(call->request));
   if (is_turn) {
     co_await ServeTurn(node, call);
   } else {
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -3,6 +3,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"          // for Now
+#include "celerykeel/node/capacity.h"       // for UpdateCapacity
 #include "celerykeel/node/endpoint_feed.h"  // for KnownAnnouncements
 #include "celerykeel/node/isolation.h"      // for ReportEndedIsolations
 #include "celerykeel/node/keyed_topic.h"    // for ReadAllKeys, WriteKey
@@ -77,6 +78,12 @@
       load.set_in_flight(endpoint.in_flight);
     }
   }
+  for (const auto& [key, in_flight] : node.team_loads) {
+    pb::TeamLoad& load = *beat.add_team_loads();
+    load.set_service(key.first);
+    load.set_team(key.second);
+    load.set_in_flight(in_flight);
+  }
   return frame;
 }
 
@@ -267,6 +274,7 @@
       heartbeat_at = now + kHeartbeatInterval;
       SendHeartbeats(node);
       SumLoads(node);
+      UpdateCapacity(node);
       ForgetLostMembers(node, now);
       DropLapsed(node.endpoints, now);
       ForgetEndedLimits(node);
--- a/src/celerykeel/node/overload_unittest.cc
+++ b/src/celerykeel/node/overload_unittest.cc
@@ -13,8 +13,11 @@
 // The team of this key has a burst of ten calls and almost no rate.
 constexpr char kTightKey[] = "k3";
 
-CallerAnswer SendTurn(NodeFleet& fleet, size_t index, const std::string& id) {
-  HeaderList headers = TurnHeaders(id, "p", "", 9999);
+CallerAnswer SendTurn(NodeFleet& fleet,
+                      size_t index,
+                      const std::string& id,
+                      const std::string& program) {
+  HeaderList headers = TurnHeaders(id, program, "", 9999);
   headers[1].second = std::string("Bearer ") + kTightKey;
   return fleet.Send(index, "POST", "/stream/plain/x", headers, "in");
 }
@@ -29,11 +32,14 @@
 TEST_CASE("a program in progress is not a new one at another instance") {
   NodeFleet fleet(3);
   REQUIRE(fleet.WaitUntilServing());
-  REQUIRE(SendTurn(fleet, 0, "t1").status == 200);
-  for (int i = 0; i < 6; ++i) {
+  REQUIRE(SendTurn(fleet, 0, "t1", "p").status == 200);
+  REQUIRE(SendTurn(fleet, 0, "t2", "q").status == 200);
+  for (int i = 0; i < 5; ++i) {
     REQUIRE(SendLook(fleet, 1, "l" + std::to_string(i)).status == 200);
   }
-  CHECK(SendTurn(fleet, 1, "t2").status == 200);
+  // The answer to this one tells the instance that the team is short of tokens.
+  SendTurn(fleet, 1, "t3", "r");
+  CHECK(SendTurn(fleet, 1, "t4", "p").status == 200);
 }
 
 // Guards against callers that are told to return when there is no token for
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -66,6 +66,10 @@
   for (const pb::EndpointLoad& load : heartbeat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
   }
+  state.team_loads.clear();
+  for (const pb::TeamLoad& load : heartbeat.team_loads()) {
+    state.team_loads[{load.service(), load.team()}] = load.in_flight();
+  }
   if (node.deployment == nullptr ||
       heartbeat.deployment_version() > node.deployment->version) {
     ReadDeploymentSoon(node);
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -32,6 +32,7 @@
   if (uint64_t& epoch = node.rates.home_epochs[team.name];
       epoch != slot.epoch) {
     epoch = slot.epoch;
+    node.rates.home_since[team.name] = Now();
     node.rates.home.buckets.erase(share);
     if (const auto kept = slot.rates.find(team.name);
         kept != slot.rates.end() && kept->second.recorded) {
@@ -201,6 +202,19 @@
   co_return grant;
 }
 
+bool MayBeInProgressAtHome(Node& node,
+                           const HeldSlot& slot,
+                           const std::string& name,
+                           uint64_t program) {
+  const DeployedTeam* team = FindTeam(node, name);
+  if (team == nullptr) {
+    return true;
+  }
+  InitializeBucket(node, slot, *team);
+  return Now() < node.rates.home_since[name] + kRecentProgramTime ||
+         IsRecent(node.rates.queues[name].in_progress, program);
+}
+
 Task<pb::RateGrant> LendToPeer(Node& node, pb::RateWish requested) {
   const HeldSlotPtr slot = ActiveSlot(node, HomeSlot(node, requested.team()));
   if (slot == nullptr) {
@@ -208,6 +222,12 @@
     grant.set_not_home(true);
     co_return grant;
   }
+  if (requested.wanted() <= 0 && requested.program() != 0) {
+    pb::RateGrant grant;
+    grant.set_in_progress(MayBeInProgressAtHome(node, *slot, requested.team(),
+                                                requested.program()));
+    co_return grant;
+  }
   const RequestedLoan asked{
       .share = RateShareOf(requested.team()),
       .id = {.borrower = requested.borrower(), .request = requested.request()},
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -112,6 +112,10 @@
   return static_cast<uint32_t>(std::max<int64_t>(millis, 0));
 }
 
+uint64_t ProgramHash(const std::string& team, const std::string& program) {
+  return program.empty() ? 0 : HashOfProgram(team, program);
+}
+
 // Reports programs served here to the home, so that it and other instances
 // take their next calls for what they are.
 // @return the number that a home of an older build is told instead.
@@ -264,10 +268,11 @@
                                                          std::string program,
                                                          ProgramStart start) {
   if (team.limits.rate <= 0) {
+    RecordServedProgram(node, team.name, ProgramHash(team.name, program));
     co_return RatePermit{};
   }
   RecordDemand(node.rates.borrower, RateShareOf(team.name), Now());
-  const uint64_t hash = program.empty() ? 0 : HashOfProgram(team.name, program);
+  const uint64_t hash = ProgramHash(team.name, program);
   const auto scarce = node.rates.scarcity_valid_until.find(team.name);
   const bool is_scarce =
       scarce != node.rates.scarcity_valid_until.end() && Now() < scarce->second;
@@ -313,6 +318,30 @@
                                : kRetryAfterSilentHome);
 }
 
+Task<bool> MayBeInProgress(Node& node, std::string team, uint64_t program) {
+  const uint32_t number = HomeSlot(node, team);
+  if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
+    co_return MayBeInProgressAtHome(node, *slot, team, program);
+  }
+  const PeerLinkPtr link = LinkToHolder(node, number);
+  if (link == nullptr) {
+    co_return true;
+  }
+  const auto state = node.peer_states.find(link->instance);
+  if (state == node.peer_states.end() || state->second.rate_protocol < 1) {
+    co_return true;
+  }
+  pb::NodeFrame frame;
+  pb::RateWish& wish = *frame.mutable_rate_wish();
+  wish.set_team(team);
+  wish.set_borrower(node.incarnation);
+  wish.set_program(program);
+  const auto answer = co_await CallPeer(node.io, node.peers, link,
+                                        std::move(frame), kHomeAnswerTimeout);
+  co_return !answer || !answer->has_rate_grant() ||
+      answer->rate_grant().not_home() || answer->rate_grant().in_progress();
+}
+
 Task<tl::expected<RatePermit, Duration>> RenewPermit(Node& node,
                                                      DeployedTeam team,
                                                      std::string program,
