core, node: setting sends_priority sends the urgency of calls to endpoints

Two values of X-Request-Priority for each priority in use at a service: calls of programs in progress, and first calls of programs. Off by default: without the setting no header is sent, as before. Not measured against endpoints that preempt.

--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -27,6 +27,7 @@
   std::shared_ptr<const Deployment> deployment;  // in force at its arrival
   const CallRoute* route = nullptr;
   const DeployedTeam* team = nullptr;  // null on open routes
+  bool begins_program = false;  // no earlier call of its program is known
   Duration arrived_at{};
   Duration deadline{};  // by which the answer is due
   std::string service;
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -26,6 +26,8 @@
   size_t store_record_bytes = 262144;  // max size of a record
   size_t store_call_bytes = 2097152;   // max size of a store call
   Duration stop_time{};                // from the stop signal to the kill
+  // Endpoints get the urgency of calls and may preempt less urgent ones.
+  bool sends_priority = false;
 };
 
 /// @brief All errors in a settings file.
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -4,6 +4,7 @@
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/core/call_urgency.h"     // for UrgencyOf
 #include "celerykeel/node/attempt_log.h"      // for LogAttempt
 #include "celerykeel/node/buffered_bytes.h"   // for BufferedBytes
 #include "celerykeel/node/endpoint_choice.h"  // for ChooseForCall
@@ -51,7 +52,8 @@
              : left;
 }
 
-AttemptHeaderValues HeaderValuesFor(const Call& call,
+AttemptHeaderValues HeaderValuesFor(const Node& node,
+                                    const Call& call,
                                     const EndpointEntry& endpoint) {
   return {.endpoint_id = endpoint.id,
           .team = call.team == nullptr ? "" : call.team->name,
@@ -219,7 +221,7 @@
       .target = call->request.target,
       .host = call->request.host,
       .headers = platform::EncodeAttempt(
-          call->request, HeaderValuesFor(*call, endpoint)),
+          call->request, HeaderValuesFor(node, *call, endpoint)),
       .body = body};
   if (!call->sent_after) {
     call->sent_after = Now() - call->arrived_at;
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -47,6 +47,14 @@
   return call.identity.hash_low ^ XXH3_64bits(program.data(), program.size());
 }
 
+bool BeginsProgram(const Node& node, const Call& call) {
+  const CallHeaderValues& header_values = call.request.header_values;
+  return call.team != nullptr && !header_values.program.empty() &&
+         header_values.previous_turn.empty() &&
+         !IsRecent(node.rates.recent_programs,
+                   HashOfProgram(call.team->name, header_values.program));
+}
+
 std::optional<CallRefusal> Check(const Node& node, Call& call) {
   if (node.deployment == nullptr) {
     return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
@@ -166,6 +174,7 @@
     co_return;
   }
   call->service = ServiceAt(*call->route, SplitPoint(call->request));
+  call->begins_program = is_turn && BeginsProgram(node, *call);
   if (is_turn) {
     if (const auto refusal = co_await RefusalIfServiceFull(node, call)) {
       co_await Refuse(node, call, *refusal);
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -31,6 +31,18 @@
     return this->settings.contains(name) ? this->Text(name) : std::string();
   }
 
+  bool OptionalFlag(const char* name) const {
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end()) {
+      return false;
+    }
+    if (!found->is_boolean()) {
+      this->errors.push_back(std::string(name) + ": must be true or false");
+      return false;
+    }
+    return found->get<bool>();
+  }
+
   double Number(const char* name, double lowest, double highest) const {
     const auto found = this->settings.find(name);
     if (found == this->settings.end() || !found->is_number()) {
@@ -86,6 +98,7 @@
   options.store_call_bytes = static_cast<size_t>(
       read.Number("store_call_bytes", 1024, kMaxStoreBytes));
   options.stop_time = read.Seconds("stop_s");
+  options.sends_priority = read.OptionalFlag("sends_priority");
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
   }
