node: a test of a full service

Callers hold the two slots of the endpoints; a new program is refused with Retry-After. The earlier trial with unresponsive endpoints refused nothing, as endpoints that failed recently don't count as slots.

--- a/src/celerykeel/node/overload_unittest.cc
+++ b/src/celerykeel/node/overload_unittest.cc
@@ -1,5 +1,11 @@
 #include <doctest/doctest.h>
 
+#include <atomic>  // for std::atomic
+#include <thread>  // for std::thread
+#include <vector>  // for std::vector
+
+#include <fmt/format.h>  // for fmt::format
+
 #include "celerykeel/node/calls_unittest.h"  // for TurnHeaders, ToolHeaders
 
 namespace celerykeel {
@@ -55,5 +61,38 @@
   CHECK(std::stod(answer.retry_after) >= 10);
 }
 
+// Guards against new programs that take the slots of those in progress.
+TEST_CASE("a full service refuses a new program and says when to return") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.SetEndpointSlots(1);
+  fleet.endpoints[0].pause_ms = 600;
+  fleet.endpoints[1].pause_ms = 600;
+  // A home refuses nothing until it has heard of all programs in progress.
+  std::atomic<bool> is_refused = false;
+  std::vector<std::thread> callers;
+  for (size_t caller = 0; caller < 8; ++caller) {
+    callers.emplace_back([&fleet, &is_refused, caller] {
+      for (int i = 0; i < 8 && !is_refused; ++i) {
+        const std::string id = fmt::format("f{}-{}", caller, i);
+        const CallerAnswer answer =
+            fleet.Send(caller % 2, "POST", "/stream/plain/x",
+                       TurnHeaders(id, id, "", 9999, 4000), "in");
+        if (answer.status == 503 && !answer.retry_after.empty() &&
+            answer.body.find("the service is full") != std::string::npos) {
+          is_refused = true;
+        }
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(is_refused);
+  const std::string metrics = fleet.MetricsOf(0) + fleet.MetricsOf(1);
+  CHECK(metrics.find("held back by the service") != std::string::npos);
+  CHECK(fleet.Logs().find("programs held back") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -116,6 +116,14 @@
   RunOnLoop(this->standin_loop, task);
 }
 
+void NodeFleet::SetEndpointSlots(uint32_t slots) {
+  this->RunOnStandinLoop([&] {
+    this->endpoint_slots = slots;
+    this->PutEndpoint(0, "ready");
+    this->PutEndpoint(1, "ready");
+  });
+}
+
 void NodeFleet::RevokeKey() {
   std::string changed = kDeployment;
   changed.replace(changed.find(R"("version":7)"), 11, R"("version":9)");
@@ -129,13 +137,13 @@
 }
 
 void NodeFleet::PutEndpoint(size_t index, const std::string& state) {
-  PutKeyed(
-      this->store, "keyed.servers", fmt::format("e{}", index),
-      fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                  R"("version":"{}",)"
-                  R"("slots":24,"state":"{}","sequence":1,"born":{}}})",
-                  this->Ip(kEndpointHost + index), kEndpointPort,
-                  this->versions[index], state, this->endpoint_starts[index]));
+  PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
+           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
+                       R"("version":"{}",)"
+                       R"("slots":{},"state":"{}","sequence":1,"born":{}}})",
+                       this->Ip(kEndpointHost + index), kEndpointPort,
+                       this->versions[index], this->endpoint_slots, state,
+                       this->endpoint_starts[index]));
 }
 
 void NodeFleet::RemoveEntry(size_t endpoint) {
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -113,6 +113,9 @@
   /// @brief Runs `task` on the loop of the stand-ins and waits for its end.
   void RunOnStandinLoop(const std::function<void()>& task);
 
+  /// @brief Publishes another number of slots of both endpoints.
+  void SetEndpointSlots(uint32_t slots);
+
   /// @brief Publishes the next version of the configuration, without the key
   /// "k1".
   void RevokeKey();
@@ -144,6 +147,7 @@
 
   int subnet = 0;
   std::array<std::string, 2> versions;
+  uint32_t endpoint_slots = 24;
   std::array<WallMillis, 2> endpoint_starts{1, 1};  // increases with each
   asio::io_context standin_loop{1};
   std::thread standin_thread;
