--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -7,6 +7,7 @@
 #include "celerykeel/node/call_path.h"        // for CallPtr
 #include "celerykeel/node/crash_watch.h"      // for SentRun
 #include "celerykeel/node/endpoint_speeds.h"  // for AttemptTimer
+#include "celerykeel/node/in_flight.h"        // for InFlight
 
 namespace celerykeel {
 
@@ -30,29 +31,6 @@
   kNotIsolated,  // not sent: may be deadly, and no endpoint is free to try it
 };
 
-/// @brief Counts an attempt as in flight at its endpoint during the lifetime of
-/// this object.
-class InFlight {
- public:
-  InFlight(Node& counting_node, std::string endpoint_id);
-  ~InFlight();
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
-
-  /// @brief Counts bytes sent to the endpoint or received from it.
-  void AddBytes(size_t more) {
-    this->bytes += more;
-    this->is_sent = true;
-  }
-
- private:
-  Node& node;
-  std::string endpoint;
-  Duration began_at{};
-  size_t bytes = 0;
-  bool is_sent = false;
-};
-
 /// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
 /// kAnswered.
 struct Attempt {
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -26,6 +26,11 @@
   prometheus::Family<prometheus::Counter>& turns;       // by outcome
   prometheus::Family<prometheus::Counter>& cold_waits;  // by outcome
   prometheus::Family<prometheus::Counter>& caller_limits;  // by limit
+  // First calls of programs that homes of rates and full services decided on,
+  // by outcome.
+  prometheus::Family<prometheus::Counter>& programs;
+  prometheus::Family<prometheus::Counter>& rate_recalls;
+  prometheus::Histogram& told_seconds;  // Retry-After of refusals
   prometheus::Histogram& before_send_seconds;
   prometheus::Histogram& first_event_seconds;
   prometheus::Histogram& append_seconds;
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -6,36 +6,43 @@
 #include <optional>  // for std::optional
 #include <set>       // for std::set
 #include <string>    // for std::string
-
-#include "celerykeel/core/deployment.h"         // for Deployment
-#include "celerykeel/core/endpoint_path.h"      // for EndpointPath
-#include "celerykeel/core/endpoint_speed.h"     // for EndpointSpeeds
-#include "celerykeel/core/endpoint_table.h"     // for EndpointTable
-#include "celerykeel/core/program_admission.h"  // for ProgramAdmission
-#include "celerykeel/core/rate_borrower.h"      // for RateBorrower
-#include "celerykeel/core/rate_home.h"          // for RateHome
-#include "celerykeel/core/slot_table.h"         // for KnownFleet
-#include "celerykeel/core/spent_programs.h"     // for SpentPrograms
-#include "celerykeel/node/asio.h"               // for asio::io_context
-#include "celerykeel/node/caller_stream.h"      // for CallerStream
-#include "celerykeel/node/crash_store.h"        // for CrashStore
-#include "celerykeel/node/crash_watch.h"        // for CrashWatch
-#include "celerykeel/node/endpoint_limits.h"    // for EndpointLimitState
-#include "celerykeel/node/feeds.h"              // for DeploymentFeed
-#include "celerykeel/node/log_sink.h"           // for LogSink
-#include "celerykeel/node/metrics.h"            // for NodeMetrics
-#include "celerykeel/node/options.h"            // for NodeOptions
-#include "celerykeel/node/out_connection.h"     // for OutPool
-#include "celerykeel/node/peer_link.h"          // for PeerNetwork
-#include "celerykeel/node/request_memory.h"     // for RequestMemory
-#include "celerykeel/node/slot_host.h"          // for SlotHost
-#include "celerykeel/node/start_record.h"       // for StartRecord
-#include "celerykeel/node/store_client.h"       // for StoreClient
-#include "celerykeel/node/version_feed.h"       // for VersionFeed
-#include "celerykeel/node/zone_traffic.h"       // for ZoneTraffic
+#include <utility>   // for std::pair
+#include <vector>    // for std::vector
+
+#include "celerykeel/core/capacity_admission.h"  // for CapacityGate
+#include "celerykeel/core/deployment.h"          // for Deployment
+#include "celerykeel/core/endpoint_path.h"       // for EndpointPath
+#include "celerykeel/core/endpoint_speed.h"      // for EndpointSpeeds
+#include "celerykeel/core/endpoint_table.h"      // for EndpointTable
+#include "celerykeel/core/rate_borrower.h"       // for RateBorrower
+#include "celerykeel/core/rate_home.h"           // for RateHome
+#include "celerykeel/core/recent_programs.h"     // for RecentPrograms
+#include "celerykeel/core/slot_table.h"          // for KnownFleet
+#include "celerykeel/core/spent_programs.h"      // for SpentPrograms
+#include "celerykeel/core/team_queue.h"          // for TeamQueue
+#include "celerykeel/node/asio.h"                // for asio::io_context
+#include "celerykeel/node/caller_stream.h"       // for CallerStream
+#include "celerykeel/node/crash_store.h"         // for CrashStore
+#include "celerykeel/node/crash_watch.h"         // for CrashWatch
+#include "celerykeel/node/endpoint_limits.h"     // for EndpointLimitState
+#include "celerykeel/node/feeds.h"               // for DeploymentFeed
+#include "celerykeel/node/log_sink.h"            // for LogSink
+#include "celerykeel/node/metrics.h"             // for NodeMetrics
+#include "celerykeel/node/options.h"             // for NodeOptions
+#include "celerykeel/node/out_connection.h"      // for OutPool
+#include "celerykeel/node/peer_link.h"           // for PeerNetwork
+#include "celerykeel/node/request_memory.h"      // for RequestMemory
+#include "celerykeel/node/slot_host.h"           // for SlotHost
+#include "celerykeel/node/start_record.h"        // for StartRecord
+#include "celerykeel/node/store_client.h"        // for StoreClient
+#include "celerykeel/node/version_feed.h"        // for VersionFeed
+#include "celerykeel/node/zone_traffic.h"        // for ZoneTraffic
 
 namespace celerykeel {
 
+/// @brief Calls in flight from one instance, by service and team.
+using TeamLoads = std::map<std::pair<std::string, std::string>, uint32_t>;
+
 /// @brief The state that a peer's last heartbeat reported besides its
 /// membership.
 struct PeerState {
@@ -46,11 +53,31 @@
   bool counts_covers = false;     // see pb::NodeHeartbeat
   // When the store last answered an append of the peer quickly.
   std::optional<Duration> quick_append_at;
+  bool opens_tunnels = false;  // reaches the endpoints
+  uint32_t rate_protocol = 0;  // see NodeHeartbeat
+  TeamLoads team_loads;
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
   // Set if the peer is a reader: when it read the endpoints that it reported.
   std::optional<Duration> endpoints_read_at;
 };
 
+/// @brief Programs of a team that full services refused since the last log
+/// line.
+struct FullServiceLog {
+  Duration logged_at{};
+  uint64_t held_back = 0;
+};
+
+/// @brief Refusals of a team at its home since the last log line.
+struct RefusalLog {
+  Duration logged_at{};
+  uint64_t no_token = 0;  // calls that lacked a token
+  uint64_t programs_held_back = 0;
+  uint64_t plain_held_back = 0;
+  uint64_t returned = 0;  // calls that came back when they were told to
+  Duration longest_told{};
+};
+
 /// @brief State of the team rates: loans taken as a borrower, loans given as a
 /// home, and programs in progress.
 struct TeamRateState {
@@ -62,12 +89,16 @@
   // Teams with a loan request in flight that was made ahead of need.
   std::set<std::string> loan_requests_ahead;
   // As the home, by team.
-  std::map<std::string, ProgramAdmission> program_admissions;
+  std::map<std::string, TeamQueue> queues;
+  std::map<std::string, Duration> home_since;   // of `home_epochs`
+  std::map<std::string, Duration> recalled_at;  // time of the last recall
+  // Time of the last log line on refusals, by team.
+  std::map<std::string, RefusalLog> refusal_logs;
   std::map<std::string, Duration>
       scarcity_valid_until;  // by team, reported by homes
-  // Number of programs not reported to the home yet, by team.
-  std::map<std::string, uint32_t> unreported_programs;
-  std::map<ProgramName, Duration> recent_programs;  // programs served recently
+  // Hashes of programs not reported to the home yet, by team.
+  std::map<std::string, std::vector<uint64_t>> unreported_programs;
+  RecentPrograms recent_programs;  // served here
 };
 
 /// @brief The planned stop of an instance.
@@ -93,6 +124,7 @@
   EndpointTable endpoints;
   EndpointSpeeds speeds;
   ZoneTraffic zone_traffic;
+  TeamLoads team_loads;              // at services whose endpoints are engines
   size_t buffered_answer_bytes = 0;  // of incomplete answers
   RequestMemory request_memory;
   SentRequestTable sent_requests;
@@ -119,6 +151,8 @@
   SlotHost slots;
   SpentPrograms spent_programs;
   TeamRateState rates;
+  std::map<std::string, CapacityGate> capacity_gates;       // by service
+  std::map<std::string, FullServiceLog> full_service_logs;  // by team
   EndpointLimitState endpoint_limits;
   EndpointPath endpoint_path;
   VersionFeed version_feed;
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -35,6 +35,8 @@
   size_t min_body_bytes_per_second = 16384;  // of a request's body
   size_t max_header_fields = 500;            // of a request
   ZonePrices zone_prices;  // 0: a call leaves its zone by the load alone
+  // Endpoints get the urgency of calls and may preempt less urgent ones.
+  bool sends_priority = false;
 };
 
 /// @brief All errors in a settings file.
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/base/clock.h"        // for Now
 #include "celerykeel/core/rendezvous.h"   // for FractionOfHash
 #include "celerykeel/node/attempts.h"     // for RunAttempts
+#include "celerykeel/node/capacity.h"     // for RefusalIfServiceFull
 #include "celerykeel/node/node.h"         // for Node
 #include "celerykeel/node/rates.h"        // for ReserveFromRate
 #include "celerykeel/node/regions.h"      // for AllEvacuated
@@ -26,6 +27,8 @@
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
 // Callers use other instances this long after a planned stop began.
 constexpr Duration kStopNoticeTime = std::chrono::seconds(3);
+// Callers wait before a retry for at most this part of the time that they have.
+constexpr int kRetryDivisor = 3;
 // Another instance takes the request at once.
 constexpr Duration kElsewhereRetry = std::chrono::milliseconds(50);
 
@@ -38,6 +41,21 @@
   return FractionOfHash(XXH3_64bits(subject.data(), subject.size()));
 }
 
+// A retry has a new id but the same content. Calls of different programs may
+// have the same content.
+uint64_t CallerOf(const Call& call) {
+  const std::string& program = call.request.header_values.program;
+  return call.identity.hash_low ^ XXH3_64bits(program.data(), program.size());
+}
+
+bool BeginsProgram(const Node& node, const Call& call) {
+  const CallHeaderValues& header_values = call.request.header_values;
+  return call.team != nullptr && !header_values.program.empty() &&
+         header_values.previous_turn.empty() &&
+         !IsRecent(node.rates.recent_programs,
+                   HashOfProgram(call.team->name, header_values.program));
+}
+
 // Refuses a request that came late in a planned stop, for example as its body
 // was slow, and might be cut at the end of the stop.
 std::optional<CallRefusal> RefusalIfStopping(const Node& node,
@@ -95,6 +113,9 @@
 Task<> Refuse(Node& node, CallPtr call, CallRefusal refusal) {
   SettleRate(node, *call);
   CountRefusal(node.metrics, refusal.status, refusal.reason);
+  if (refusal.retry_after > Duration::zero()) {
+    Observe(node.metrics.told_seconds, refusal.retry_after);
+  }
   WriteLog(
       node.log, LogLevel::kOrdinary, "refused",
       {{"id", call->request.header_values.id},
@@ -158,12 +179,20 @@
     co_await Refuse(node, call, *refusal);
     co_return;
   }
+  call->begins_program = is_turn && BeginsProgram(node, *call);
+  if (is_turn) {
+    if (const auto refusal = co_await RefusalIfServiceFull(node, call)) {
+      co_await Refuse(node, call, *refusal);
+      co_return;
+    }
+  }
   if (call->team != nullptr) {
     const CallHeaderValues& header_values = call->request.header_values;
     const ProgramStart start{
         .may_begin = is_turn && header_values.previous_turn.empty(),
-        .time_left =
-            header_values.program_time_left.value_or(Duration::zero())};
+        .time_left = header_values.program_time_left.value_or(Duration::zero()),
+        .caller = CallerOf(*call),
+        .max_wait = TimeLeft(*call) / kRetryDivisor};
     auto taken = co_await ReserveFromRate(node, *call->team,
                                           header_values.program, start);
     if (!taken) {
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -1,16 +1,17 @@
 #include "celerykeel/node/feeds.h"
 
-#include <xxhash.h>  // for XXH3_64bits
-
+#include <xxhash.h>   // for XXH3_64bits
 #include <algorithm>  // for std::max
-#include <utility>    // for std::move
+#include <utility>    // for std::move, std::exchange
 
 #include "celerykeel/base/clock.h"            // for Now
 #include "celerykeel/core/cold_endpoints.h"   // for SetColdTraits
 #include "celerykeel/node/deployment_copy.h"  // for CopyDeployment
 #include "celerykeel/node/fleet.h"            // for AnnounceSoon
+#include "celerykeel/node/keyed_topic.h"      // for ReadAllKeys
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/operator_feed.h"    // for ApplyAllEvacuations
+#include "celerykeel/node/rates.h"            // for ReturnTokens
 #include "platform/deployment_json.h"         // for platform::DecodeDeployment
 
 namespace celerykeel {
@@ -105,6 +106,19 @@
   return XXH3_64bits(value.data(), value.size());
 }
 
+// Tokens held by a higher rate would leave other instances none for as long as
+// these loans last.
+void ReturnTokensOfCutRates(Node& node, const Deployment& before) {
+  for (const auto& [name, team] : before.teams) {
+    if (const auto found = node.deployment->teams.find(name);
+        found != node.deployment->teams.end() &&
+        (found->second.limits.rate < team.limits.rate ||
+         found->second.limits.burst < team.limits.burst)) {
+      ReturnTokens(node, name);
+    }
+  }
+}
+
 void ApplyDeployment(Node& node, const KeyedRecord& record) {
   if (record.key != platform::kConfigurationKey || record.dropped) {
     return;
@@ -133,7 +147,11 @@
               {"reason", "no allowed region is known: " + restricted}});
     return;
   }
-  node.deployment = std::make_shared<const Deployment>(std::move(*decoded));
+  const auto before = std::exchange(
+      node.deployment, std::make_shared<const Deployment>(std::move(*decoded)));
+  if (before != nullptr) {
+    ReturnTokensOfCutRates(node, *before);
+  }
   SetColdTraits(node.endpoints, *node.deployment);
   feed.value = record.value;
   feed.offset = record.offset;
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -3,6 +3,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/node/capacity.h"         // for UpdateCapacity
 #include "celerykeel/node/endpoint_feed.h"    // for KnownAnnouncements
 #include "celerykeel/node/endpoint_speeds.h"  // for AssessEndpoints
 #include "celerykeel/node/isolation.h"        // for ReportEndedIsolations
@@ -80,6 +81,7 @@
         Now() - *node.store.quick_append_at);
     beat.set_append_age_ms(static_cast<uint32_t>(age.count()));
   }
+  beat.set_rate_protocol(1);
   ListHeldSlots(node, beat);
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
     if (endpoint.in_flight > 0) {
@@ -89,6 +91,12 @@
     }
   }
   AddSpeedNews(node, beat);
+  for (const auto& [key, in_flight] : node.team_loads) {
+    pb::TeamLoad& load = *beat.add_team_loads();
+    load.set_service(key.first);
+    load.set_team(key.second);
+    load.set_in_flight(in_flight);
+  }
   return frame;
 }
 
@@ -288,6 +296,7 @@
       SumLoads(node);
       AssessEndpoints(node);
       UpdateZoneTraffic(node);
+      UpdateCapacity(node);
       ForgetLostMembers(node, now);
       DropLapsed(node.endpoints, now);
       ForgetEndedLimits(node);
@@ -297,7 +306,6 @@
       ForgetSuspectRuns(node);
       ExpireSlots(node);
       ConfirmSlots(node);
-      ForgetPrograms(node);
       DropUnusedSpent(node.spent_programs, now);
     }
     UpdateStoredCrashes(node);
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -32,6 +32,18 @@
     return this->settings.contains(name) ? this->Text(name) : std::string();
   }
 
+  bool OptionalFlag(const char* name) const {
+    const auto found = this->settings.find(name);
+    if (found == this->settings.end()) {
+      return false;
+    }
+    if (!found->is_boolean()) {
+      this->errors.push_back(std::string(name) + ": must be true or false");
+      return false;
+    }
+    return found->get<bool>();
+  }
+
   double Number(const char* name, double lowest, double highest) const {
     const auto found = this->settings.find(name);
     if (found == this->settings.end() || !found->is_number()) {
@@ -162,6 +174,7 @@
     invalid.errors.emplace_back(
         "cross_zone_byte_price: needs a caller_time_price above 0");
   }
+  options.sends_priority = read.OptionalFlag("sends_priority");
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
   }
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -10,6 +10,7 @@
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/operator_feed.h"    // for ApplyOperatorNews
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
+#include "celerykeel/node/rates.h"          // for ReturnTokens
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 #include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
 #include "celerykeel/node/tunnel.h"         // for ServeTunnel
@@ -71,6 +72,7 @@
   state.deployment_version = heartbeat.deployment_version();
   state.store_reached = heartbeat.store_reached();
   state.opens_tunnels = heartbeat.opens_tunnels();
+  state.rate_protocol = heartbeat.rate_protocol();
   state.endpoints_read_at.reset();
   if (heartbeat.has_endpoints_age_ms()) {
     state.endpoints_read_at =
@@ -80,6 +82,10 @@
   for (const pb::EndpointLoad& load : heartbeat.loads()) {
     state.loads[load.endpoint()] = load.in_flight();
   }
+  state.team_loads.clear();
+  for (const pb::TeamLoad& load : heartbeat.team_loads()) {
+    state.team_loads[{load.service(), load.team()}] = load.in_flight();
+  }
   ApplySpeedNews(node, heartbeat);
   if (heartbeat.has_evacuations_digest() &&
       heartbeat.evacuations_digest() != DigestOf(node.endpoints.evacuations)) {
@@ -207,6 +213,12 @@
     case pb::NodeFrame::kRateNews:
       ApplyLoanReports(node, frame.rate_news());
       return;
+    case pb::NodeFrame::kProgramsBegun:
+      ApplyProgramsBegun(node, frame.programs_begun());
+      return;
+    case pb::NodeFrame::kRateRecall:
+      ReturnTokens(node, frame.rate_recall().team());
+      return;
     default:
       WriteLog(node.log, LogLevel::kUnusual, "frame of an unknown kind");
   }
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -31,7 +31,7 @@
 {"name":"look","host":"h","path_prefix":"/look/","route_kind":"idempotent","timeout_ms":1000,"service":"llm","max_attempts":2},
 {"name":"pay","host":"h","path_prefix":"/pay/","route_kind":"non_idempotent","timeout_ms":1000,"service":"llm","max_attempts":2}],
 "services":[{"name":"llm","health_path":"/healthz","max_conns":210,"runtime":{"slots":24,"kv_capacity":657246,"chunk_tokens":20}}],
-"tenants":[{"name":"orchard","api_keys":["k1"],"rate_per_s":1000,"burst":1000},{"name":"small","api_keys":["k2"],"rate_per_s":0.001,"burst":4}]})";
+"tenants":[{"name":"orchard","api_keys":["k1"],"rate_per_s":1000,"burst":1000},{"name":"small","api_keys":["k2"],"rate_per_s":0.001,"burst":4},{"name":"tight","api_keys":["k3"],"rate_per_s":0.001,"burst":10}]})";
 
 std::atomic<int> next_fleet{0};
 
@@ -120,6 +120,14 @@
   RunOnLoop(this->standin_loop, task);
 }
 
+void NodeFleet::SetEndpointSlots(uint32_t slots) {
+  this->RunOnStandinLoop([&] {
+    this->endpoint_slots = slots;
+    this->PutEndpoint(0, "ready");
+    this->PutEndpoint(1, "ready");
+  });
+}
+
 void NodeFleet::RevokeKey() {
   std::string changed = kDeployment;
   changed.replace(changed.find(R"("version":7)"), 11, R"("version":9)");
@@ -165,11 +173,11 @@
   PutKeyed(this->store, "keyed.servers", fmt::format("e{}", index),
            fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"{}",)"
                        R"("version":"{}","cold_left_ms":{},)"
-                       R"("slots":24,"state":"{}","sequence":{},"born":{}}})",
+                       R"("slots":{},"state":"{}","sequence":{},"born":{}}})",
                        this->Ip(kEndpointHost + index), kEndpointPort,
                        this->zones[index], this->versions[index],
-                       this->cold_left[index].count(), state,
-                       ++this->entries_written[index],
+                       this->cold_left[index].count(), this->endpoint_slots,
+                       state, ++this->entries_written[index],
                        this->endpoint_starts[index]));
 }
 
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -134,6 +134,9 @@
   /// @brief Runs `task` on the loop of the stand-ins and waits for its end.
   void RunOnStandinLoop(const std::function<void()>& task);
 
+  /// @brief Publishes another number of slots of both endpoints.
+  void SetEndpointSlots(uint32_t slots);
+
   /// @brief Publishes the next version of the configuration, without the key
   /// "k1".
   void RevokeKey();
@@ -183,6 +186,7 @@
   std::array<std::string, 2> zones;
   std::array<std::chrono::milliseconds, 2> cold_left{};
   std::array<uint64_t, 2> entries_written{};
+  uint32_t endpoint_slots = 24;
   std::array<WallMillis, 2> endpoint_starts{1, 1};  // increases with each
   asio::io_context standin_loop{1};
   std::thread standin_thread;
