--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -53,7 +53,6 @@
   bool counts_covers = false;     // see pb::NodeHeartbeat
   // When the store last answered an append of the peer quickly.
   std::optional<Duration> quick_append_at;
-  bool opens_tunnels = false;  // reaches the endpoints
   uint32_t rate_protocol = 0;  // see NodeHeartbeat
   TeamLoads team_loads;
   std::map<std::string, uint32_t> loads;  // calls in flight, by endpoint
