--- a/include/celerykeel/core/outage_estimate.h
+++ b/include/celerykeel/core/outage_estimate.h
@@ -43,8 +43,8 @@
 /// @brief Returns how long a call waits for the store before it is refused: a
 /// third of its time. A program fails with the third failure of a turn, so a
 /// turn that waits bridges a longer outage than one that is refused at once. If
-/// earlier outages show that the store will not return within the caller's time,
-/// the call is refused after the first probes.
+/// earlier outages show that the store will not return within the caller's
+/// time, the call is refused after the first probes.
 /// @param time_left until the caller's deadline.
 Duration WorthwhileWait(const OutageEstimate& estimate,
                         Duration time_left,
--- a/include/celerykeel/node/caller_stream.h
+++ b/include/celerykeel/node/caller_stream.h
@@ -30,7 +30,7 @@
   // Memory of the current request; null between requests.
   std::unique_ptr<HeldMemory> memory;
   bool closed_for_memory = false;
-  bool is_draining = false;  // in CloseAfterRefusal
+  bool is_draining = false;   // in CloseAfterRefusal
   Duration idle_since{};      // end of the last answer
   bool keep_alive = true;     // after the current answer
   bool busy = false;          // a request was read and not yet answered
