node, core: reports of endpoint speeds and team loads are bounded by the fleet's size

An instance received up to 16 endpoints in each heartbeat of each peer, and all teams' calls in flight. An instance now receives about 320 endpoints in all, team loads only while a service is nearly full, and looks for a newer configuration only at heartbeats that report one. Endpoints of evacuated zones no longer count as free slots.

--- a/include/celerykeel/core/capacity_admission.h
+++ b/include/celerykeel/core/capacity_admission.h
@@ -40,6 +40,10 @@
 /// @brief Applies a new report of the load.
 void UpdateGate(CapacityGate& gate, ServiceLoad load, Duration now);
 
+/// @brief True if the gate may refuse programs within the next reports. Only
+/// then the calls of each team are needed.
+bool MayRefuseSoon(const CapacityGate& gate);
+
 /// @brief Returns when a program that may not begin now should return, counted
 /// from now; nothing if it may begin. All instances with the same report decide
 /// alike: at any time, the programs whose hash is in a window may begin. The
--- a/include/celerykeel/core/endpoint_speed.h
+++ b/include/celerykeel/core/endpoint_speed.h
@@ -109,9 +109,17 @@
 /// not grow with the number of endpoints.
 inline constexpr size_t kMaxSpeedReports = 16;
 
+/// @brief An instance receives about this many endpoints in the reports of all
+/// others. With 83 instances, 16 in each report took a fifth of the processor
+/// time.
+inline constexpr size_t kMaxSpeedReportsReceived = 320;
+inline constexpr size_t kMinSpeedReports = 2;
+
 /// @brief Returns this instance's samples of endpoints that deviate from their
-/// peers here, or that a peer reports.
+/// peers here, or that a peer reports. The larger the fleet, the fewer.
+/// @param instances live instances, this one included.
 std::vector<SpeedReport> ReportSpeeds(const EndpointSpeeds& speeds,
+                                      size_t instances,
                                       Duration now);
 
 /// @brief Replaces what a peer reported. Reports are cut at
--- a/include/celerykeel/node/capacity.h
+++ b/include/celerykeel/node/capacity.h
@@ -12,6 +12,10 @@
 /// the calls in flight that this instance and its peers report.
 void UpdateCapacity(Node& node);
 
+/// @brief True if the peers need this instance's calls of each team at the
+/// service.
+bool NeedsTeamLoads(const Node& node, const std::string& service);
+
 /// @brief Refuses the first call of a program if its service is full.
 Task<std::optional<CallRefusal>> RefusalIfServiceFull(Node& node, CallPtr call);
 
--- a/src/celerykeel/core/capacity_admission.cc
+++ b/src/celerykeel/core/capacity_admission.cc
@@ -117,6 +117,10 @@
       std::min(wanted, gate.share * std::pow(kGrowthPerSecond, passed));
 }
 
+bool MayRefuseSoon(const CapacityGate& gate) {
+  return gate.is_full || gate.fullness >= kAlwaysFree;
+}
+
 std::optional<Duration> RefuseIfFull(const CapacityGate& gate,
                                      const NewProgram& program,
                                      WallMillis wall_now) {
--- a/src/celerykeel/core/endpoint_speed.cc
+++ b/src/celerykeel/core/endpoint_speed.cc
@@ -1,8 +1,10 @@
 #include "celerykeel/core/endpoint_speed.h"
 
-#include <algorithm>  // for std::nth_element, std::sort, std::any_of
-#include <cmath>      // for std::exp, std::log, std::exp2
-#include <utility>    // for std::move
+#include <algorithm>    // for std::nth_element, std::sort, std::clamp
+#include <cmath>        // for std::exp, std::log, std::exp2
+#include <set>          // for std::set
+#include <string_view>  // for std::string_view
+#include <utility>      // for std::move
 
 namespace celerykeel {
 
@@ -206,18 +208,20 @@
 }
 
 std::vector<SpeedReport> ReportSpeeds(const EndpointSpeeds& speeds,
+                                      size_t instances,
                                       Duration now) {
+  std::set<std::string_view> reported;
+  for (const auto& [peer, samples] : speeds.peers) {
+    for (const auto& [endpoint, theirs] : samples) {
+      if (Deviates(DecayedTo(theirs, now))) {
+        reported.insert(endpoint);
+      }
+    }
+  }
   std::vector<SpeedReport> reports;
-  for (const auto& entry : OwnWithOverdue(speeds, now)) {
-    const std::string& endpoint = entry.first;
-    const SpeedSamples& samples = entry.second;
-    const bool reported = std::any_of(
-        speeds.peers.begin(), speeds.peers.end(), [&](const auto& peer) {
-          const auto found = peer.second.find(endpoint);
-          return found != peer.second.end() &&
-                 Deviates(DecayedTo(found->second, now));
-        });
-    if (samples.calls >= kMinSamples && (reported || Deviates(samples))) {
+  for (const auto& [endpoint, samples] : OwnWithOverdue(speeds, now)) {
+    if (samples.calls >= kMinSamples &&
+        (reported.contains(endpoint) || Deviates(samples))) {
       reports.push_back({endpoint, samples});
     }
   }
@@ -226,8 +230,11 @@
     return std::abs(a.samples.log_ratios) + a.samples.failures >
            std::abs(b.samples.log_ratios) + b.samples.failures;
   });
-  if (reports.size() > kMaxSpeedReports) {
-    reports.resize(kMaxSpeedReports);
+  const size_t most =
+      std::clamp(kMaxSpeedReportsReceived / std::max<size_t>(instances, 1),
+                 kMinSpeedReports, kMaxSpeedReports);
+  if (reports.size() > most) {
+    reports.resize(most);
   }
   return reports;
 }
--- a/src/celerykeel/core/endpoint_speed_unittest.cc
+++ b/src/celerykeel/core/endpoint_speed_unittest.cc
@@ -105,7 +105,8 @@
   void Heartbeat(size_t index) {
     Instance& self = this->fleet[index];
     TickSpeeds(self.speeds, this->Now());
-    const auto reports = ReportSpeeds(self.speeds, this->Now());
+    const auto reports =
+        ReportSpeeds(self.speeds, this->fleet.size(), this->Now());
     std::map<std::string, uint32_t> loads;
     for (const auto& [id, endpoint] : self.table.endpoints) {
       loads[id] = endpoint.in_flight;
--- a/src/celerykeel/node/capacity.cc
+++ b/src/celerykeel/node/capacity.cc
@@ -17,6 +17,7 @@
 bool TakesCalls(const Node& node, const EndpointStatus& endpoint) {
   return !endpoint.entry.leaving && !endpoint.lapsed_at &&
          !HasDeparted(node.endpoints, endpoint.entry) &&
+         !IsEvacuated(node.endpoints.evacuations, endpoint.entry.zone) &&
          endpoint.avoid_until <= Now();
 }
 
@@ -78,6 +79,11 @@
   }
 }
 
+bool NeedsTeamLoads(const Node& node, const std::string& service) {
+  const auto gate = node.capacity_gates.find(service);
+  return gate != node.capacity_gates.end() && MayRefuseSoon(gate->second);
+}
+
 Task<std::optional<CallRefusal>> RefusalIfServiceFull(Node& node,
                                                       CallPtr call) {
   const CallHeaderValues& header_values = call->request.header_values;
--- a/src/celerykeel/node/endpoint_speeds.cc
+++ b/src/celerykeel/node/endpoint_speeds.cc
@@ -83,7 +83,9 @@
 }
 
 void AddSpeedNews(const Node& node, pb::NodeHeartbeat& beat) {
-  for (const auto& [endpoint, samples] : ReportSpeeds(node.speeds, Now())) {
+  const Duration now = Now();
+  for (const auto& [endpoint, samples] :
+       ReportSpeeds(node.speeds, CountLiveInstances(node, now), now)) {
     pb::EndpointSpeedNews& news = *beat.add_speeds();
     news.set_endpoint(endpoint);
     news.set_calls(static_cast<float>(samples.calls));
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -92,6 +92,9 @@
   }
   AddSpeedNews(node, beat);
   for (const auto& [key, in_flight] : node.team_loads) {
+    if (!NeedsTeamLoads(node, key.first)) {
+      continue;
+    }
     pb::TeamLoad& load = *beat.add_team_loads();
     load.set_service(key.first);
     load.set_team(key.second);
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -98,7 +98,10 @@
     state.quick_append_at =
         Now() - std::chrono::milliseconds(heartbeat.append_age_ms());
   }
-  GetDeploymentSoon(node);
+  if (node.deployment == nullptr ||
+      heartbeat.deployment_version() > node.deployment->version) {
+    GetDeploymentSoon(node);
+  }
 }
 
 Task<> OnAdmission(Node& node, PeerSocketPtr peer, pb::NodeFrame frame) {
