--- a/src/celerykeel/core/capacity_admission_unittest.cc
+++ b/src/celerykeel/core/capacity_admission_unittest.cc
@@ -60,7 +60,10 @@
   double due = 0;
   const double per_step = load * kSlots / (kCalls * kServeMs) * kStepMs;
   for (int now = 0; now < kRunMs; now += kStepMs) {
-    for (due += per_step; due >= 1; due -= 1) {
+    due += per_step;
+    const int begun = int(due);
+    due -= begun;
+    for (int i = 0; i < begun; ++i) {
       const uint64_t id = random();
       // One of five teams sends six of ten programs.
       const uint64_t team = id % 10 < 6 ? 0 : id % 4 + 1;
@@ -214,7 +217,7 @@
   for (int i = 0; i < 200; ++i) {
     const std::string id = std::to_string(i);
     NewProgram program{.team = "t", .hash = HashOfProgram("t", id)};
-    const WallMillis now = 1796368127000 + i * 17;
+    const WallMillis now = 1796368127000 + WallMillis{i} * 17;
     const auto told = RefuseIfFull(gate, program, now);
     urgent += told ? 0 : 1;
     if (told) {
--- a/src/celerykeel/core/memory_shares_unittest.cc
+++ b/src/celerykeel/core/memory_shares_unittest.cc
@@ -11,8 +11,8 @@
 using Verdict = MemoryShares::Verdict;
 
 constexpr size_t kKiB = 1024;
-constexpr size_t kBudget = 16 * 1024 * kKiB;
-constexpr size_t kLargestBody = 4 * 1024 * kKiB;
+constexpr size_t kBudget = 16UL * 1024 * kKiB;
+constexpr size_t kLargestBody = 4UL * 1024 * kKiB;
 constexpr Duration kNow = std::chrono::seconds(100);
 
 // Asks, and closes whatever the shares name. Returns false if it was refused.
--- a/src/celerykeel/core/peer_choice_unittest.cc
+++ b/src/celerykeel/core/peer_choice_unittest.cc
@@ -10,6 +10,7 @@
 
 std::vector<PeerCandidate> Candidates(int count) {
   std::vector<PeerCandidate> candidates;
+  candidates.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     candidates.push_back(
         {.instance = "p" + std::to_string(i), .is_same_zone = i % 3 == 0});
--- a/src/celerykeel/core/rate_home.cc
+++ b/src/celerykeel/core/rate_home.cc
@@ -162,6 +162,7 @@
     return {};
   }
   std::vector<std::pair<double, Incarnation>> largest;
+  largest.reserve(spare.size());
   for (const auto& [borrower, tokens] : spare) {
     largest.emplace_back(tokens, borrower);
   }
--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -76,7 +76,8 @@
 TEST_CASE("a cover ends with records of the programs that were charged") {
   const auto violation = [](WithoutRule rule) {
     SlotModel model(rule, false, {12, 5});
-    const auto apply = [&model](std::vector<Kind> kinds, uint32_t which = 0) {
+    const auto apply = [&model](const std::vector<Kind>& kinds,
+                                uint32_t which = 0) {
       for (const Kind kind : kinds) {
         model.Apply({.kind = kind, .which = which});
       }
--- a/src/celerykeel/core/team_queue_unittest.cc
+++ b/src/celerykeel/core/team_queue_unittest.cc
@@ -84,7 +84,8 @@
   std::priority_queue<Event> events;
   uint64_t next_id = 1;
   const double programs_per_s = load * kLimits.rate * 0.8 / kCalls;
-  for (double at = 0; at < kSeconds; at += clump / programs_per_s) {
+  double at = 0;
+  while (at < kSeconds) {
     for (int i = 0; i < clump; ++i) {
       const Duration begin =
           Duration(int64_t(at * 1e9)) + milliseconds(random() % 50);
@@ -93,10 +94,13 @@
                    .call_began = begin,
                    .ends = begin + kProgramTime});
     }
+    at += clump / programs_per_s;
   }
-  for (double at = 0; at < kSeconds; at += 1 / (load * kLimits.rate * 0.2)) {
+  at = 0;
+  while (at < kSeconds) {
     const Duration begin = Duration(int64_t(at * 1e9));
     events.push({.at = begin, .id = next_id++, .left = 0, .call_began = begin});
+    at += 1 / (load * kLimits.rate * 0.2);
   }
   TokenBucket bucket{.level = kLimits.burst, .updated_at = {}};
   TeamQueue queue;
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -246,6 +246,7 @@
     SendLoanReports(node, home, items);
   }
   std::vector<std::string> teams;
+  teams.reserve(node.rates.unreported_programs.size());
   for (const auto& [team, programs] : node.rates.unreported_programs) {
     teams.push_back(team);
   }
