core, node: one test of whether an endpoint accepts calls, one of a program's first call

The test of leaving endpoints and evacuated zones stood in four places, of which the count of free slots had missed the zones at first. RefusalIfServiceFull repeated what Call::begins_program already holds, with another lookup for each turn.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -177,6 +177,9 @@
   const ZoneShares* zone_shares = nullptr;
 };
 
+/// @brief True if the endpoint is neither leaving nor in an evacuated zone.
+bool AcceptsCalls(const EndpointTable& table, const EndpointStatus& endpoint);
+
 /// @brief True if the service has endpoints that take calls, and all of them
 /// are in evacuated zones.
 bool IsServiceEvacuated(const EndpointTable& table, std::string_view service);
--- a/include/celerykeel/node/capacity.h
+++ b/include/celerykeel/node/capacity.h
@@ -16,7 +16,8 @@
 /// service.
 bool NeedsTeamLoads(const Node& node, const std::string& service);
 
-/// @brief Refuses the first call of a program if its service is full.
+/// @brief Refuses the first call of a program (Call::begins_program) if its
+/// service is full.
 Task<std::optional<CallRefusal>> RefusalIfServiceFull(Node& node, CallPtr call);
 
 }  // namespace celerykeel
--- a/src/celerykeel/core/endpoint_rank.cc
+++ b/src/celerykeel/core/endpoint_rank.cc
@@ -59,10 +59,9 @@
                const EndpointStatus& endpoint,
                const EndpointCriteria& criteria) {
   return endpoint.entry.service == criteria.service &&
-         !IsEvacuated(table.evacuations, endpoint.entry.zone) &&
+         AcceptsCalls(table, endpoint) &&
          IsZoneAllowed(criteria.regions, endpoint.entry.zone) &&
          (criteria.only.empty() || endpoint.entry.id == criteria.only) &&
-         !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
          (criteria.version.empty() ||
           endpoint.entry.version == criteria.version) &&
          (criteria.recorded_versions == nullptr ||
@@ -267,10 +266,9 @@
 bool IsUsable(const EndpointTable& table,
               const EndpointStatus& endpoint,
               Duration now) {
-  return !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
-         !IsEvacuated(table.evacuations, endpoint.entry.zone) &&
-         !endpoint.lapsed_at && endpoint.avoid_until <= now &&
-         endpoint.isolated_until <= now && endpoint.limited_until <= now;
+  return AcceptsCalls(table, endpoint) && !endpoint.lapsed_at &&
+         endpoint.avoid_until <= now && endpoint.isolated_until <= now &&
+         endpoint.limited_until <= now;
 }
 
 // Ranks endpoints by recent failures, a lapsed entry, an isolation, coldness
--- a/src/celerykeel/core/endpoint_table.cc
+++ b/src/celerykeel/core/endpoint_table.cc
@@ -158,6 +158,11 @@
   }
 }
 
+bool AcceptsCalls(const EndpointTable& table, const EndpointStatus& endpoint) {
+  return !endpoint.entry.leaving && !HasDeparted(table, endpoint.entry) &&
+         !IsEvacuated(table.evacuations, endpoint.entry.zone);
+}
+
 bool IsServiceEvacuated(const EndpointTable& table, std::string_view service) {
   if (table.evacuations.zones.empty()) {
     return false;
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -180,7 +180,7 @@
     co_return;
   }
   call->begins_program = is_turn && BeginsProgram(node, *call);
-  if (is_turn) {
+  if (call->begins_program) {
     if (const auto refusal = co_await RefusalIfServiceFull(node, call)) {
       co_await Refuse(node, call, *refusal);
       co_return;
--- a/src/celerykeel/node/capacity.cc
+++ b/src/celerykeel/node/capacity.cc
@@ -15,9 +15,7 @@
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
 bool TakesCalls(const Node& node, const EndpointStatus& endpoint) {
-  return !endpoint.entry.leaving && !endpoint.lapsed_at &&
-         !HasDeparted(node.endpoints, endpoint.entry) &&
-         !IsEvacuated(node.endpoints.evacuations, endpoint.entry.zone) &&
+  return AcceptsCalls(node.endpoints, endpoint) && !endpoint.lapsed_at &&
          endpoint.avoid_until <= Now();
 }
 
@@ -86,17 +84,12 @@
 
 Task<std::optional<CallRefusal>> RefusalIfServiceFull(Node& node,
                                                       CallPtr call) {
-  const CallHeaderValues& header_values = call->request.header_values;
   const auto gate = node.capacity_gates.find(call->service);
-  if (gate == node.capacity_gates.end() || gate->second.share >= 1 ||
-      call->team == nullptr || header_values.program.empty() ||
-      !header_values.previous_turn.empty()) {
-    co_return std::nullopt;
-  }
-  const uint64_t hash = HashOfProgram(call->team->name, header_values.program);
-  if (IsRecent(node.rates.recent_programs, hash)) {
+  if (gate == node.capacity_gates.end() || gate->second.share >= 1) {
     co_return std::nullopt;
   }
+  const uint64_t hash =
+      HashOfProgram(call->team->name, call->request.header_values.program);
   const auto told = RefuseIfFull(
       gate->second,
       {.team = call->team->name,
