node: relays and givers of configurations are ranked by one function

The loop over connected peers and VersionInForce stood in two files each. A relayed store call no longer builds links to all ranked peers to use the first.

--- a/include/celerykeel/node/feeds.h
+++ b/include/celerykeel/node/feeds.h
@@ -33,6 +33,9 @@
   std::shared_ptr<Promise<KeyedRecords>> long_read;
 };
 
+/// @brief Version of the configuration in force; 0 if there is none.
+uint64_t VersionInForce(const Node& node);
+
 /// @brief Follows the configuration that operators write to the store.
 Task<> FollowDeployment(Node& node);
 
--- a/include/celerykeel/node/fleet.h
+++ b/include/celerykeel/node/fleet.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <functional>  // for std::function
+#include <string>      // for std::string
+#include <vector>      // for std::vector
+
 #include "celerykeel/node.pb.h"         // for pb::NodeFrame
 #include "celerykeel/node/asio.h"       // for Task
 #include "celerykeel/node/peer_link.h"  // for PeerLinkPtr
@@ -7,6 +11,7 @@
 namespace celerykeel {
 
 struct Node;
+struct PeerState;
 
 /// @brief Sends heartbeats, dials peers, takes vacant slots and runs the
 /// periodic cleanup of the instance's state.
@@ -27,4 +32,11 @@
 /// this instance leaves.
 Task<> LeaveFleet(Node& node);
 
+/// @brief Connected peers whose last heartbeat satisfies the condition, in the
+/// order of RankPeers.
+std::vector<std::string> RankConnectedPeers(
+    const Node& node,
+    uint64_t round,
+    const std::function<bool(const PeerState&)>& is_candidate);
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/deployment_copy.cc
+++ b/src/celerykeel/node/deployment_copy.cc
@@ -3,10 +3,10 @@
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"        // for Now
-#include "celerykeel/core/peer_choice.h"  // for RankPeers
-#include "celerykeel/node/node.h"         // for Node
-#include "platform/deployment_json.h"     // for platform::kConfigurationKey
+#include "celerykeel/base/clock.h"     // for Now
+#include "celerykeel/node/fleet.h"     // for RankConnectedPeers
+#include "celerykeel/node/node.h"      // for Node
+#include "platform/deployment_json.h"  // for platform::kConfigurationKey
 
 namespace celerykeel {
 
@@ -31,27 +31,12 @@
 
 enum class CopyEnd { kComplete, kBusy, kFailed };
 
-uint64_t VersionInForce(const Node& node) {
-  return node.deployment == nullptr ? 0 : node.deployment->version;
-}
-
 std::vector<std::string> RankGivers(const Node& node, uint64_t round) {
-  std::vector<PeerCandidate> candidates;
   const uint64_t known =
       std::max(VersionInForce(node), node.deployment_feed.unusable_version);
-  for (const auto& [instance, link] : node.peers.links) {
-    const auto state = node.peer_states.find(instance);
-    const auto member = node.fleet.members.find(instance);
-    if (link->socket != nullptr && state != node.peer_states.end() &&
-        state->second.gives_deployment &&
-        state->second.deployment_version > known) {
-      candidates.push_back(
-          {.instance = instance,
-           .is_same_zone = member != node.fleet.members.end() &&
-                           member->second.zone == node.options.zone});
-    }
-  }
-  return RankPeers(node.options.instance, round, std::move(candidates));
+  return RankConnectedPeers(node, round, [known](const PeerState& peer) {
+    return peer.gives_deployment && peer.deployment_version > known;
+  });
 }
 
 // Adds a piece.
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -1,6 +1,7 @@
 #include "celerykeel/node/feeds.h"
 
-#include <xxhash.h>   // for XXH3_64bits
+#include <xxhash.h>  // for XXH3_64bits
+
 #include <algorithm>  // for std::max
 #include <utility>    // for std::move, std::exchange
 
@@ -30,10 +31,6 @@
 // Above the longest time that a long read takes until it fails.
 constexpr Duration kMaxLongReadTime = std::chrono::seconds(10);
 
-uint64_t VersionInForce(const Node& node) {
-  return node.deployment == nullptr ? 0 : node.deployment->version;
-}
-
 uint64_t NewestVersionOfPeers(const Node& node) {
   uint64_t newest = 0;
   for (const auto& [instance, state] : node.peer_states) {
@@ -100,12 +97,6 @@
   co_return records;
 }
 
-}  // namespace
-
-uint64_t DeploymentDigest(std::string_view value) {
-  return XXH3_64bits(value.data(), value.size());
-}
-
 // Tokens held by a higher rate would leave other instances none for as long as
 // these loans last.
 void ReturnTokensOfCutRates(Node& node, const Deployment& before) {
@@ -119,6 +110,16 @@
   }
 }
 
+}  // namespace
+
+uint64_t VersionInForce(const Node& node) {
+  return node.deployment == nullptr ? 0 : node.deployment->version;
+}
+
+uint64_t DeploymentDigest(std::string_view value) {
+  return XXH3_64bits(value.data(), value.size());
+}
+
 void ApplyDeployment(Node& node, const KeyedRecord& record) {
   if (record.key != platform::kConfigurationKey || record.dropped) {
     return;
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -3,6 +3,7 @@
 #include <utility>  // for std::move
 
 #include "celerykeel/base/clock.h"            // for Now
+#include "celerykeel/core/peer_choice.h"      // for RankPeers
 #include "celerykeel/node/capacity.h"         // for UpdateCapacity
 #include "celerykeel/node/endpoint_feed.h"    // for KnownAnnouncements
 #include "celerykeel/node/endpoint_speeds.h"  // for AssessEndpoints
@@ -286,6 +287,25 @@
              : link->second;
 }
 
+std::vector<std::string> RankConnectedPeers(
+    const Node& node,
+    uint64_t round,
+    const std::function<bool(const PeerState&)>& is_candidate) {
+  std::vector<PeerCandidate> candidates;
+  for (const auto& [instance, link] : node.peers.links) {
+    const auto state = node.peer_states.find(instance);
+    const auto member = node.fleet.members.find(instance);
+    if (link->socket != nullptr && state != node.peer_states.end() &&
+        is_candidate(state->second)) {
+      candidates.push_back(
+          {.instance = instance,
+           .is_same_zone = member != node.fleet.members.end() &&
+                           member->second.zone == node.options.zone});
+    }
+  }
+  return RankPeers(node.options.instance, round, std::move(candidates));
+}
+
 Task<> RunFleet(Node& node) {
   Duration heartbeat_at{};
   Duration report_at{};
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -5,9 +5,8 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/hand_over.h"      // for kQuickAppend
-#include "celerykeel/core/peer_choice.h"    // for RankPeers
 #include "celerykeel/core/reader_choice.h"  // for IsReader
-#include "celerykeel/node/fleet.h"          // for AnnounceSoon
+#include "celerykeel/node/fleet.h"          // for RankConnectedPeers
 #include "celerykeel/node/node.h"           // for Node
 #include "platform/deployment_json.h"       // for platform::kConfigurationTopic
 
@@ -105,29 +104,13 @@
   }
 }
 
-// Connected peers whose last heartbeat reported that they reach the store, in
-// the order in which this instance asks them. Instances that lost the store at
-// the same time relay over different peers.
-std::vector<PeerLinkPtr> RankRelays(const Node& node) {
-  std::vector<PeerCandidate> candidates;
-  for (const auto& [instance, link] : node.peers.links) {
-    const auto seen = node.peer_states.find(instance);
-    const auto member = node.fleet.members.find(instance);
-    if (link->socket != nullptr && seen != node.peer_states.end() &&
-        seen->second.store_reached) {
-      candidates.push_back(
-          {.instance = instance,
-           .is_same_zone = member != node.fleet.members.end() &&
-                           member->second.zone == node.options.zone});
-    }
-  }
-  std::vector<PeerLinkPtr> links;
-  for (const std::string& instance :
-       RankPeers(node.options.instance, node.store.relay_round,
-                 std::move(candidates))) {
-    links.push_back(node.peers.links.at(instance));
-  }
-  return links;
+// Returns the link to a peer that reaches the store; null if there is none.
+// Instances that lost the store at the same time relay over different peers.
+PeerLinkPtr LinkToRelay(const Node& node) {
+  const auto relays = RankConnectedPeers(
+      node, node.store.relay_round,
+      [](const PeerState& peer) { return peer.store_reached; });
+  return relays.empty() ? nullptr : node.peers.links.at(relays.front());
 }
 
 // Relays the call through a peer that reaches the store.
@@ -135,8 +118,7 @@
     Node& node,
     const platform::StoreRequest& request,
     Duration timeout) {
-  if (const auto links = RankRelays(node); !links.empty()) {
-    const PeerLinkPtr& link = links.front();
+  if (const PeerLinkPtr link = LinkToRelay(node)) {
     pb::NodeFrame frame;
     auto& relay = *frame.mutable_store_call();
     relay.set_method(request.method);
