core, node: a slot whose partition is out is not handed over

At 32.5 s the holders of four of 16 slots gave them up, since peers wrote to theirs. Nobody could take them, so their programs got 503 and their teams 429 until 36.3 s.

Cause: an append that fails while peers can write was taken for a lost way to the store, although the store answered the holder's other calls.

Change: a holder that the store answered within the last 1.5 s keeps its slots.

--- a/src/celerykeel/node/slot_upkeep.cc
+++ b/src/celerykeel/node/slot_upkeep.cc
@@ -101,7 +101,8 @@
   std::vector<HeldSlotPtr> given;
   for (const auto& [number, slot] : node.slots.held) {
     if (slot->active && !slot->lost &&
-        ShouldHandOver(slot->append_began, appended, now)) {
+        ShouldHandOver(slot->append_began, node.store.answered_call_began_at,
+                       appended, now)) {
       given.push_back(slot);
     }
   }
