node: a planned stop closes no connection in use

Callers saw: end of file without an answer, once in a planned stop.

Cause: closing the listening socket ends the pending accept with an error, which was handled as a lack of descriptors: the longest idle connection was closed to free one, though its caller may just be sending.

--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -253,6 +253,9 @@
     ErrorCode error;
     Tcp::socket socket(node.io);
     co_await node.callers_acceptor->async_accept(socket, Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;  // closed by StopGracefully
+    }
     if (error) {
       // Probably no descriptor is left.
       CloseLongestIdle(node, nullptr);
--- a/src/celerykeel/node/planned_stop_unittest.cc
+++ b/src/celerykeel/node/planned_stop_unittest.cc
@@ -5,9 +5,13 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
-#include <atomic>  // for std::atomic
-#include <thread>  // for std::thread
-#include <vector>  // for std::vector
+#include <atomic>    // for std::atomic
+#include <mutex>     // for std::mutex
+#include <optional>  // for std::optional
+#include <thread>    // for std::thread
+#include <vector>    // for std::vector
+
+#include <fmt/format.h>  // for fmt::format
 
 #include "celerykeel/testing/node_fleet.h"  // for NodeFleet
 
@@ -20,17 +24,25 @@
 }
 
 // @param done body of the expected answer.
-// @return true if the complete answer arrived.
-bool ReadAnswer(Tcp::socket& socket, const std::string& done) {
+// @return what arrived instead; nothing if the complete answer arrived.
+std::optional<std::string> ReadOther(Tcp::socket& socket,
+                                     const std::string& done) {
   asio::streambuf answer;
   ErrorCode error;
   asio::read_until(socket, answer, done, error);
-  return !error;
+  if (!error) {
+    return std::nullopt;
+  }
+  const auto bytes = answer.data();
+  return error.message() + " after: " +
+         std::string(asio::buffers_begin(bytes), asio::buffers_end(bytes));
 }
 
 struct Tally {
   std::atomic<int> answered{0};
   std::atomic<int> incomplete{0};  // connected, but no complete answer arrived
+  std::mutex mutex;
+  std::string others;  // what these got instead, and when; guarded by `mutex`
 };
 
 // Sends one request per connection until the instance accepts no more
@@ -50,8 +62,19 @@
     asio::write(socket, asio::buffer(Head(id)), error);
     // Keeps the four callers below their team's 1,000 requests a second.
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    ++(!error && ReadAnswer(socket, "done " + id) ? tally.answered
-                                                  : tally.incomplete);
+    const auto sent_at = std::chrono::steady_clock::now();
+    const auto other = error ? error.message() + " while sending"
+                             : ReadOther(socket, "done " + id);
+    if (!other) {
+      ++tally.answered;
+      continue;
+    }
+    ++tally.incomplete;
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - sent_at);
+    const std::lock_guard lock(tally.mutex);
+    tally.others +=
+        fmt::format("{} after {} ms: {}\n", id, waited.count(), *other);
   }
 }
 
@@ -78,14 +101,34 @@
   asio::write(slow, asio::buffer(head.substr(0, 20)));
   std::this_thread::sleep_for(std::chrono::milliseconds(1200));
   asio::write(slow, asio::buffer(head.substr(20)), error);
-  CHECK(ReadAnswer(slow, "done slow"));
+  CHECK_FALSE(ReadOther(slow, "done slow"));
   for (std::thread& caller : callers) {
     caller.join();
   }
+  CAPTURE(tally.others);
   CHECK(tally.answered.load() > 100);
   CHECK(tally.incomplete.load() == 0);
 }
 
+// Guards against an idle connection that is closed when the listening socket
+// is: a request that its caller sent at that moment got no answer.
+TEST_CASE("a connection stays open when the listening socket is closed") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  ErrorCode error;
+  socket.connect(fleet.CallersAddress(0), error);
+  asio::write(socket, asio::buffer(Head("first")), error);
+  REQUIRE_FALSE(ReadOther(socket, "done first"));
+  fleet.StopAccepting(0);
+  Tcp::socket refused(loop);
+  refused.connect(fleet.CallersAddress(0), error);
+  CHECK(error == asio::error::connection_refused);
+  asio::write(socket, asio::buffer(Head("second")), error);
+  CHECK(ReadOther(socket, "done second").value_or("") == "");
+}
+
 // Guards against requests that come late in a planned stop, are passed on and
 // then cut at its end.
 TEST_CASE("a planned stop refuses what it might cut") {
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -222,6 +222,14 @@
   asio::post(node.io, [&node] { Spawn(node.io, StopGracefully(node)); });
 }
 
+void NodeFleet::StopAccepting(size_t index) {
+  Node& node = *this->instances[index].node;
+  RunOnLoop(node.io, [&] {
+    ErrorCode ignored;  // the socket is open
+    node.callers_acceptor->close(ignored);
+  });
+}
+
 void NodeFleet::Freeze(size_t index, std::chrono::milliseconds time) {
   asio::post(this->instances[index].node->io,
              [time] { std::this_thread::sleep_for(time); });
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -48,6 +48,9 @@
 
   /// @brief Begins the planned stop of an instance and returns immediately.
   void Stop(size_t index);
+  /// @brief Closes the listening socket for callers, as a planned stop does
+  /// after a few seconds. Open connections remain.
+  void StopAccepting(size_t index);
   /// @brief Blocks the event loop of an instance for `time` and returns
   /// immediately.
   void Freeze(size_t index, std::chrono::milliseconds time);
