core, node: turns of lost instances stop holding their programs' budgets

Cause: only the instance that relays a turn reports its end.

Change: a turn whose relay was out of touch for 3 s is abandoned. The first of a program counts nothing and uses up the program's slack of one turn, by a durable record; later ones count with their max tokens. The bound of the budget plus the most of one turn therefore holds also if the turn still delivers. The slot model got the step and two rules, each of which finds a violation when it is off; the rule on free parts now takes the slack with it, as the free part does.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -12,7 +12,7 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/identity.h"       // for ProgramName
+#include "celerykeel/core/identity.h"       // for ProgramName, Incarnation
 #include "celerykeel/core/stream_origin.h"  // for StreamRecord
 #include "celerykeel/core/time.h"           // for WallMillis, Duration
 
@@ -79,6 +79,21 @@
   Duration admitted_at{};
 };
 
+/// @brief The process of an instance that relays a turn's answer.
+struct TurnRelay {
+  std::string instance;  // empty: not known
+  Incarnation incarnation = 0;
+};
+
+/// @brief A turn that was admitted and whose end was not reported yet.
+struct RunningTurn {
+  uint64_t max_tokens = 0;
+  TurnRelay relay;
+  Duration admitted_at{};
+  std::optional<Duration> lost_at;  // when its relay was first out of touch
+  bool is_abandoned = false;        // see AbandonTurn
+};
+
 /// @brief Tokens that a program has spent and may spend, as counted by the
 /// holder of its slot.
 struct ProgramSpend {
@@ -99,8 +114,8 @@
   // record. It gets no free part from this holder; the free part that an
   // earlier holder may have granted counts as spent.
   bool is_inherited = false;
-  bool free_part_charged = false;           // earlier free part was counted
-  std::map<std::string, uint64_t> running;  // max tokens by turn
+  bool free_part_charged = false;              // earlier free part was counted
+  std::map<std::string, RunningTurn> running;  // by turn
   // Turns whose end arrived although they were not running here: an earlier
   // holder admitted them, or their admission request is still to arrive, as the
   // two messages may be reordered.
@@ -146,6 +161,7 @@
   // turn can only have started its first one, so a successor counts nothing as
   // spent.
   bool is_retained = false;
+  TurnRelay relay{};
 };
 
 /// @brief Why a turn does not fit into its program's budget.
@@ -155,6 +171,9 @@
   kEnded,  // its instance gave the turn up before it was admitted
 };
 
+/// @brief Returns the record of a program's counts, with the newest ceiling.
+SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend);
+
 /// @brief Applies a record of the slot's log. Records must be applied in order.
 /// Of claims only the cover counts; team rates and streams change nothing. A
 /// turn record names a previous turn only if that had not expired at
--- a/include/celerykeel/node/peer_link.h
+++ b/include/celerykeel/node/peer_link.h
@@ -25,6 +25,9 @@
   bool has_sent_frame = false;  // a complete frame was received
   // It carries the bytes of another connection from now on, and no frames.
   bool is_tunnel = false;
+  // Sender of the heartbeats on an accepted connection; empty before the first.
+  std::string instance;
+  uint64_t incarnation = 0;
 };
 using PeerSocketPtr = std::shared_ptr<PeerSocket>;
 
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -75,7 +75,8 @@
   std::map<uint32_t, HeldSlotPtr> held;
   // By slot: the epoch that fenced this instance's last claim.
   std::map<uint32_t, uint64_t> epoch_floor;
-  uint64_t handed_over = 0;  // slots given up; see slot_upkeep.h
+  uint64_t handed_over = 0;      // slots given up; see slot_upkeep.h
+  uint64_t abandoned_turns = 0;  // see core/abandoned_turns.h
 };
 
 /// @brief Claims a slot, which fences the previous holder, and replays the
@@ -90,11 +91,13 @@
 /// null otherwise.
 HeldSlotPtr ActiveSlot(const Node& node, uint32_t slot);
 
-/// @brief Admits or refuses a turn. `covered` runs with true when its tokens
-/// may be delivered, and with false if the slot is lost before that. It does
-/// not run if the result refuses the turn or says `covered`.
+/// @brief Admits or refuses a turn, whose answer `relay` relays. `covered` runs
+/// with true when its tokens may be delivered, and with false if the slot is
+/// lost before that. It does not run if the result refuses the turn or says
+/// `covered`.
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
                                   pb::TurnAdmission admission,
+                                  TurnRelay relay,
                                   std::function<void(bool)> covered);
 
 /// @brief Records the end of a turn. A retained turn is durable if the result
--- a/include/celerykeel/node/slot_upkeep.h
+++ b/include/celerykeel/node/slot_upkeep.h
@@ -16,6 +16,10 @@
 /// write to theirs; see ShouldHandOver.
 void HandOverSlots(Node& node);
 
+/// @brief Ends running turns whose instance is gone or has given up reporting
+/// their end, which would hold their programs' budgets for good.
+void AbandonTurns(Node& node);
+
 /// @brief Drops expired turns, idle programs and their last endpoints, and the
 /// origins of streams that no caller can resume any more.
 void ExpireSlots(Node& node);
--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -11,7 +11,7 @@
 using Kind = SlotStep::Kind;
 
 // Steps that make progress are drawn more often than failures.
-SlotStep MakeStep() {
+SlotStep MakeStep(bool with_abandoned_turns) {
   SlotStep step;
   step.kind = *rc::gen::weightedElement<Kind>({{6, Kind::kClaim},
                                                {6, Kind::kAdmit},
@@ -26,6 +26,10 @@
                                                {1, Kind::kPowerLoss},
                                                {1, Kind::kStoreDown},
                                                {2, Kind::kStoreUp}});
+  constexpr int kOthersPerAbandon = 12;
+  if (with_abandoned_turns && *rc::gen::inRange(0, kOthersPerAbandon) == 0) {
+    step.kind = Kind::kAbandon;
+  }
   step.which =
       *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<uint32_t>(0, 8));
   return step;
@@ -37,13 +41,14 @@
 bool Holds(WithoutRule rule,
            uint64_t seed,
            bool retained = false,
-           std::array<uint64_t, 2> sizes = {10, 10}) {
+           std::array<uint64_t, 2> sizes = {10, 10},
+           bool with_abandoned_turns = false) {
   return CheckProperty(
       seed,
-      [rule, retained, sizes] {
+      [rule, retained, sizes, with_abandoned_turns] {
         SlotModel model(rule, retained, sizes);
         for (int i = 0; i < kSteps; ++i) {
-          model.Apply(MakeStep());
+          model.Apply(MakeStep(with_abandoned_turns));
           RC_ASSERT(!model.violation);
         }
       },
@@ -71,6 +76,63 @@
   CHECK_FALSE(Holds(WithoutRule::kSameSequence, 1));
 }
 
+// A holder may take the relay of a turn for gone that still delivers.
+TEST_CASE("budgets survive failures and abandoned turns") {
+  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, true));
+  CHECK(Holds(WithoutRule::kNone, 2, true, {10, 10}, true));
+  CHECK(Holds(WithoutRule::kNone, 3, false, {14, 6}, true));
+  CHECK(Holds(WithoutRule::kNone, 4, true, {14, 6}, true));
+}
+
+// Applies the steps to instance 0; `turn` is the index of a turn.
+void ApplyToTurn(SlotModel& model,
+                 const std::vector<Kind>& kinds,
+                 uint32_t turn = 0) {
+  for (const Kind kind : kinds) {
+    model.Apply({.kind = kind, .which = 2 * turn});
+  }
+}
+
+// Guards against two turns of lost instances whose tokens nobody counts.
+TEST_CASE("only the first abandoned turn of a program counts nothing") {
+  const auto violation = [](WithoutRule rule) {
+    SlotModel model(rule, false);
+    ApplyToTurn(model, {Kind::kClaim});
+    for (uint32_t turn = 0; turn < 2; ++turn) {
+      ApplyToTurn(model, {Kind::kAdmit, Kind::kAppend, Kind::kDeliver}, turn);
+      ApplyToTurn(model, {Kind::kAbandon, Kind::kAppend});
+    }
+    for (uint32_t turn = 2; turn < 6; ++turn) {
+      ApplyToTurn(model, {Kind::kAdmit, Kind::kAppend, Kind::kDeliver}, turn);
+    }
+    return model.violation;
+  };
+  CHECK_FALSE(violation(WithoutRule::kNone));
+  CHECK(violation(WithoutRule::kAbandonOnce));
+}
+
+// Guards against a successor that grants the slack again which an abandoned
+// turn has used.
+TEST_CASE("an abandoned turn ends when its record is durable") {
+  const auto violation = [](WithoutRule rule) {
+    SlotModel model(rule, false);
+    ApplyToTurn(model,
+                {Kind::kClaim, Kind::kAdmit, Kind::kAdmit, Kind::kAdmit,
+                 Kind::kAppend, Kind::kDeliver, Kind::kAbandon, Kind::kAdmit});
+    for (uint32_t turn = 1; turn < 4; ++turn) {
+      ApplyToTurn(model, {Kind::kDeliver}, turn);
+    }
+    ApplyToTurn(model, {Kind::kKill, Kind::kClaim, Kind::kAppend, Kind::kAdmit,
+                        Kind::kAppend});
+    for (uint32_t turn = 3; turn < 5; ++turn) {
+      ApplyToTurn(model, {Kind::kDeliver}, turn);
+    }
+    return model.violation;
+  };
+  CHECK_FALSE(violation(WithoutRule::kNone));
+  CHECK(violation(WithoutRule::kDurableAbandon));
+}
+
 // Guards against a cover that is forgotten together with what a program was
 // charged: its large turn was refused, so it had no record.
 TEST_CASE("a cover ends with records of the programs that were charged") {
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -9,8 +9,8 @@
 
 uint64_t Running(const ProgramSpend& spend) {
   uint64_t tokens = 0;
-  for (const auto& [turn, max_tokens] : spend.running) {
-    tokens += max_tokens;
+  for (const auto& [id, turn] : spend.running) {
+    tokens += turn.max_tokens;
   }
   return tokens;
 }
@@ -43,8 +43,9 @@
 bool IsInFreePart(const ProgramSpend& spend,
                   uint64_t tokens,
                   bool is_confirmed) {
+  const uint64_t slack = spend.slack_used ? 0 : spend.largest;
   return is_confirmed && !spend.is_inherited &&
-         tokens <= spend.free_part + spend.largest;
+         tokens <= spend.free_part + slack;
 }
 
 // The second part follows the free part that an earlier holder may have
@@ -79,14 +80,6 @@
   }
 }
 
-SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend) {
-  return {.program = program,
-          .spent = spend.spent,
-          .ceiling = spend.requested_ceiling,
-          .largest = spend.largest,
-          .slack_used = spend.slack_used};
-}
-
 void ReplayClaim(TurnLedger& ledger, const ClaimRecord& record) {
   if (record.cover != ClaimCover::kUnchanged) {
     ledger.has_open_cover = record.cover == ClaimCover::kOpen;
@@ -127,6 +120,14 @@
 
 }  // namespace
 
+SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend) {
+  return {.program = program,
+          .spent = spend.spent,
+          .ceiling = spend.requested_ceiling,
+          .largest = spend.largest,
+          .slack_used = spend.slack_used};
+}
+
 void Replay(TurnLedger& ledger, const SlotRecord& record) {
   if (const auto* spend = std::get_if<SpendRecord>(&record)) {
     ReplaySpend(ledger, *spend);
@@ -211,7 +212,10 @@
   if (spend.spent + Running(spend) + request.most_tokens > request.budget) {
     return tl::unexpected(BudgetShortfall::kHeld);
   }
-  spend.running[request.turn] = request.most_tokens;
+  spend.running[request.turn] = {.max_tokens = request.most_tokens,
+                                 .relay = request.relay,
+                                 .admitted_at = now,
+                                 .lost_at = {}};
   spend.largest = std::max(spend.largest, request.most_tokens);
   return {};
 }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -328,6 +328,7 @@
       ReviewCrashes(node);
       ForgetSuspectRuns(node);
       ExpireSlots(node);
+      AbandonTurns(node);
       ConfirmSlots(node);
       DropUnusedSpent(node.spent_programs, now);
     }
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -188,6 +188,8 @@
            static_cast<double>(node.deployment_feed.copied));
   SetGauge(metrics, "slots_handed_over",
            static_cast<double>(node.slots.handed_over));
+  SetGauge(metrics, "turns_abandoned",
+           static_cast<double>(node.slots.abandoned_turns));
   SetGauge(metrics, "slots_with_cover",
            static_cast<double>(CountSlotsWithCover(node)));
   SetGauge(metrics, "store_calls", static_cast<double>(node.store.calls));
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -116,8 +116,11 @@
   };
   pb::NodeFrame answer;
   answer.set_call(call);
-  *answer.mutable_grant() = co_await AdmitAsHolder(
-      node, std::move(*frame.mutable_admission()), std::move(covered));
+  // GCC 12 destroys an aggregate twice if it is created inside a co_await.
+  TurnRelay relay{peer->instance, peer->incarnation};
+  *answer.mutable_grant() =
+      co_await AdmitAsHolder(node, std::move(*frame.mutable_admission()),
+                             std::move(relay), std::move(covered));
   SendFrame(peer, answer);
 }
 
@@ -168,6 +171,8 @@
   answer.set_call(frame.call());
   switch (frame.body_case()) {
     case pb::NodeFrame::kHeartbeat:
+      peer->instance = frame.heartbeat().instance();
+      peer->incarnation = frame.heartbeat().incarnation();
       OnHeartbeat(node, frame.heartbeat());
       return;
     case pb::NodeFrame::kAdmission:
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -248,6 +248,7 @@
 
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
                                   pb::TurnAdmission admission,
+                                  TurnRelay relay,
                                   std::function<void(bool)> covered) {
   HeldSlotPtr slot = ActiveSlot(node, admission.slot());
   if (slot == nullptr) {
@@ -287,7 +288,8 @@
                             .turn = admission.turn(),
                             .most_tokens = admission.most_tokens(),
                             .budget = admission.budget(),
-                            .is_retained = admission.kept()};
+                            .is_retained = admission.kept(),
+                            .relay = std::move(relay)};
   if (const auto admitted = AdmitTurn(slot->ledger, request, Now());
       !admitted) {
     co_return Verdict(VerdictOf(admitted.error()));
--- a/src/celerykeel/node/slot_upkeep.cc
+++ b/src/celerykeel/node/slot_upkeep.cc
@@ -3,10 +3,11 @@
 #include <algorithm>  // for std::all_of
 #include <vector>     // for std::vector
 
-#include "celerykeel/base/clock.h"      // for Now, WallNow
-#include "celerykeel/core/hand_over.h"  // for ShouldHandOver
-#include "celerykeel/node/node.h"       // for Node
-#include "celerykeel/node/slot_log.h"   // for Enqueue, MarkSlotLost
+#include "celerykeel/base/clock.h"            // for Now, WallNow
+#include "celerykeel/core/abandoned_turns.h"  // for FindAbandonedTurns
+#include "celerykeel/core/hand_over.h"        // for ShouldHandOver
+#include "celerykeel/node/node.h"             // for Node
+#include "celerykeel/node/slot_log.h"         // for Enqueue, MarkSlotLost
 
 namespace celerykeel {
 
@@ -112,6 +113,44 @@
   }
 }
 
+void AbandonTurns(Node& node) {
+  const Duration now = Now();
+  const auto is_in_touch = [&node, now](const TurnRelay& relay) {
+    if (relay.instance == node.options.instance) {
+      return relay.incarnation == node.incarnation;
+    }
+    const auto member = node.fleet.members.find(relay.instance);
+    return member != node.fleet.members.end() &&
+           member->second.incarnation == relay.incarnation &&
+           HasRecentHeartbeat(member->second, now);
+  };
+  for (const auto& [number, slot] : node.slots.held) {
+    if (!slot->active || slot->lost) {
+      continue;
+    }
+    for (const AbandonedTurn& abandoned :
+         FindAbandonedTurns(slot->ledger, is_in_touch, now)) {
+      ++node.slots.abandoned_turns;
+      WriteLog(node.log, LogLevel::kUnusual, "turn abandoned",
+               {{"id", abandoned.turn},
+                {"program", abandoned.program.id},
+                {"slot", number}});
+      const auto record = AbandonTurn(slot->ledger, abandoned);
+      if (!record) {
+        continue;
+      }
+      Enqueue(node, slot, *record, false,
+              [slot, record, abandoned](bool durable) {
+                if (durable) {
+                  ApplyDurableCeiling(slot->ledger, *record);
+                  FinishAbandonedTurn(slot->ledger, abandoned);
+                  NotifyAllCovered(*slot);
+                }
+              });
+    }
+  }
+}
+
 void ExpireSlots(Node& node) {
   const Duration now = Now();
   const WallMillis wall = WallNow();
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -91,11 +91,13 @@
     permit.covered = std::make_shared<Promise<bool>>(node.io);
     std::optional<pb::TurnGrant> grant;
     if (ActiveSlot(node, permit.slot) != nullptr) {
-      // GCC 12 destroys a lambda twice if it is created inside a co_await.
+      // GCC 12 destroys a lambda or an aggregate twice if it is created inside
+      // a co_await.
       std::function<void(bool)> on_covered =
           [covered = permit.covered](bool may) { covered->SetValue(may); };
+      TurnRelay self{node.options.instance, node.incarnation};
       grant = co_await AdmitAsHolder(node, AdmissionOf(*call, permit.slot),
-                                     std::move(on_covered));
+                                     std::move(self), std::move(on_covered));
     } else if (const PeerLinkPtr link = LinkToHolder(node, permit.slot)) {
       grant = co_await RequestAdmissionFromPeer(
           node, link, AdmissionOf(*call, permit.slot), permit.covered);
--- a/src/celerykeel/testing/slot_model.cc
+++ b/src/celerykeel/testing/slot_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for std::find_if
 #include <cstddef>    // for std::ptrdiff_t
+#include <iterator>   // for std::next
 #include <utility>    // for std::move
 
 namespace celerykeel::testing {
@@ -50,6 +51,11 @@
         this->EndCoverOf(*holder);
       }
       break;
+    case SlotStep::Kind::kAbandon:
+      if (holder) {
+        this->Abandon(*holder, rest);
+      }
+      break;
     case SlotStep::Kind::kKill:
       holder.reset();
       break;
@@ -134,10 +140,32 @@
   this->Enqueue(holder, ClaimRecord{"i", holder.epoch, ClaimCover::kEnded}, "");
 }
 
+// The holder takes the relay of a running turn for gone. The turn may have
+// delivered its tokens, or may still do so.
+void SlotModel::Abandon(Holder& holder, uint32_t which) {
+  const auto spend = holder.ledger.programs.find(kProgram);
+  if (spend == holder.ledger.programs.end() || spend->second.running.empty()) {
+    return;
+  }
+  const auto running = std::next(
+      spend->second.running.begin(),
+      static_cast<std::ptrdiff_t>(which % spend->second.running.size()));
+  const AbandonedTurn abandoned{kProgram, running->first};
+  if (this->without == WithoutRule::kAbandonOnce) {
+    spend->second.slack_used = false;
+  }
+  if (const auto record = AbandonTurn(holder.ledger, abandoned)) {
+    holder.queue.push_back({*record, "", abandoned.turn});
+    if (this->without == WithoutRule::kDurableAbandon) {
+      FinishAbandonedTurn(holder.ledger, abandoned);
+    }
+  }
+}
+
 void SlotModel::Enqueue(Holder& holder,
                         SlotRecord record,
                         std::string completes_turn) {
-  holder.queue.push_back({std::move(record), std::move(completes_turn)});
+  holder.queue.push_back({std::move(record), std::move(completes_turn), ""});
 }
 
 void SlotModel::AnnounceCovered(const Holder& holder) {
@@ -164,6 +192,7 @@
   }
   if (this->without == WithoutRule::kFreePartOnce) {
     holder.ledger.programs[kProgram].is_inherited = false;
+    holder.ledger.programs[kProgram].slack_used = false;
   }
   if (this->without == WithoutRule::kSecondPartLimit) {
     holder.ledger.programs[kProgram].second_part = kBudget;
@@ -202,6 +231,7 @@
   holder.appended = false;
   if (const auto* spend = std::get_if<SpendRecord>(&pending.record)) {
     ApplyDurableCeiling(holder.ledger, *spend);
+    FinishAbandonedTurn(holder.ledger, {kProgram, pending.abandons_turn});
     this->AnnounceCovered(holder);
   } else if (const auto* claim = std::get_if<ClaimRecord>(&pending.record)) {
     if (claim->cover == ClaimCover::kOpen) {
--- a/src/celerykeel/testing/slot_model.h
+++ b/src/celerykeel/testing/slot_model.h
@@ -7,7 +7,8 @@
 #include <string>    // for std::string
 #include <vector>    // for std::vector
 
-#include "celerykeel/core/turn_ledger.h"  // for TurnLedger
+#include "celerykeel/core/abandoned_turns.h"  // for AbandonTurn
+#include "celerykeel/core/turn_ledger.h"      // for TurnLedger
 
 namespace celerykeel::testing {
 
@@ -26,8 +27,10 @@
   kRecordsBeforeCoverEnd,  // a cover ends without the records of its programs
   kFence,                  // the store accepts appends of any epoch
   kConfirm,                // a holder reports "no such turn" without an append
-  kDurableEnd,    // an answer is completed before its record is durable
-  kSameSequence,  // an append without an answer counts as appended
+  kDurableEnd,      // an answer is completed before its record is durable
+  kSameSequence,    // an append without an answer counts as appended
+  kAbandonOnce,     // each abandoned turn of a program counts nothing
+  kDurableAbandon,  // an abandoned turn ends before its record is durable
 };
 
 /// @brief One step of a run; `which` selects the instance or turn.
@@ -42,6 +45,7 @@
     kEnd,
     kLookUpTurn,
     kEndCover,
+    kAbandon,
     kKill,
     kPowerLoss,
     kStoreDown,
@@ -73,6 +77,7 @@
     SlotRecord record;
     std::string
         completes_turn;  // its answer is complete once the record is durable
+    std::string abandons_turn;  // it ends once the record is durable
   };
   struct Holder {
     TurnLedger ledger;
@@ -93,6 +98,7 @@
   void Claim(size_t instance);
   void Admit(Holder& holder, uint32_t which);
   void EndCoverOf(Holder& holder);
+  void Abandon(Holder& holder, uint32_t which);
   void Append(std::optional<Holder>& holder, SlotStep::Kind how);
   void Finish(Holder& holder);
   void DeliverTokens(uint32_t which);
