core, node: instances with fast links take vacant slots first

Change: heartbeats tell the rate of the link (setting link_mbps). Those with at least half of the fastest rate come first, if they number half of the slots. Equal or unknown links change nothing.

--- a/include/celerykeel/core/slot_table.h
+++ b/include/celerykeel/core/slot_table.h
@@ -31,6 +31,7 @@
   bool leaving = false;
   bool refused = false;       // its address refuses connections: no process
   bool store_reached = true;  // as in its last heartbeat
+  double link_mbps = 0;       // as in its last heartbeat; 0: unknown
   std::optional<Duration> last_heartbeat_at;  // time of its last heartbeat
   // Time of the last change of its entry in the store.
   std::optional<Duration> store_entry_changed_at;
@@ -41,6 +42,7 @@
 struct KnownFleet {
   std::string self;
   bool self_reaches_store = true;  // directly
+  double self_link_mbps = 0;       // 0: unknown
   // Time at which the members' entries were first read; empty before.
   std::optional<Duration> members_read_at;
   std::map<std::string, FleetMember> members;  // without `self`
@@ -57,14 +59,22 @@
 
 /// @brief Returns the slots that this instance should take: those without a
 /// live holder for which it has the highest rendezvous weight of all live
-/// members, or of those that reach the store, if any do. The result is empty
-/// before the member list was read, and for kInitialListenTime after that
-/// unless all members were heard.
+/// members, or of those that reach the store, if any do; of these, those with a
+/// fast link come first (see FastLinkRate). The result is empty before the
+/// member list was read, and for kInitialListenTime after that unless all
+/// members were heard.
 ///
 /// A wrong result causes a short interruption only, since the store fences the
 /// previous holder.
 std::vector<uint32_t> SlotsToTake(const KnownFleet& fleet, Duration now);
 
+/// @brief The link rate, in Mbit/s, from which on live instances take vacant
+/// slots before others: half of the fastest. A holder reads the complete log of
+/// its slot over its link before it serves the slot.
+/// @return 0 if links make no difference: no rate is known, or the fast
+/// instances are fewer than half of the slots and would hold too many each.
+double FastLinkRate(const KnownFleet& fleet, Duration now);
+
 /// @brief True if a fenced claim may be repeated at once with an epoch above
 /// `fencing_epoch`. After a restart of the complete fleet no instance knows the
 /// earlier epochs, and the first claim is fenced by the epoch of a holder that
--- a/include/celerykeel/node/options.h
+++ b/include/celerykeel/node/options.h
@@ -27,6 +27,7 @@
   Duration store_retention{};
   size_t store_record_bytes = 262144;  // max size of a record
   size_t store_call_bytes = 2097152;   // max size of a store call
+  double link_mbps = 0;                // of this machine; 0: unknown
   Duration stop_time{};                // from the stop signal to the kill
   ZoneRegions zone_regions;            // empty: regions are not known
   // Limits for callers. The defaults are those of the smallest known machine.
--- a/src/celerykeel/core/slot_table.cc
+++ b/src/celerykeel/core/slot_table.cc
@@ -1,7 +1,7 @@
 #include "celerykeel/core/slot_table.h"
 
-#include <algorithm>  // for std::all_of, std::any_of
-#include <utility>    // for std::pair
+#include <algorithm>  // for std::all_of, std::any_of, std::count_if
+#include <tuple>      // for std::tuple
 
 #include <xxhash.h>  // for XXH3_64bits_withSeed
 
@@ -60,21 +60,25 @@
 
 // A holder that does not reach the store itself can't confirm its slot, and
 // would have to hand it over again. If no instance reaches the store, it is
-// down for all, and any instance is as good.
+// down for all, and any instance is as good. A slow link delays the replay: 8
+// MB take 3 s at 22 Mbit/s.
 std::optional<std::string> BestHolder(const KnownFleet& fleet,
                                       uint32_t slot,
                                       bool hears_majority,
                                       Duration now) {
   const std::string subject = "slot/" + std::to_string(slot);
-  using Rank = std::pair<bool, uint64_t>;  // the store is reached, the weight
+  const double fast = FastLinkRate(fleet, now);
+  // The store is reached, the link is fast, the weight.
+  using Rank = std::tuple<bool, bool, uint64_t>;
   std::string best = fleet.self;
-  Rank highest{fleet.self_reaches_store, RendezvousWeight(subject, fleet.self)};
+  Rank highest{fleet.self_reaches_store, fleet.self_link_mbps >= fast,
+               RendezvousWeight(subject, fleet.self)};
   for (const auto& [instance, member] : fleet.members) {
     if (IsDead(member, hears_majority, now) ||
         !HasRecentHeartbeat(member, now)) {
       continue;
     }
-    if (const Rank rank{member.store_reached,
+    if (const Rank rank{member.store_reached, member.link_mbps >= fast,
                         RendezvousWeight(subject, instance)};
         rank > highest) {
       best = instance;
@@ -99,6 +103,22 @@
   return true;
 }
 
+double FastLinkRate(const KnownFleet& fleet, Duration now) {
+  constexpr double kFastFraction = 0.5;  // of the fastest link
+  std::vector<double> rates{fleet.self_link_mbps};
+  for (const auto& [instance, member] : fleet.members) {
+    if (HasRecentHeartbeat(member, now) && !member.leaving) {
+      rates.push_back(member.link_mbps);
+    }
+  }
+  const double fast =
+      kFastFraction * *std::max_element(rates.begin(), rates.end());
+  const auto count = static_cast<size_t>(
+      std::count_if(rates.begin(), rates.end(),
+                    [fast](double rate) { return rate >= fast; }));
+  return 2 * count >= fleet.slots.size() ? fast : 0;
+}
+
 std::vector<uint32_t> SlotsToTake(const KnownFleet& fleet, Duration now) {
   std::vector<uint32_t> slots;
   if (!fleet.members_read_at ||
--- a/src/celerykeel/core/slot_table_unittest.cc
+++ b/src/celerykeel/core/slot_table_unittest.cc
@@ -54,6 +54,47 @@
   CHECK(CountSlotsToTake(fleet) == 8);
 }
 
+// Guards against slots that stay without a serving holder for 3 s after a loss
+// of all instances, since instances with slow links took them and read their
+// logs over these. Found on pkgbau-keel-grown trouble-1.
+TEST_CASE("instances with fast links take vacant slots before others") {
+  KnownFleet fleet = FleetOf(11, 11);
+  fleet.self_link_mbps = 22;
+  for (int i = 0; i < 4; ++i) {
+    fleet.members["other" + std::to_string(i)].link_mbps = 600;
+  }
+  for (int i = 4; i < 11; ++i) {
+    fleet.members["other" + std::to_string(i)].link_mbps = i == 4 ? 0 : 75;
+  }
+  CHECK(FastLinkRate(fleet, kNow) == 300);
+  CHECK(CountSlotsToTake(fleet) == 0);
+  fleet.self_link_mbps = 400;
+  CHECK(CountSlotsToTake(fleet) > 0);
+  // A dead instance does not count.
+  fleet.self_link_mbps = 22;
+  fleet.members["other0"].last_heartbeat_at.reset();
+  fleet.members["other0"].refused = true;
+  CHECK(FastLinkRate(fleet, kNow) == 0);
+}
+
+// Guards against a few instances that hold all slots.
+TEST_CASE(
+    "links make no difference if the fast ones are few, equal or unknown") {
+  KnownFleet fleet = FleetOf(20, 20);
+  CHECK(FastLinkRate(fleet, kNow) == 0);
+  const size_t by_weight = CountSlotsToTake(fleet);
+  for (auto& [instance, member] : fleet.members) {
+    member.link_mbps = 30;
+  }
+  fleet.self_link_mbps = 30;
+  CHECK(CountSlotsToTake(fleet) == by_weight);
+  for (int i = 0; i < 3; ++i) {
+    fleet.members["other" + std::to_string(i)].link_mbps = 600;
+  }
+  CHECK(FastLinkRate(fleet, kNow) == 0);
+  CHECK(CountSlotsToTake(fleet) == by_weight);
+}
+
 TEST_CASE("a single instance takes all slots") {
   CHECK(CountSlotsToTake(FleetOf(0, 0)) == 8);
 }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -83,6 +83,7 @@
     beat.set_append_age_ms(static_cast<uint32_t>(age.count()));
   }
   beat.set_rate_protocol(1);
+  beat.set_link_mbps(static_cast<float>(node.options.link_mbps));
   ListHeldSlots(node, beat);
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
     if (endpoint.in_flight > 0) {
@@ -191,6 +192,7 @@
     return;
   }
   node.fleet.self_reaches_store = !node.store.unavailable;
+  node.fleet.self_link_mbps = node.options.link_mbps;
   for (const uint32_t slot : SlotsToTake(node.fleet, now)) {
     if (!node.slots.held.contains(slot)) {
       Spawn(node.io, ClaimSlot(node, slot));
--- a/src/celerykeel/node/options.cc
+++ b/src/celerykeel/node/options.cc
@@ -94,9 +94,12 @@
     return static_cast<size_t>(this->Number(name, lowest, highest));
   }
 
+  // @return `lowest` if the field is missing or null.
   double OptionalNumber(const char* name, double lowest, double highest) const {
-    return this->settings.contains(name) ? this->Number(name, lowest, highest)
-                                         : lowest;
+    const auto found = this->settings.find(name);
+    return found == this->settings.end() || found->is_null()
+               ? lowest
+               : this->Number(name, lowest, highest);
   }
 
   Duration Seconds(const char* name) const {
@@ -174,6 +177,8 @@
     invalid.errors.emplace_back(
         "cross_zone_byte_price: needs a caller_time_price above 0");
   }
+  constexpr double kMaxLink = 1e6;
+  options.link_mbps = read.OptionalNumber("link_mbps", 0, kMaxLink);
   options.sends_priority = read.OptionalFlag("sends_priority");
   if (!invalid.errors.empty()) {
     return tl::unexpected(invalid);
--- a/src/celerykeel/node/options_unittest.cc
+++ b/src/celerykeel/node/options_unittest.cc
@@ -34,6 +34,23 @@
   }
 }
 
+// Guards against a platform that does not know the machine's link, and against
+// a rate in another unit.
+TEST_CASE("the rate of the link is optional and checked") {
+  for (const char* none : {"", R"(,"link_mbps":null)", R"(,"link_mbps":0)"}) {
+    const auto options = ParseNodeOptions(SettingsWith(none));
+    REQUIRE(options.has_value());
+    CHECK(options->link_mbps == 0);
+  }
+  const auto given = ParseNodeOptions(SettingsWith(R"(,"link_mbps":22.5)"));
+  REQUIRE(given.has_value());
+  CHECK(given->link_mbps == 22.5);
+  for (const char* bad : {"-1", "2e9", R"("22 Mbit/s")"}) {
+    CHECK_FALSE(
+        ParseNodeOptions(SettingsWith(R"(,"link_mbps":)" + std::string(bad))));
+  }
+}
+
 // A platform may not know the limits for callers, and leave them out or empty.
 TEST_CASE("limits for callers are optional, and checked") {
   for (const char* none : {"", R"(,"memory_mb":null,"max_fds":null)"}) {
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -61,6 +61,7 @@
   member.leaving = heartbeat.leaving();
   member.refused = false;
   member.store_reached = heartbeat.store_reached();
+  member.link_mbps = heartbeat.link_mbps();
   member.last_heartbeat_at = Now();
   std::set<uint32_t> listed;
   for (const pb::HeldSlot& held : heartbeat.slots()) {
