node: calls wait for homes and for the configuration after a start

Callers saw: after the loss of all instances, 429 with Retry-After 0.4 s after a wait of 0.4 s, and 503 "no configuration yet" in the first 0.5 s; most callers return once only.

--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -175,9 +175,12 @@
   std::optional<PlannedStop> planned_stop;  // set while `stopping`
 };
 
+/// @brief Returns true if the instance has a configuration and has read the
+/// evacuations of zones once.
+bool HasConfiguration(const Node& node);
+
 /// @brief Returns true if the instance can serve callers: it has a
-/// configuration, has read the evacuations of zones once, and knows endpoints
-/// to send to.
+/// configuration and knows endpoints to send to.
 bool IsReady(const Node& node);
 
 }  // namespace celerykeel
--- a/src/celerykeel/node/call_path.cc
+++ b/src/celerykeel/node/call_path.cc
@@ -72,7 +72,7 @@
 }  // namespace
 
 std::optional<CallRefusal> CheckHead(const Node& node, Call& call) {
-  if (node.deployment == nullptr || !node.endpoints.evacuations.read_at) {
+  if (!HasConfiguration(node)) {
     return CallRefusal{kUnavailable, "no configuration yet", kNotReadyRetry};
   }
   call.deployment = node.deployment;
@@ -210,9 +210,13 @@
   SettleRate(node, *call);
 }
 
-bool IsReady(const Node& node) {
+bool HasConfiguration(const Node& node) {
   return node.deployment != nullptr &&
-         node.endpoints.evacuations.read_at.has_value() && !node.stopping &&
+         node.endpoints.evacuations.read_at.has_value();
+}
+
+bool IsReady(const Node& node) {
+  return HasConfiguration(node) && !node.stopping &&
          !node.endpoints.endpoints.empty();
 }
 
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -202,6 +202,20 @@
   co_return grant;
 }
 
+void LowerInheritedReserves(Node& node, const HeldSlotPtr& slot) {
+  for (const auto& [name, rate] : slot->rates) {
+    const DeployedTeam* team = FindTeam(node, name);
+    if (team == nullptr || !rate.recorded || rate.writing) {
+      continue;
+    }
+    // The level of the bucket is the reserve that is about to be lowered.
+    InitializeBucket(node, *slot, *team);
+    constexpr double kLent = 0.5;
+    WriteReserve(node, slot, name,
+                 kLent * std::min(rate.durable, team->limits.burst));
+  }
+}
+
 bool MayBeInProgressAtHome(Node& node,
                            const HeldSlot& slot,
                            const std::string& name,
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -210,6 +210,13 @@
   co_return co_await RequestLoanFromPeer(node, link, requested, programs);
 }
 
+// True if no instance is known to hold the slot of the home and to have
+// replayed its log.
+bool IsHomeVacant(const Node& node, uint32_t home) {
+  return ActiveSlot(node, home) == nullptr &&
+         LinkToHolder(node, home) == nullptr;
+}
+
 Task<> AskAhead(Node& node, std::string team) {
   co_await RequestLoanFromHome(node, team, 0, {});
   node.rates.loan_requests_ahead.erase(team);
@@ -288,17 +295,24 @@
       co_return std::move(*permit);
     }
   }
-  const Duration until = Now() + kHomeSuccessionTimeout;
+  const uint32_t home = HomeSlot(node, team.name);
+  // After a loss of many instances a home is back later than a caller that is
+  // refused now would return, and most callers return only once.
+  const Duration until =
+      Now() + std::max(kHomeSuccessionTimeout, start.max_wait);
   HomeAnswer asked;
   while (true) {
-    asked = co_await RequestLoanFromHome(
-        node, team.name, 1,
-        {.call = {.program = hash,
-                  .caller = start.caller,
-                  .newcomer = newcomer,
-                  .program_time_left = start.time_left,
-                  .max_wait = start.max_wait},
-         .begun = 0});
+    asked = {};
+    if (!IsHomeVacant(node, home)) {
+      asked = co_await RequestLoanFromHome(
+          node, team.name, 1,
+          {.call = {.program = hash,
+                    .caller = start.caller,
+                    .newcomer = newcomer,
+                    .program_time_left = start.time_left,
+                    .max_wait = start.max_wait},
+           .begun = 0});
+    }
     RecordHomeAnswer(node, team.name, asked.answered);
     const bool program_refused =
         newcomer && asked.answered && asked.retry_after > Duration::zero();
--- a/src/celerykeel/node/request_reader.cc
+++ b/src/celerykeel/node/request_reader.cc
@@ -303,6 +303,25 @@
   caller.stream.expires_never();
 }
 
+// An instance that has just started has no configuration for some 100 ms, and
+// most callers return only once. Waits for it for a third of the caller's time.
+Task<> AwaitConfiguration(Node& node, CallHeaderValues& header_values) {
+  constexpr Duration kLongestWait = std::chrono::seconds(1);
+  constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+  constexpr int kWaitDivisor = 3;
+  const Duration began = Now();
+  const Duration until =
+      began +
+      std::min(kLongestWait,
+               header_values.time_left.value_or(kLongestWait) / kWaitDivisor);
+  while (!HasConfiguration(node) && Now() + kPollInterval < until) {
+    co_await Sleep(node.io, kPollInterval);
+  }
+  if (header_values.time_left) {
+    *header_values.time_left -= Now() - began;
+  }
+}
+
 }  // namespace
 
 Task<std::optional<CallRequest>> ReadRequest(Node& node,
@@ -324,6 +343,9 @@
   call->request = CopyHead(reading.parser);
   call->caller = caller;
   call->arrived_at = Now();
+  if (!HasConfiguration(node)) {
+    co_await AwaitConfiguration(node, call->request.header_values);
+  }
   refusal = CheckHead(node, *call);
   if (refusal && !HasArrived(reading)) {
     // A caller without a valid key never makes this instance hold a body.
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -4,10 +4,11 @@
 #include <random>     // for std::mt19937_64
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"       // for Now, WallNow
-#include "celerykeel/node/fleet.h"       // for AnnounceSoon
-#include "celerykeel/node/node.h"        // for Node
-#include "celerykeel/wire/slot_codec.h"  // for EncodeSlotRecord
+#include "celerykeel/base/clock.h"         // for Now, WallNow
+#include "celerykeel/node/fleet.h"         // for AnnounceSoon
+#include "celerykeel/node/node.h"          // for Node
+#include "celerykeel/node/rate_lending.h"  // for LowerInheritedReserves
+#include "celerykeel/wire/slot_codec.h"    // for EncodeSlotRecord
 
 namespace celerykeel {
 
@@ -283,6 +284,7 @@
   }
   AssumeCeilingSpent(slot->ledger, is_first_holder, Now());
   slot->active = true;
+  LowerInheritedReserves(node, slot);
   node.start.longest_replay =
       std::max(node.start.longest_replay, Now() - claimed_at);
   RecordHolder(node.fleet, number, {node.fleet.self, slot->epoch});
