ctl, core, platform, node: check of a configuration before it is sent

Operators asked for a tool that finds errors, entries that can never match, limits that contradict each other and what differs from another version.

celerykeelctl config check FILE [--against=FILE]; exit status 0, 1 or 2. An instance logs the first four findings of a version that comes into force. The version in force can't be fetched from the store yet (--against=in-force).

--- a/include/celerykeel/ctl/options.h
+++ b/include/celerykeel/ctl/options.h
@@ -18,6 +18,7 @@
   kExplain,
   kKeyMake,
   kStory,
+  kConfigCheck,
 };
 
 enum class ExplainKind { kProgram, kTeam, kEndpoint };
@@ -26,10 +27,13 @@
 struct CtlOptions {
   CtlCommand command = CtlCommand::kStatus;
   ExplainKind explain = ExplainKind::kProgram;
-  std::string subject;      // of explain and story
-  std::string ticket_file;  // read by check and submit, written by key make
-  TicketNumber number = 0;  // of show and key make
-  std::string feed;         // host:port; empty: check without a fleet
+  std::string subject;  // of explain and story
+  // Read by check and submit, written by key make; of config check its file.
+  std::string ticket_file;
+  std::string against_file;   // of config check; empty: none
+  uint64_t record_bytes = 0;  // of config check: the store's largest record
+  TicketNumber number = 0;    // of show and key make
+  std::string feed;           // host:port; empty: check without a fleet
   std::string team;
   std::string key_id;
   std::string operator_name;
--- a/src/celerykeel/ctl/commands.cc
+++ b/src/celerykeel/ctl/commands.cc
@@ -11,6 +11,7 @@
 
 #include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/core/ticket_check.h"  // for CheckTicket
+#include "celerykeel/ctl/config_check.h"   // for CheckConfiguration
 #include "celerykeel/ctl/exchange.h"       // for Exchange
 #include "celerykeel/ctl/explain.h"        // for FetchMemory, ShowExplain
 #include "celerykeel/ctl/fleet_access.h"   // for FetchStatus
@@ -201,6 +202,25 @@
   return ShowKey(minted, options);
 }
 
+Report RunConfigCheck(const CtlOptions& options) {
+  const auto text = ReadFile(options.ticket_file);
+  if (!text) {
+    Report report = NoFile(options.ticket_file);
+    report.exit_status = kExitUsage;
+    return report;
+  }
+  std::optional<std::string> against;
+  if (!options.against_file.empty()) {
+    against = ReadFile(options.against_file);
+    if (!against) {
+      Report report = NoFile(options.against_file);
+      report.exit_status = kExitUsage;
+      return report;
+    }
+  }
+  return CheckConfiguration(*text, against, options.record_bytes);
+}
+
 Report RunStory(const CtlOptions& options) {
   const LogStory story = FindStory(std::cin, options.subject);
   Report report;
@@ -226,6 +246,8 @@
       return RunKeyMake(options);
     case CtlCommand::kStory:
       return RunStory(options);
+    case CtlCommand::kConfigCheck:
+      return RunConfigCheck(options);
     default:
       return RunWithFleet(
           options, [](const Session& session) { return session.Show(); });
--- a/src/celerykeel/ctl/options.cc
+++ b/src/celerykeel/ctl/options.cc
@@ -19,9 +19,13 @@
   celerykeelctl explain (program|team|endpoint) <id> [options]
   celerykeelctl key make [options]
   celerykeelctl story <id> [options]
+  celerykeelctl config check <file> [options]
   celerykeelctl -h | --help
   celerykeelctl --version
 
+`config check` reads a configuration of the platform before it is sent. Its exit
+status is 1 with findings, and 2 if the file is no configuration.
+
 `story` reads logs of instances on standard input and tells what became of a
 request, by its id.
 
@@ -33,6 +37,9 @@
   --wait             submit: return when every live instance has it in force.
   --unchecked        submit: leave the check to the fleet and its audit trail.
   --last=N           audit: the newest N entries; 20 if not given.
+  --against=FILE     config check: say what differs from that version.
+  --record-bytes=N   config check: the store's largest record; 262144 if not
+                     given.
   --team=TEAM        key make: the key's team. explain program: its team.
   --id=ID            key make: the key's id; made from the team if not given.
   --number=N         key make: number of the ticket in --ticket.
@@ -49,6 +56,8 @@
 constexpr uint64_t kHighestTimeoutMillis = 600'000;
 constexpr uint64_t kDefaultAuditEntries = 20;
 constexpr uint64_t kHighestAuditEntries = 1'000;
+constexpr uint64_t kDefaultRecordBytes = 262'144;
+constexpr uint64_t kHighestRecordBytes = 1'000'000'000;
 constexpr uint64_t kHighestNumber = (uint64_t{1} << 53) - 1;
 
 bool HasWord(const SettingsReader& reader, std::string_view word) {
@@ -61,6 +70,9 @@
            : HasWord(reader, "submit") ? CtlCommand::kTicketSubmit
                                        : CtlCommand::kTicketShow;
   }
+  if (HasWord(reader, "config")) {
+    return CtlCommand::kConfigCheck;
+  }
   return HasWord(reader, "audit")     ? CtlCommand::kAudit
          : HasWord(reader, "explain") ? CtlCommand::kExplain
          : HasWord(reader, "key")     ? CtlCommand::kKeyMake
@@ -84,7 +96,8 @@
 
 bool NeedsFleet(CtlCommand command) {
   return command != CtlCommand::kKeyMake &&
-         command != CtlCommand::kTicketCheck && command != CtlCommand::kStory;
+         command != CtlCommand::kTicketCheck && command != CtlCommand::kStory &&
+         command != CtlCommand::kConfigCheck;
 }
 
 }  // namespace
@@ -108,6 +121,9 @@
   options.number = options.command == CtlCommand::kTicketShow
                        ? ParseTicketNumber(reader.Argument("<number>"))
                        : reader.Number("number", 0, 1, kHighestNumber);
+  options.against_file = reader.OptionalText("against");
+  options.record_bytes = reader.Number("record-bytes", kDefaultRecordBytes, 1,
+                                       kHighestRecordBytes);
   options.key_id = reader.OptionalText("id");
   options.operator_name = reader.OptionalText("operator");
   options.ticket_file = options.command == CtlCommand::kKeyMake
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -2,18 +2,19 @@
 
 #include <xxhash.h>  // for XXH3_64bits
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::max, std::min
 #include <utility>    // for std::move, std::exchange
 
-#include "celerykeel/base/clock.h"            // for Now
-#include "celerykeel/core/cold_endpoints.h"   // for SetColdTraits
-#include "celerykeel/node/deployment_copy.h"  // for CopyDeployment
-#include "celerykeel/node/fleet.h"            // for AnnounceSoon
-#include "celerykeel/node/keyed_topic.h"      // for ReadAllKeys
-#include "celerykeel/node/node.h"             // for Node
-#include "celerykeel/node/operator_feed.h"    // for ApplyAllEvacuations
-#include "celerykeel/node/rates.h"            // for ReturnTokens
-#include "platform/deployment_json.h"         // for platform::DecodeDeployment
+#include "celerykeel/base/clock.h"             // for Now
+#include "celerykeel/core/cold_endpoints.h"    // for SetColdTraits
+#include "celerykeel/core/deployment_check.h"  // for CheckDeployment
+#include "celerykeel/node/deployment_copy.h"   // for CopyDeployment
+#include "celerykeel/node/fleet.h"             // for AnnounceSoon
+#include "celerykeel/node/keyed_topic.h"       // for ReadAllKeys
+#include "celerykeel/node/node.h"              // for Node
+#include "celerykeel/node/operator_feed.h"     // for ApplyAllEvacuations
+#include "celerykeel/node/rates.h"             // for ReturnTokens
+#include "platform/deployment_json.h"          // for platform::DecodeDeployment
 
 namespace celerykeel {
 
@@ -120,6 +121,21 @@
   return XXH3_64bits(value.data(), value.size());
 }
 
+// The findings of `celerykeelctl config check`. The version applies all the
+// same, as it is the operators' decision.
+void LogFindings(Node& node) {
+  constexpr size_t kMaxLogged = 4;
+  const auto findings =
+      CheckDeployment(*node.deployment, node.options.store_record_bytes);
+  for (size_t i = 0; i < std::min(findings.size(), kMaxLogged); ++i) {
+    WriteLog(node.log, LogLevel::kUnusual, "configuration finding",
+             {{"version", node.deployment->version},
+              {"place", findings[i].place},
+              {"text", findings[i].text},
+              {"findings", static_cast<uint64_t>(findings.size())}});
+  }
+}
+
 void ApplyDeployment(Node& node, const KeyedRecord& record) {
   if (record.key != platform::kConfigurationKey || record.dropped) {
     return;
@@ -171,6 +187,7 @@
   if (NewestVersionOfPeers(node) < node.deployment->version) {
     AnnounceSoon(node);  // among the first: peers may copy it from here
   }
+  LogFindings(node);
 }
 
 void GetDeploymentSoon(Node& node) {
