--- a/src/celerykeel/net/raw_connection_unittest.h
+++ b/src/celerykeel/net/raw_connection_unittest.h
@@ -1,10 +1,13 @@
 #pragma once
 
-#include <arpa/inet.h>   // for inet_pton, htonl, ntohs
+#include <arpa/inet.h>   // for inet_pton, htonl, htons
+#include <netinet/in.h>  // for sockaddr_in
 #include <poll.h>        // for poll
 #include <sys/socket.h>  // for connect, send, recv
-#include <unistd.h>      // for close
+#include <unistd.h>      // for close, getpid
 
+#include <atomic>       // for std::atomic
+#include <cstdint>      // for uint32_t
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 
@@ -15,18 +18,30 @@
 
 inline constexpr Duration kReadPatience = std::chrono::seconds(10);
 
-/// @brief A loopback address whose port is free now.
+/// @brief A loopback address whose port is free now. The port is below those
+/// that the kernel gives to outgoing connections (from 32,768): one of these
+/// may be taken by any process before the caller listens. Each process begins
+/// at a port of its own.
 inline std::string FreeAddress() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  [[maybe_unused]] const int bound =
-      bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  constexpr uint32_t kFirstPort = 20000;
+  constexpr uint32_t kPorts = 12000;
+  constexpr uint32_t kPortsPerProcess = 97;
+  static std::atomic<uint32_t> next{static_cast<uint32_t>(getpid()) *
+                                    kPortsPerProcess};
+  while (true) {
+    const auto port = static_cast<uint16_t>(kFirstPort + next++ % kPorts);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool is_free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 /// @brief A TCP connection that sends what a proper client would not.
