core, node: idle connections to an endpoint stay within half of what it accepts

Cause: since calls that may not be repeated leave older idle connections to others, these add up to 16 for each instance and endpoint. The endpoint accepts 100 from all 11 instances and closes the rest; after a loss of all it still counts the old ones. max_conns of the configuration was not used.

Change: an instance keeps max_conns / 2 / instances idle connections to an endpoint, at least one and at most 16, and closes the one that is idle longest. Beside the unit tests: one for the pool. Also formats a header.

--- a/include/celerykeel/core/connection_limits.h
+++ b/include/celerykeel/core/connection_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>  // for size_t
+#include <cstdint>  // for uint32_t
 
 namespace celerykeel {
 
@@ -33,4 +34,15 @@
 ConnectionVerdict JudgeConnection(const ConnectionLimits& limits,
                                   const OpenConnections& open);
 
+/// @brief Returns how many idle connections an instance keeps to an endpoint,
+/// so that all instances together use at most half of those that it accepts.
+/// The other half is for calls in flight, and for connections of instances that
+/// lost power, which the endpoint still counts.
+/// @param max_connections that the endpoint accepts from all callers together.
+/// @param instances of the fleet, this one included.
+size_t IdleConnectionsPerEndpoint(uint32_t max_connections, size_t instances);
+
+/// @brief The most idle connections to one address.
+inline constexpr size_t kMaxIdleConnections = 16;
+
 }  // namespace celerykeel
--- a/include/celerykeel/node/endpoint_link.h
+++ b/include/celerykeel/node/endpoint_link.h
@@ -46,4 +46,12 @@
 /// @brief Longest time for a new connection to an endpoint.
 inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 
+/// @brief Returns a connection to an endpoint to the pool, which keeps as many
+/// idle ones as all instances together may; see IdleConnectionsPerEndpoint.
+void ReturnToEndpointPool(Node& node,
+                          const std::string& service,
+                          const std::string& address,
+                          const OutConnectionPtr& connection,
+                          const AnswerHead& head);
+
 }  // namespace celerykeel
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -14,9 +14,10 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/call_request.h"  // for HeaderList
-#include "celerykeel/core/time.h"          // for Duration
-#include "celerykeel/node/asio.h"          // for Task
+#include "celerykeel/core/call_request.h"       // for HeaderList
+#include "celerykeel/core/connection_limits.h"  // for kMaxIdleConnections
+#include "celerykeel/core/time.h"               // for Duration
+#include "celerykeel/node/asio.h"               // for Task
 
 namespace celerykeel {
 
@@ -121,11 +122,13 @@
 
 /// @brief Returns a connection to the pool after its answer was read
 /// completely. Closes it if bytes are left over, if the peer will close it, if
-/// its idle limit is zero or if the pool is full for this address.
+/// or its idle limit is zero. If the pool then has more than `max_idle`
+/// connections for this address, closes the one that is idle longest.
 void ReturnToPool(OutPool& pool,
                   const std::string& address,
                   const OutConnectionPtr& connection,
-                  const AnswerHead& head);
+                  const AnswerHead& head,
+                  size_t max_idle = kMaxIdleConnections);
 
 /// @brief Aborts uses of Exchange that began to send before `moment`; they fail
 /// with kAbandoned.
--- a/include/celerykeel/node/rate_lending.h
+++ b/include/celerykeel/node/rate_lending.h
@@ -37,10 +37,10 @@
                                RequestedLoan requested,
                                ProgramsUpdate programs);
 
-/// @brief After a takeover of the slot, lowers the durable reserves of its teams
-/// to half of the tokens that the previous home left, all in one append. The
-/// other half can then be lent without a write for each team, while the calls
-/// that waited for the home arrive together.
+/// @brief After a takeover of the slot, lowers the durable reserves of its
+/// teams to half of the tokens that the previous home left, all in one append.
+/// The other half can then be lent without a write for each team, while the
+/// calls that waited for the home arrive together.
 void LowerInheritedReserves(Node& node, const HeldSlotPtr& slot);
 
 /// @brief As the home, returns whether the program may be in progress: it is,
--- a/src/celerykeel/core/connection_limits.cc
+++ b/src/celerykeel/core/connection_limits.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/connection_limits.h"
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::max, std::clamp
 
 namespace celerykeel {
 
@@ -31,4 +31,10 @@
                                     : ConnectionVerdict::kAccept;
 }
 
+size_t IdleConnectionsPerEndpoint(uint32_t max_connections, size_t instances) {
+  return std::clamp<size_t>(
+      max_connections / 2 / std::max<size_t>(instances, 1), 1,
+      kMaxIdleConnections);
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/connection_limits_unittest.cc
+++ b/src/celerykeel/core/connection_limits_unittest.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <initializer_list>  // for std::initializer_list
+
 #include "celerykeel/core/connection_limits.h"  // for ConnectionLimitsOf
 
 namespace celerykeel {
@@ -30,5 +32,24 @@
         ConnectionVerdict::kReplaceIdle);
 }
 
+// Load: calls that need a fresh connection each open one, and the older ones
+// stay idle. 11 instances kept 16 each to an endpoint that accepts 100, which
+// closed every further one; after a loss of all instances it still counted the
+// old ones.
+TEST_CASE("idle connections leave half of an endpoint's for calls") {
+  for (const size_t instances : {1, 11, 83, 300}) {
+    for (const uint32_t accepted : {100, 380, 490}) {
+      const size_t idle = IdleConnectionsPerEndpoint(accepted, instances);
+      CHECK(idle >= 1);
+      CHECK(idle <= kMaxIdleConnections);
+      if (instances * 2 <= accepted) {
+        CHECK(idle * instances <= accepted / 2);
+      }
+    }
+  }
+  CHECK(IdleConnectionsPerEndpoint(100, 11) == 4);
+  CHECK(IdleConnectionsPerEndpoint(0, 0) == 1);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -340,7 +340,8 @@
     }
     co_return false;
   }
-  ReturnToPool(node.endpoint_pool, attempt.address, connection, attempt.head);
+  ReturnToEndpointPool(node, call->service, attempt.address, connection,
+                       attempt.head);
   HandleCompletion(node, *attempt.run);
   if (call->caller->disconnected) {
     co_return true;
--- a/src/celerykeel/node/endpoint_link.cc
+++ b/src/celerykeel/node/endpoint_link.cc
@@ -149,4 +149,20 @@
   }
 }
 
+void ReturnToEndpointPool(Node& node,
+                          const std::string& service,
+                          const std::string& address,
+                          const OutConnectionPtr& connection,
+                          const AnswerHead& head) {
+  size_t max_idle = kMaxIdleConnections;
+  if (node.deployment != nullptr) {
+    if (const auto found = node.deployment->services.find(service);
+        found != node.deployment->services.end()) {
+      max_idle = IdleConnectionsPerEndpoint(found->second.max_connections,
+                                            node.fleet.members.size() + 1);
+    }
+  }
+  ReturnToPool(node.endpoint_pool, address, connection, head, max_idle);
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -18,7 +18,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr size_t kMaxIdleConnections = 16;  // connections per address
 // Of an answer of the store or of an endpoint's health check. The store sends a
 // few MiB at a time, and the smallest machine has 88 MB.
 constexpr size_t kMaxExchangeBodyBytes = 16UL * 1024 * 1024;
@@ -135,11 +134,11 @@
 void ReturnToPool(OutPool& pool,
                   const std::string& address,
                   const OutConnectionPtr& connection,
-                  const AnswerHead& head) {
+                  const AnswerHead& head,
+                  size_t max_idle) {
   auto& idle = pool.idle[address];
   if (!head.keep_alive || connection->tunnel != nullptr ||
-      connection->buffer.size() > 0 || head.idle_limit <= Duration::zero() ||
-      idle.size() >= kMaxIdleConnections) {
+      connection->buffer.size() > 0 || head.idle_limit <= Duration::zero()) {
     Close(*connection);
     return;
   }
@@ -147,6 +146,10 @@
   connection->idle_since = Now();
   connection->idle_limit = head.idle_limit;
   idle.push_back(connection);
+  while (idle.size() > max_idle) {
+    Close(*idle.front());
+    idle.pop_front();
+  }
 }
 
 void AbortExchangesBefore(OutPool& pool, Duration moment) {
--- a/src/celerykeel/node/out_connection_unittest.cc
+++ b/src/celerykeel/node/out_connection_unittest.cc
@@ -73,5 +73,18 @@
   CHECK(pool.pool.opened == 2);
 }
 
+// Guards against a pool that is full of old connections and closes fresh ones,
+// which calls that may not be repeated need.
+TEST_CASE("a full pool closes the connection that is idle longest") {
+  Pool pool({milliseconds(1000), milliseconds(500)});
+  const OutConnectionPtr fresh = pool.Take(milliseconds(1));
+  AnswerHead head;
+  head.keep_alive = true;
+  head.idle_limit = kAny;
+  ReturnToPool(pool.pool, pool.address, fresh, head, 1);
+  CHECK(pool.pool.idle[pool.address].size() == 1);
+  CHECK(pool.Take(kFresh) == fresh);
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -6,6 +6,7 @@
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/event_stream.h"   // for EventSplitter
 #include "celerykeel/node/attempts.h"       // for StartAttempt
+#include "celerykeel/node/endpoint_link.h"  // for ReturnToEndpointPool
 #include "celerykeel/node/isolation.h"      // for Isolation
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/regions.h"        // for MayStoreText
@@ -276,8 +277,8 @@
         const auto connection = std::exchange(call->attempt, nullptr);
         if (stream_end == StreamEnd::kComplete) {
           HandleCompletion(node, *attempt.run);
-          ReturnToPool(node.endpoint_pool, attempt.address, connection,
-                       attempt.head);
+          ReturnToEndpointPool(node, call->service, attempt.address, connection,
+                               attempt.head);
           if (!call->caller->head_sent) {
             co_await BeginStream(call->caller, attempt.head.status,
                                  attempt.head.headers);
