node: a connection accepted as a planned stop begins is served

Callers saw: end of file without an answer for a request sent on a new connection at the moment at which a planned stop began (1 of some 2,500 in the load test, at load 14).

Cause: the stop marks all connections to be closed after their next answer; one whose reading had not begun was closed at once.

--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -119,7 +119,10 @@
   caller->stream.socket().set_option(Tcp::no_delay(true), option_error);
   caller->stream.socket().set_option(
       asio::socket_base::send_buffer_size(kSendBufferBytes), option_error);
-  while (!caller->aborted && !caller->disconnected && caller->keep_alive) {
+  // A planned stop may begin between accepting the connection and this call.
+  // The first request on it is served all the same.
+  bool may_read = true;
+  while (may_read && !caller->aborted && !caller->disconnected) {
     std::optional<CallRequest> request = co_await ReadRequest(node, caller);
     if (!request) {
       break;
@@ -131,6 +134,7 @@
     co_await ServeCall(node, caller, std::move(*request));
     --node.calls_under_way;
     caller->busy = false;
+    may_read = caller->keep_alive;
     caller->on_caller_disconnect = nullptr;
     caller->memory.reset();
     caller->idle_since = Now();
--- a/src/celerykeel/node/planned_stop_unittest.cc
+++ b/src/celerykeel/node/planned_stop_unittest.cc
@@ -129,6 +129,22 @@
   CHECK(ReadOther(socket, "done second").value_or("") == "");
 }
 
+// Guards against a connection that is accepted just as a planned stop begins
+// and closed unread. Both wait for the end of the pause, the stop first.
+TEST_CASE("a connection accepted as a planned stop begins is served") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  fleet.Freeze(0, std::chrono::milliseconds(300));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  ErrorCode error;
+  socket.connect(fleet.CallersAddress(0), error);
+  asio::write(socket, asio::buffer(Head("early")), error);
+  fleet.Stop(0);
+  CHECK(ReadOther(socket, "done early").value_or("") == "");
+}
+
 // Guards against requests that come late in a planned stop, are passed on and
 // then cut at its end.
 TEST_CASE("a planned stop refuses what it might cut") {
