core: one conversion to milliseconds, the fast link rate is computed once

The check and the comparison of configurations each had the conversion that core/millis.h has. The rate from which links are fast was computed again for each vacant slot.

--- a/src/celerykeel/core/deployment_changes.cc
+++ b/src/celerykeel/core/deployment_changes.cc
@@ -2,16 +2,12 @@
 #include <map>        // for std::map
 
 #include "celerykeel/core/deployment_check.h"
+#include "celerykeel/core/millis.h"  // for Millis
 
 namespace celerykeel {
 
 namespace {
 
-int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string Number(double value) {
   std::string text = std::to_string(value);
   text.erase(text.find_last_not_of('0') + 1);
--- a/src/celerykeel/core/deployment_check.cc
+++ b/src/celerykeel/core/deployment_check.cc
@@ -5,17 +5,14 @@
 #include <set>        // for std::set
 #include <utility>    // for std::pair
 
+#include "celerykeel/core/millis.h"  // for Millis
+
 namespace celerykeel {
 
 namespace {
 
 constexpr uint32_t kLastPriority = 9;  // of calls at endpoints
 
-int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string PlaceOf(const char* list, const std::string& name) {
   return std::string(list) + " \"" + name + "\"";
 }
--- a/src/celerykeel/core/hand_over_unittest.cc
+++ b/src/celerykeel/core/hand_over_unittest.cc
@@ -33,7 +33,7 @@
 
 // Guards against slots without a holder while the store refuses some of its
 // partitions: four of 16 were given up after 1.5 s, and no instance could take
-// them for another 1.8 s. Found on pkgbau-keel-grown trouble-1.
+// them for another 1.8 s.
 TEST_CASE("a holder that the store serves keeps a slot whose partition fails") {
   const std::array<Duration, 1> peers{milliseconds(1900)};
   constexpr Duration kNow = milliseconds(2000);
--- a/src/celerykeel/core/slot_table.cc
+++ b/src/celerykeel/core/slot_table.cc
@@ -65,20 +65,21 @@
 std::optional<std::string> BestHolder(const KnownFleet& fleet,
                                       uint32_t slot,
                                       bool hears_majority,
+                                      double fast_link_mbps,
                                       Duration now) {
   const std::string subject = "slot/" + std::to_string(slot);
-  const double fast = FastLinkRate(fleet, now);
   // The store is reached, the link is fast, the weight.
   using Rank = std::tuple<bool, bool, uint64_t>;
   std::string best = fleet.self;
-  Rank highest{fleet.self_reaches_store, fleet.self_link_mbps >= fast,
+  Rank highest{fleet.self_reaches_store, fleet.self_link_mbps >= fast_link_mbps,
                RendezvousWeight(subject, fleet.self)};
   for (const auto& [instance, member] : fleet.members) {
     if (IsDead(member, hears_majority, now) ||
         !HasRecentHeartbeat(member, now)) {
       continue;
     }
-    if (const Rank rank{member.store_reached, member.link_mbps >= fast,
+    if (const Rank rank{member.store_reached,
+                        member.link_mbps >= fast_link_mbps,
                         RendezvousWeight(subject, instance)};
         rank > highest) {
       best = instance;
@@ -127,6 +128,7 @@
     return slots;
   }
   const bool hears_majority = HearsMajority(fleet, now);
+  const double fast_link_mbps = FastLinkRate(fleet, now);
   for (uint32_t slot = 0; slot < fleet.slots.size(); ++slot) {
     const SlotHolder& holder = fleet.slots[slot];
     if (holder.instance == fleet.self ||
@@ -136,7 +138,8 @@
     const auto member = fleet.members.find(holder.instance);
     const bool vacant = holder.epoch == 0 || member == fleet.members.end() ||
                         IsDead(member->second, hears_majority, now);
-    if (vacant && BestHolder(fleet, slot, hears_majority, now) == fleet.self) {
+    if (vacant && BestHolder(fleet, slot, hears_majority, fast_link_mbps,
+                             now) == fleet.self) {
       slots.push_back(slot);
     }
   }
--- a/src/celerykeel/core/slot_table_unittest.cc
+++ b/src/celerykeel/core/slot_table_unittest.cc
@@ -56,7 +56,7 @@
 
 // Guards against slots that stay without a serving holder for 3 s after a loss
 // of all instances, since instances with slow links took them and read their
-// logs over these. Found on pkgbau-keel-grown trouble-1.
+// logs over these.
 TEST_CASE("instances with fast links take vacant slots before others") {
   KnownFleet fleet = FleetOf(11, 11);
   fleet.self_link_mbps = 22;
