Review: slots with logs of some MB are never read over slow links

Three machines with links of 22 Mbit/s, logs of 5 to 7 MB a slot. All processes are killed once and started again after 1 s. One machine takes four slots; its reads of 1 MB share the link, time out after 1.2 s, and begin anew for good.

--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -88,7 +88,7 @@
                          "retention_s": 300, "record_bytes": 262144,
                          "call_bytes": 2097152},
             "zones": {"north": "nordland"}, "bounds": {"grace_s": 8},
-            "limits": {"link_mbps": 1000.0,
+            "limits": {"link_mbps": float(self.fleet.link_mbps),
                        "memory_mb": self.fleet.memory_mb,
                        "max_fds": 8200}}))
         return role["run"].split()
@@ -232,6 +232,7 @@
     event_gap_s = 0.03
     work_s = 0.01
     memory_mb = 130
+    link_mbps = 1000
 
     def __init__(self, folder):
         self.folder = tempfile.mkdtemp(prefix="celerykeel-review-")
