--- a/review/kit-3/standins.py
+++ b/review/kit-3/standins.py
@@ -119,12 +119,16 @@
     CALL_BYTES = 2097152
     TOTAL_BYTES = 400 * 1000 * 1000
     APPEND_S = 0.004
+    WRITES_PER_S = 800  # of all machines together
+    READS_PER_S = 2000
 
     def __init__(self, retention_s=300):
         self.partitions = {}
         self.retention_s = retention_s
         self.total = 0
         self.appended = 0
+        self.calls = {"writes": [0, 0], "reads": [0, 0]}  # second, calls in it
+        self.refused = 0  # calls that got 429
 
     def partition(self, topic, part):
         return self.partitions.setdefault((topic, part), Partition())
@@ -224,6 +228,14 @@
         ]
         return 200, {"items": items[:500], "truncated": len(items) > 500, "end": partition.end}
 
+    def is_over_rate(self, kind, most):
+        """Counts a call. True if it is beyond the calls of this second."""
+        second = int(time.monotonic())
+        if self.calls[kind][0] != second:
+            self.calls[kind] = [second, 0]
+        self.calls[kind][1] += 1
+        return self.calls[kind][1] > most
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -234,7 +246,12 @@
                 url = urllib.parse.urlsplit(head[0].split(" ")[1])
                 query = dict(urllib.parse.parse_qsl(url.query))
                 call = url.path.rsplit("/", 1)[1]
-                if call == "log-append":
+                writes = call == "log-append"
+                if self.is_over_rate("writes" if writes else "reads",
+                                     self.WRITES_PER_S if writes else self.READS_PER_S):
+                    self.refused += 1
+                    status, answer = 429, {}
+                elif writes:
                     status, answer = await self.append(query, body)
                 elif call == "log-read":
                     status, answer = await self.read(query)
@@ -409,10 +426,18 @@
 # --- The fleet under test ---------------------------------------------------
 
 
+given_ports = set()
+
+
 def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """A port that is free, and that no earlier call has given."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            port = probe.getsockname()[1]
+        if port not in given_ports and port != 9464:
+            given_ports.add(port)
+            return port
 
 
 class Edge:
@@ -548,14 +573,17 @@
         for listener in self.listeners:
             listener.close()
 
-    def holder(self, slot):
-        """The running process that took the slot last, by the processes' logs."""
-        newest, epoch = None, -1
+    def holders(self):
+        """By slot, the process that took it last, by the processes' logs."""
+        newest = {}
         for edge in self.edges:
             for line in edge.lines("slot taken"):
-                if line["slot"] == slot and line["epoch"] > epoch:
-                    newest, epoch = edge, line["epoch"]
-        return newest
+                if line["epoch"] > newest.get(line["slot"], (-1, None))[0]:
+                    newest[line["slot"]] = (line["epoch"], edge)
+        return {slot: edge for slot, (_, edge) in newest.items()}
+
+    def holder(self, slot):
+        return self.holders().get(slot)
 
 
 def run(case, folder):
