--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# The stand-ins of kit-2 and the cases are Python programs, which need no build.
+# The stand-ins of kit-2, kit-3 and the cases are Python programs, which need no build.
 # Checks that this machine's Python can run them.
 cd "$(dirname "$0")" || exit 1
-exec python3 - kit-2/*.py {6..10}/case.py <<'P'
+exec python3 - kit-2/*.py kit-3/*.py {6..10}/case.py <<'P'
 import sys
 import tomllib  # Python 3.11
 for name in sys.argv[1:]:
