--- a/review/kit-3/standins.py
+++ b/review/kit-3/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -60,10 +61,14 @@
         self.began = time.monotonic()
 
     def __call__(self, text):
+        print(self.write(text), flush=True)
+
+    def write(self, text):
+        """Writes a line that is not printed."""
         line = "%8.3f %s" % (time.monotonic() - self.began, text)
         self.file.write(line + "\n")
         self.file.flush()
-        print(line, flush=True)
+        return line
 
 
 # --- HTTP -------------------------------------------------------------------
@@ -572,6 +577,7 @@
             task.cancel()
         for listener in self.listeners:
             listener.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def holders(self):
         """By slot, the process that took it last, by the processes' logs."""
