node: the logs of slots are read over slow links

Cause: a read of 1 MiB had 1.2 s for its complete answer. Four reads that share 22 Mbit/s take 1.5 s, time out together and begin anew.

Change: the time of an exchange bounds the head and the pauses between bytes. Reads are bounded by the link and ordered by what is left (core/log_reads). Appends have time by their size, answers behind long frames are awaited, and a copy of the configuration is continued.

--- a/include/celerykeel/core/store_call.h
+++ b/include/celerykeel/core/store_call.h
@@ -33,6 +33,7 @@
   uint32_t partition = 0;
   uint64_t from = 0;
   uint64_t wait_ms = 0;  // max wait for a record, if there is none at `from`
+  size_t max_bytes = 0;  // of the answer; 0: 1 MiB
 };
 
 struct ReadDone {
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -45,6 +45,9 @@
   // connection; see TunnelOpen. An older peer relays the bytes alone.
   bool are_marked = false;
   uint32_t left = 0;  // bytes of the piece that is being read
+  // The mark says how many bytes of the request the endpoint has received.
+  bool mark_has_count = false;
+  uint64_t request_bytes = 0;  // as the mark said
 };
 
 /// @brief A connection to an endpoint or to the store.
@@ -57,9 +60,13 @@
   // Set if the connection goes to a peer, which relays its bytes; used once.
   std::shared_ptr<const TunnelUse> tunnel;
   TunnelPieces tunnel_pieces;
+  uint64_t request_bytes = 0;   // written of the current request
+  bool is_request_cut = false;  // and its rest could not be written
   Duration idle_since{};
-  Duration idle_limit{};      // idle time after which it is closed
-  Duration sent_at{};         // when Exchange began to send its request
+  Duration idle_limit{};  // idle time after which it is closed
+  // When Exchange began to send its request, or got the last bytes of the
+  // answer.
+  Duration active_at{};
   bool is_abandoned = false;  // closed by AbortExchangesBefore
 };
 using OutConnectionPtr = std::shared_ptr<OutConnection>;
@@ -99,7 +106,7 @@
 /// in part, in all cases but kNotConnected.
 enum class ExchangeError {
   kNotConnected,  // nothing was sent
-  kSilent,        // timed out while sending or before the end of the answer
+  kSilent,        // timed out while sending or between bytes of the answer
   kClosed,        // the connection closed before the end of the answer
   kMalformed,     // the answer is invalid or exceeds a limit
   kAbandoned,     // ended by AbortExchangesBefore
@@ -130,8 +137,8 @@
                   const AnswerHead& head,
                   size_t max_idle = kMaxIdleConnections);
 
-/// @brief Aborts uses of Exchange that began to send before `moment`; they fail
-/// with kAbandoned.
+/// @brief Aborts uses of Exchange that began to send before `moment` and got no
+/// bytes since; they fail with kAbandoned.
 void AbortExchangesBefore(OutPool& pool, Duration moment);
 
 /// @brief Closes the idle connections of an address that were last used before
@@ -155,12 +162,15 @@
   std::string body;
 };
 
-/// @brief Sends a request and reads the complete answer.
+/// @brief Sends a request and reads the complete answer. `timeout` bounds the
+/// time until the head of the answer has arrived. The body may take longer, as
+/// long as its bytes arrive at most `max_gap` apart.
 Task<tl::expected<CompleteAnswer, ExchangeError>> Exchange(
     asio::io_context& loop,
     OutPool& pool,
     std::string address,
     OutRequest request,
-    Duration timeout);
+    Duration timeout,
+    Duration max_gap);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/peer_link.h
+++ b/include/celerykeel/node/peer_link.h
@@ -2,10 +2,12 @@
 
 #include <functional>     // for std::function
 #include <map>            // for std::map
-#include <memory>         // for std::shared_ptr
+#include <memory>         // for std::shared_ptr, std::unique_ptr
+#include <optional>       // for std::optional
 #include <string>         // for std::string
 #include <unordered_map>  // for std::unordered_map
 
+#include "celerykeel/core/time.h"  // for Duration
 #include "celerykeel/node.pb.h"    // for pb::NodeFrame
 #include "celerykeel/node/asio.h"  // for Tcp
 
@@ -23,6 +25,8 @@
   bool is_writing = false;
   bool closed = false;
   bool has_sent_frame = false;  // a complete frame was received
+  size_t partial_bytes = 0;     // received of a frame that is not complete
+  Duration received_at{};       // when the last bytes arrived
   // It carries the bytes of another connection from now on, and no frames.
   bool is_tunnel = false;
   // Sender of the heartbeats on an accepted connection; empty before the first.
@@ -93,6 +97,39 @@
 /// @brief Removes a pending call; further frames of it are ignored.
 void EndCall(PeerLink& link, uint64_t call);
 
+/// @brief A call to a peer that brings one frame. Its destruction ends the
+/// call.
+struct PeerCall {
+  PeerCall(asio::io_context& loop, PeerLinkPtr over)
+      : link(std::move(over)), answer(loop) {}
+  ~PeerCall() { EndCall(*this->link, this->id); }
+  PeerCall(const PeerCall&) = delete;
+  PeerCall& operator=(const PeerCall&) = delete;
+
+  PeerLinkPtr link;
+  uint64_t id = 0;
+  Promise<std::optional<pb::NodeFrame>> answer;  // nothing: the link ended
+};
+using PeerCallPtr = std::unique_ptr<PeerCall>;
+
+/// @brief Sends a call over a link.
+/// @return null if the link is not connected.
+PeerCallPtr BeginCall(asio::io_context& loop,
+                      PeerNetwork& network,
+                      const PeerLinkPtr& link,
+                      pb::NodeFrame frame);
+
+/// @brief Waits for the answer for `timeout`, and longer while
+/// IsMovingLongFrame, up to `most` altogether.
+/// @return the frame; nothing if the link ends or brings no answer in time.
+Task<std::optional<pb::NodeFrame>> AwaitAnswer(PeerCall& call,
+                                               Duration timeout,
+                                               Duration most);
+
+/// @brief True while a long frame arrives on the link or is being sent. A call
+/// that is repeated meanwhile only waits behind it.
+bool IsMovingLongFrame(const PeerLink& link);
+
 /// @brief Calls a peer and waits for one frame, at most for `timeout`.
 /// @return the frame; nothing if the link is not connected, ends, or brings no
 /// answer in time.
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -14,6 +14,7 @@
 #include "celerykeel/core/turn_ledger.h"    // for TurnLedger, SlotRecord
 #include "celerykeel/node.pb.h"             // for pb::TurnAdmission
 #include "celerykeel/node/asio.h"           // for Task
+#include "celerykeel/node/slot_replay.h"    // for SlotReplays
 
 namespace celerykeel {
 
@@ -75,6 +76,7 @@
   std::map<uint32_t, HeldSlotPtr> held;
   // By slot: the epoch that fenced this instance's last claim.
   std::map<uint32_t, uint64_t> epoch_floor;
+  SlotReplays replays;
   uint64_t handed_over = 0;      // slots given up; see slot_upkeep.h
   uint64_t abandoned_turns = 0;  // see core/abandoned_turns.h
 };
--- a/src/celerykeel/node/deployment_copy.cc
+++ b/src/celerykeel/node/deployment_copy.cc
@@ -23,12 +23,6 @@
 // No configuration is larger: it is one record of the store.
 constexpr uint64_t kMaxDeploymentBytes = 64UL * 1024 * 1024;
 
-// What has arrived of a version.
-struct PartialCopy {
-  pb::DeploymentPiece first;  // without its bytes
-  std::string value;
-};
-
 enum class CopyEnd { kComplete, kBusy, kFailed };
 
 std::vector<std::string> RankGivers(const Node& node, uint64_t round) {
@@ -104,6 +98,7 @@
     // It can't be used here, and neither can the same one of another peer.
     node.deployment_feed.unusable_version = copy.first.version();
   }
+  copy = {};
 }
 
 }  // namespace
@@ -134,9 +129,8 @@
   return piece;
 }
 
-Task<bool> CopyDeployment(Node& node) {
+Task<bool> CopyDeployment(Node& node, PartialCopy& copy) {
   const Duration until = Now() + kMaxCopyTime;
-  PartialCopy copy;
   for (uint64_t round = 0; Now() < until; ++round) {
     bool is_busy = false;
     const std::vector<std::string> givers = RankGivers(node, round);
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -67,9 +67,10 @@
 
 Task<> CatchUpWithPeers(Node& node) {
   KeyedTopic topic{.name = platform::kConfigurationTopic, .next = std::nullopt};
+  PartialCopy copy;
   co_await Sleep(node.io, kOwnReadTime);
   while (IsBehindPeers(node)) {
-    const bool is_copied = co_await CopyDeployment(node);
+    const bool is_copied = co_await CopyDeployment(node, copy);
     AbandonLongRead(node);
     if (!is_copied) {
       co_await ReadNewestDeployment(node, topic);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -188,6 +188,13 @@
            static_cast<double>(node.deployment_feed.copied));
   SetGauge(metrics, "slots_handed_over",
            static_cast<double>(node.slots.handed_over));
+  SetGauge(metrics, "slot_logs_being_read",
+           static_cast<double>(node.slots.replays.waiting.size() +
+                               node.slots.replays.reads.under_way.size()));
+  SetGauge(metrics, "slot_log_bytes_read",
+           static_cast<double>(node.slots.replays.bytes_read));
+  SetGauge(metrics, "slot_log_reads_failed",
+           static_cast<double>(node.slots.replays.failed_reads));
   SetGauge(metrics, "turns_abandoned",
            static_cast<double>(node.slots.abandoned_turns));
   SetGauge(metrics, "slots_with_cover",
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -21,6 +21,8 @@
 // Of an answer of the store or of an endpoint's health check. The store sends a
 // few MiB at a time, and the smallest machine has 88 MB.
 constexpr size_t kMaxExchangeBodyBytes = 16UL * 1024 * 1024;
+// 16 MiB take 6 s on the slowest links (22 Mbit/s).
+constexpr Duration kMaxAnswerTime = std::chrono::seconds(12);
 constexpr int kVersion11 = 11;
 // The kernel closes a connection if sent bytes stay unacknowledged this long.
 constexpr unsigned kTcpUserTimeoutMillis = 2500;
@@ -154,7 +156,7 @@
 
 void AbortExchangesBefore(OutPool& pool, Duration moment) {
   for (const OutConnectionPtr& connection : pool.busy) {
-    if (connection->sent_at < moment) {
+    if (connection->active_at < moment) {
       connection->is_abandoned = true;
       Close(*connection);
     }
@@ -211,7 +213,9 @@
   }
   connection.stream.expires_after(ToSteadyDuration(timeout));
   ErrorCode error;
-  co_await http::async_write(connection.stream, message, Into(error));
+  connection.request_bytes =
+      co_await http::async_write(connection.stream, message, Into(error));
+  connection.is_request_cut = static_cast<bool>(error);
   if (error == boost::beast::error::timeout) {
     co_return ExchangeError::kSilent;
   }
@@ -227,6 +231,7 @@
     OutConnectionPtr connection,
     const OutRequest& request,
     Duration timeout,
+    Duration max_gap,
     asio::steady_timer::time_point until) {
   if (const auto error = co_await SendRequest(*connection, request, timeout)) {
     co_return tl::unexpected(*error);
@@ -238,12 +243,22 @@
     co_return tl::unexpected(head.error());
   }
   answer.head = std::move(*head);
-  auto body = co_await reader.ReadAll(until, kMaxExchangeBodyBytes);
-  if (!body) {
-    co_return tl::unexpected(body.error());
+  const auto body_until = Until(kMaxAnswerTime);
+  while (true) {
+    connection->active_at = Now();
+    const auto some =
+        co_await reader.ReadSome(std::min(body_until, Until(max_gap)));
+    if (!some) {
+      co_return tl::unexpected(some.error());
+    }
+    if (!*some) {
+      co_return answer;
+    }
+    answer.body += **some;
+    if (answer.body.size() > kMaxExchangeBodyBytes) {
+      co_return tl::unexpected(ExchangeError::kMalformed);
+    }
   }
-  answer.body = std::move(*body);
-  co_return answer;
 }
 
 }  // namespace
@@ -253,7 +268,8 @@
     OutPool& pool,
     std::string address,
     OutRequest request,
-    Duration timeout) {
+    Duration timeout,
+    Duration max_gap) {
   const auto until = Until(timeout);
   const auto connected =
       co_await Connect(loop, pool, address, Duration::max(), timeout);
@@ -261,9 +277,10 @@
     co_return tl::unexpected(ExchangeError::kNotConnected);
   }
   const OutConnectionPtr& connection = *connected;
-  connection->sent_at = Now();
+  connection->active_at = Now();
   pool.busy.insert(connection);
-  auto answer = co_await ExchangeOver(connection, request, timeout, until);
+  auto answer =
+      co_await ExchangeOver(connection, request, timeout, max_gap, until);
   pool.busy.erase(connection);
   if (answer) {
     ReturnToPool(pool, address, connection, answer->head);
--- a/src/celerykeel/node/peer_link.cc
+++ b/src/celerykeel/node/peer_link.cc
@@ -6,8 +6,11 @@
 
 #include <netinet/tcp.h>  // for TCP_USER_TIMEOUT
 
-#include <array>    // for std::array
-#include <utility>  // for std::move
+#include <algorithm>  // for std::min
+#include <array>      // for std::array
+#include <utility>    // for std::move
+
+#include "celerykeel/base/clock.h"  // for Now
 
 namespace celerykeel {
 
@@ -19,6 +22,10 @@
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long.
 constexpr unsigned kTcpUserTimeoutMillis = 1500;
+// Shorter frames arrive at once.
+constexpr size_t kLongFrameBytes = 16384;
+// A frame whose bytes stop for this long is not arriving any more.
+constexpr Duration kMaxFrameGap = std::chrono::milliseconds(300);
 
 void AppendFrame(std::string& bytes, const pb::NodeFrame& frame) {
   std::array<unsigned char, kFrameLengthBytes> length{};
@@ -111,6 +118,7 @@
       break;
     }
     bytes.append(piece.data(), count);
+    peer->received_at = Now();
     while (bytes.size() - used >= kFrameLengthBytes) {
       const uint32_t size = boost::endian::load_big_u32(
           reinterpret_cast<const unsigned char*>(bytes.data() + used));
@@ -133,6 +141,7 @@
     }
     bytes.erase(0, used);
     used = 0;
+    peer->partial_bytes = bytes.size();
   }
   if (!peer->is_tunnel) {
     ClosePeer(peer);
@@ -168,23 +177,59 @@
   link.pending.erase(call);
 }
 
+PeerCallPtr BeginCall(asio::io_context& loop,
+                      PeerNetwork& network,
+                      const PeerLinkPtr& link,
+                      pb::NodeFrame frame) {
+  auto call = std::make_unique<PeerCall>(loop, link);
+  // Neither callback outlives the call, whose destruction removes them.
+  PeerCall* const waiting = call.get();
+  const PendingCall pending{
+      .on_frame =
+          [waiting](const pb::NodeFrame& got) {
+            waiting->answer.SetValue(got);
+          },
+      .on_lost = [waiting] { waiting->answer.SetValue(std::nullopt); }};
+  if (!StartCall(network, *link, std::move(frame), pending, &call->id)) {
+    return nullptr;
+  }
+  return call;
+}
+
+Task<std::optional<pb::NodeFrame>> AwaitAnswer(PeerCall& call,
+                                               Duration timeout,
+                                               Duration most) {
+  const Duration until = Now() + most;
+  auto given = co_await call.answer.Wait(timeout);
+  while (!given && IsMovingLongFrame(*call.link) && Now() < until) {
+    given = co_await call.answer.Wait(std::min(kMaxFrameGap, until - Now()));
+  }
+  co_return given ? std::move(*given) : std::nullopt;
+}
+
+// The kernel closes a connection that takes no bytes, so that sending ends.
+bool IsMovingLongFrame(const PeerLink& link) {
+  const PeerSocketPtr& socket = link.socket;
+  if (socket == nullptr || socket->closed) {
+    return false;
+  }
+  const bool is_sending =
+      socket->is_writing && socket->writing.size() >= kLongFrameBytes;
+  const bool is_receiving = socket->partial_bytes >= kLongFrameBytes &&
+                            Now() < socket->received_at + kMaxFrameGap;
+  return is_sending || is_receiving;
+}
+
 Task<std::optional<pb::NodeFrame>> CallPeer(asio::io_context& loop,
                                             PeerNetwork& network,
                                             PeerLinkPtr link,
                                             pb::NodeFrame frame,
                                             Duration timeout) {
-  using Answer = std::optional<pb::NodeFrame>;
-  const auto answer = std::make_shared<Promise<Answer>>(loop);
-  uint64_t call = 0;
-  const PendingCall pending{
-      .on_frame = [answer](const pb::NodeFrame& got) { answer->SetValue(got); },
-      .on_lost = [answer] { answer->SetValue(std::nullopt); }};
-  if (!StartCall(network, *link, std::move(frame), pending, &call)) {
+  const PeerCallPtr call = BeginCall(loop, network, link, std::move(frame));
+  if (call == nullptr) {
     co_return std::nullopt;
   }
-  auto given = co_await answer->Wait(timeout);
-  EndCall(*link, call);
-  co_return given ? std::move(*given) : std::nullopt;
+  co_return co_await AwaitAnswer(*call, timeout, timeout);
 }
 
 Task<> RunLink(asio::io_context& loop,
--- a/src/celerykeel/node/slot_log.cc
+++ b/src/celerykeel/node/slot_log.cc
@@ -4,10 +4,11 @@
 #include <random>     // for std::mt19937_64
 #include <utility>    // for std::move
 
-#include "celerykeel/base/clock.h"         // for Now, WallNow
+#include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/node/fleet.h"         // for AnnounceSoon
 #include "celerykeel/node/node.h"          // for Node
 #include "celerykeel/node/rate_lending.h"  // for LowerInheritedReserves
+#include "celerykeel/node/slot_replay.h"   // for ReplayLog
 #include "celerykeel/wire/slot_codec.h"    // for EncodeSlotRecord
 
 namespace celerykeel {
@@ -117,60 +118,6 @@
   slot->writing = false;
 }
 
-void ReplayRecord(HeldSlot& slot, const SlotRecord& record) {
-  if (const auto* rate = std::get_if<RateRecord>(&record)) {
-    RateReserve& kept = slot.rates[rate->team];
-    kept.durable = rate->kept;
-    kept.latest = rate->kept;
-    kept.recorded = true;
-    return;
-  }
-  if (const auto* stream = std::get_if<StreamRecord>(&record)) {
-    ReplayOrigin(slot.origins, *stream, WallNow(), Now());
-    return;
-  }
-  Replay(slot.ledger, record);
-}
-
-// Replays the slot's log up to and including the claim.
-Task<bool> CatchUp(Node& node, HeldSlotPtr slot, uint64_t claim_offset) {
-  uint64_t next = 0;
-  WallMillis written_at = 0;  // of the newest turn record
-  Duration pause = kFirstRetryPause;
-  while (next <= claim_offset && !slot->lost) {
-    const ReadCall read{.topic = std::string(kSlotTopic),
-                        .partition = slot->slot,
-                        .from = next,
-                        .wait_ms = 0};
-    const auto done = co_await Read(node, read);
-    if (done) {
-      for (const std::string& bytes : done->records) {
-        if (const auto record = DecodeSlotRecord(bytes)) {
-          ReplayRecord(*slot, *record);
-          if (const auto* turn = std::get_if<TurnRecord>(&*record)) {
-            written_at = turn->ended_at;
-          }
-        } else {
-          WriteLog(node.log, LogLevel::kUnusual, "slot record unreadable",
-                   {{"slot", slot->slot}, {"offset", next}});
-        }
-        ++next;
-      }
-      ExpireReplayed(slot->ledger, written_at);
-      if (!done->records.empty()) {
-        pause = kFirstRetryPause;
-        continue;
-      }
-    } else if (const auto* expired = std::get_if<Expired>(&done.error())) {
-      next = std::max(next, expired->first);
-      continue;
-    }
-    co_await PauseForStore(node, pause);
-    pause = std::min(2 * pause, kMaxRetryPause);
-  }
-  co_return !slot->lost;
-}
-
 }  // namespace
 
 void Enqueue(Node& node,
@@ -258,7 +205,7 @@
       slot->confirmed_at = asked_at;
       claimed_at = Now();
       is_first_holder = done->offset == 0;
-      if (!co_await CatchUp(node, slot, done->offset)) {
+      if (!co_await ReplayLog(node, slot, done->offset)) {
         co_return;
       }
       break;
--- a/src/celerykeel/node/slot_replay_unittest.cc
+++ b/src/celerykeel/node/slot_replay_unittest.cc
@@ -43,5 +43,38 @@
         "a?a!b?b!c?");
 }
 
+// Guards against an instance that never ends reading the logs of its slots: all
+// slots are at one instance with the slowest link of the known deployments, and
+// the reads of their logs share it.
+TEST_CASE("long logs are read over a slow link") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  constexpr double kMbps = 22;
+  constexpr size_t kTextBytes = 100'000;
+  constexpr int kTurns = 64;  // 1.6 MB a slot
+  const WallMillis now = WallNow();
+  for (int i = 0; i < kTurns; ++i) {
+    const std::string turn = "t" + std::to_string(i);
+    TurnRecord record = RecordOf(turn, "", now);
+    record.program.id = turn;
+    record.input.assign(kTextBytes, 'x');
+    fleet.AppendToSlot(turn, record);
+  }
+  fleet.Kill(0);
+  fleet.store_access[0].bytes_per_second = static_cast<size_t>(kMbps * 125'000);
+  SUBCASE("whose rate is known") {
+    fleet.link_mbps = kMbps;
+  }
+  SUBCASE("whose rate is not known") {}
+  fleet.Start(0);
+  REQUIRE(fleet.WaitUntilServing());
+  CHECK(fleet
+            .Send(0, "POST", "/stream/kept/x",
+                  TurnHeaders("n", "t63", "t63", 9999), "more")
+            .status == 200);
+  CHECK(fleet.MetricsOf(0).find("slot_log_reads_failed\"} 0\n") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -1,10 +1,11 @@
 #include "celerykeel/node/store_client.h"
 
-#include <algorithm>  // for std::max
+#include <algorithm>  // for std::max, std::min
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/hand_over.h"      // for kQuickAppend
+#include "celerykeel/core/link_rate.h"      // for TransferTime
 #include "celerykeel/core/reader_choice.h"  // for IsReader
 #include "celerykeel/node/fleet.h"          // for RankConnectedPeers
 #include "celerykeel/node/node.h"           // for Node
@@ -15,8 +16,13 @@
 namespace {
 
 // An append takes 4 ms. The store delays it for at most 2 s and then refuses
-// it. An answer that does not arrive within this timeout is presumed lost.
+// it. An answer that does not begin within this timeout is presumed lost.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+// Part of the link that the records of an append have at least. Answers to
+// callers and other appends share the link.
+constexpr double kAppendLinkShare = 1.0 / 8;
+// A relayed answer crosses the links of the peer and of this instance.
+constexpr Duration kMaxRelayTime = std::chrono::seconds(5);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(300);
 // An instance that is not a reader sends only one in this many probes.
 constexpr uint64_t kNonReaderProbeDivisor = 5;
@@ -127,8 +133,11 @@
     relay.set_timeout_ms(static_cast<uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(timeout)
             .count()));
-    auto answer =
-        co_await CallPeer(node.io, node.peers, link, std::move(frame), timeout);
+    std::optional<pb::NodeFrame> answer;
+    if (const PeerCallPtr call =
+            BeginCall(node.io, node.peers, link, std::move(frame))) {
+      answer = co_await AwaitAnswer(*call, timeout, kMaxRelayTime);
+    }
     ++node.store.relayed;
     if (!answer || !answer->has_store_answer()) {
       ++node.store.relay_round;
@@ -179,8 +188,9 @@
                        .host = node.options.store_address,
                        .headers = {},
                        .body = request.body};
-  auto answer = co_await Exchange(node.io, node.store.pool,
-                                  node.options.store_address, out, timeout);
+  auto answer =
+      co_await Exchange(node.io, node.store.pool, node.options.store_address,
+                        out, timeout, std::min(timeout, kCallTimeout));
   platform::StoreResponse response;
   if (answer) {
     response.status = answer->head.status;
@@ -211,8 +221,11 @@
 }
 
 Task<tl::expected<AppendDone, StoreError>> Append(Node& node, AppendCall call) {
-  const auto response =
-      co_await CallStore(node, platform::EncodeAppend(call), kCallTimeout);
+  platform::StoreRequest request = platform::EncodeAppend(call);
+  const Duration timeout =
+      kCallTimeout + TransferTime(node.options.link_mbps * kAppendLinkShare,
+                                  request.body.size());
+  const auto response = co_await CallStore(node, std::move(request), timeout);
   co_return platform::DecodeAppend(response);
 }
 
--- a/src/celerykeel/testing/node_fleet.cc
+++ b/src/celerykeel/testing/node_fleet.cc
@@ -103,6 +103,7 @@
   options.store_partitions = kSlotCount;
   options.store_retention = std::chrono::seconds(300);
   options.stop_time = std::chrono::seconds(8);
+  options.link_mbps = this->link_mbps;
   options.zone_regions = {{"z", "north"}, {"za", "north"}, {"zb", "south"}};
   return options;
 }
@@ -304,7 +305,8 @@
   OutPool pool;
   CallerAnswer answer;
   const auto run = [&]() -> Task<> {
-    auto got = co_await Exchange(loop, pool, address, request, kClientTimeout);
+    auto got = co_await Exchange(loop, pool, address, request, kClientTimeout,
+                                 kClientTimeout);
     if (got) {
       answer.status = got->head.status;
       answer.body = got->body;
--- a/src/celerykeel/testing/node_fleet.h
+++ b/src/celerykeel/testing/node_fleet.h
@@ -162,6 +162,7 @@
   /// @brief The slot of a program of the team "orchard".
   static uint32_t SlotOf(const std::string& program);
 
+  double link_mbps = 0;  // in the settings of instances; used by Start
   StoreStandin store;
   StoreAccess store_access[5];  // one for each of at most 5 instances
   EndpointStandin endpoints[2];
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -4,9 +4,14 @@
 #include <boost/endian/conversion.hpp>  // for store_big_u64
 #include <nlohmann/json.hpp>            // for nlohmann::json
 
+#include <boost/asio/write.hpp>
+
 #include <algorithm>  // for std::min
+#include <ratio>      // for std::nano
+#include <sstream>    // for std::ostringstream
 
-#include "platform/store_calls.h"  // for platform::DecodeKeyed
+#include "celerykeel/base/clock.h"  // for Now
+#include "platform/store_calls.h"   // for platform::DecodeKeyed
 
 namespace celerykeel::testing {
 
@@ -86,7 +91,8 @@
 
 StandinResponse ReadFrom(const StoreStandin::Partition& partition,
                          uint64_t from,
-                         size_t max_records) {
+                         size_t max_records,
+                         size_t max_bytes) {
   if (from < partition.first) {
     return Answer(410, json{{"first", partition.first}}.dump());
   }
@@ -96,6 +102,9 @@
                              std::min<uint64_t>(from, partition.records.size());
   const uint64_t end = from + std::min<uint64_t>(max_records, available);
   for (uint64_t at = from; at < end; ++at) {
+    if (body.size() + 4 + partition.records[at].size() > max_bytes) {
+      break;
+    }
     body += BigEndian(partition.records[at].size(), 4);
     body += partition.records[at];
   }
@@ -151,6 +160,31 @@
          connection.generation < access.generation;
 }
 
+// Sends the answer piece by piece, as all answers to the instance share its
+// link.
+Task<bool> RespondSlowly(asio::io_context& loop,
+                         const StoreAccess& access,
+                         StandinConnectionPtr connection,
+                         StandinResponse response) {
+  constexpr size_t kPieceBytes = 16384;
+  response.prepare_payload();
+  std::ostringstream text;
+  text << response;
+  const std::string bytes = std::move(text).str();
+  ErrorCode error;
+  for (size_t at = 0; at < bytes.size() && !error; at += kPieceBytes) {
+    const size_t count = std::min(kPieceBytes, bytes.size() - at);
+    access.link_free_at = std::max(access.link_free_at, Now()) +
+                          std::chrono::nanoseconds(std::nano::den * count /
+                                                   access.bytes_per_second);
+    co_await Sleep(loop, access.link_free_at - Now());
+    co_await asio::async_write(connection->stream,
+                               asio::buffer(bytes.data() + at, count),
+                               Into(error));
+  }
+  co_return !error;
+}
+
 Task<bool> Handle(asio::io_context& loop,
                   StoreStandin& store,
                   const StoreAccess& access,
@@ -206,7 +240,15 @@
       co_await Sleep(loop, kLong);
       co_return false;
     }
-    response = ReadFrom(partition, from, store.max_records_per_read);
+    const auto max_size = query.find("max_size");
+    const size_t max_kib =
+        max_size == query.end() ? 1024 : std::stoull(max_size->second);
+    response =
+        ReadFrom(partition, from, store.max_records_per_read, max_kib * 1024);
+  }
+  if (access.bytes_per_second > 0) {
+    co_return co_await RespondSlowly(loop, access, connection,
+                                     std::move(response));
   }
   co_return co_await Respond(connection, std::move(response));
 }
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -48,9 +48,13 @@
 struct StoreAccess {
   std::atomic<bool> is_shut{false};    // answers 503 to this instance only
   std::atomic<bool> is_silent{false};  // answers no request of this instance
+  // Rate at which answers reach this instance, over all its connections
+  // together; 0: not limited.
+  std::atomic<size_t> bytes_per_second{0};
   // Connections of an earlier generation stay silent for good. Increase it to
   // silence those that are open, while new ones are served.
   std::atomic<int> generation{0};
+  mutable Duration link_free_at{};  // used by the stand-ins' loop only
 };
 
 /// @brief Serves the store on `address`.
