node, core: a turn that has ended is not admitted again

Cause: an admission that is slow is requested again. The second one was decided after the turn's end had been reported, and counted it as running.

A link keeps a call no longer than the turn. A heartbeat that lists a slot with a higher epoch ends the own claim.

"endless answers" sent all its calls with one id, which no caller does; each has its own now, and the checks are the same.

--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>   // for uint64_t
+#include <deque>     // for std::deque
 #include <map>       // for std::map
 #include <memory>    // for std::shared_ptr
 #include <optional>  // for std::optional
@@ -116,11 +117,16 @@
   bool is_inherited = false;
   bool free_part_charged = false;              // earlier free part was counted
   std::map<std::string, RunningTurn> running;  // by turn
-  // Turns whose end arrived although they were not running here: an earlier
-  // holder admitted them, or their admission request is still to arrive, as the
-  // two messages may be reordered.
-  std::set<std::string> ended_early;
-  std::optional<Duration> used_at;  // empty during a replay
+  std::optional<Duration> used_at;             // empty during a replay
+};
+
+/// @brief Turns that ended recently, by team and turn. Their admission may
+/// still be under way: it is requested again if it is slow, and messages may be
+/// reordered.
+struct EndedTurns {
+  std::set<std::pair<std::string, std::string>> turns;
+  std::deque<std::pair<Duration, std::pair<std::string, std::string>>>
+      by_time;  // oldest first
 };
 
 /// @brief The state of one slot: turns of retained routes, and budgets.
@@ -132,6 +138,7 @@
   // expired.
   std::map<std::pair<std::string, std::string>, ContinuedChain> continued;
   std::map<ProgramName, ProgramSpend> programs;
+  EndedTurns ended;
   // Until this time an unknown program may have run under an earlier holder.
   Duration unknown_programs_until{};
   // The log has a cover that did not end. After the replay: one of an earlier
@@ -151,6 +158,10 @@
 /// kUnknownProgramPeriod to request a turn from the new holder.
 inline constexpr Duration kFreePartPeriod = kUnknownProgramPeriod / 2;
 
+/// @brief Time for which the ends of turns are remembered. An admission is
+/// under way for a few seconds at most.
+inline constexpr Duration kEndedTurnTime = std::chrono::seconds(10);
+
 struct TurnRequest {
   ProgramName program;
   std::string turn;
@@ -168,7 +179,7 @@
 enum class BudgetShortfall {
   kSpent,  // finished turns leave too few tokens
   kHeld,  // running turns reserve the rest at their max tokens and may use less
-  kEnded,  // its instance gave the turn up before it was admitted
+  kEnded,  // the turn has ended: its instance gave it up, or repeated a request
 };
 
 /// @brief Returns the record of a program's counts, with the newest ceiling.
@@ -236,6 +247,18 @@
 /// @brief Applies the ceiling of a spend record that became durable.
 void ApplyDurableCeiling(TurnLedger& ledger, const SpendRecord& record);
 
+/// @brief Records that a turn ended. Admissions that are processed later are
+/// refused for kEndedTurnTime.
+void RecordEnded(TurnLedger& ledger,
+                 const std::string& team,
+                 const std::string& turn,
+                 Duration now);
+
+/// @brief True if the turn's end was recorded within kEndedTurnTime.
+bool HasEnded(const TurnLedger& ledger,
+              const std::string& team,
+              const std::string& turn);
+
 /// @brief Ends a turn that used `used` tokens. A turn admitted by an earlier
 /// holder is included in the count of AssumeCeilingSpent and is not counted
 /// again.
@@ -276,9 +299,10 @@
 /// @brief Returns the text of the complete chain up to and including `turn`.
 std::string ChainText(const StoredTurn& turn);
 
-/// @brief Drops expired turns, programs that were unused for `idle`, and chains
-/// of turns that were admitted longer ago. Must not run during a replay: turns
-/// that have not expired may go on from ones that have.
+/// @brief Drops expired turns, programs that were unused for `idle`, chains of
+/// turns that were admitted longer ago, and ends after kEndedTurnTime. Must not
+/// run during a replay: turns that have not expired may go on from ones that
+/// have.
 void Expire(TurnLedger& ledger, WallMillis wall, Duration now, Duration idle);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/slot_host.h
+++ b/include/celerykeel/node/slot_host.h
@@ -13,7 +13,7 @@
 #include "celerykeel/core/stream_origin.h"  // for StreamOrigins
 #include "celerykeel/core/turn_ledger.h"    // for TurnLedger, SlotRecord
 #include "celerykeel/node.pb.h"             // for pb::TurnAdmission
-#include "celerykeel/node/asio.h"           // for Task
+#include "celerykeel/node/asio.h"           // for Task, Promise
 #include "celerykeel/node/slot_replay.h"    // for SlotReplays
 
 namespace celerykeel {
@@ -37,6 +37,15 @@
   std::optional<Duration> lent_at;  // time of the last loan request
 };
 
+/// @brief The admission of a turn that is not decided yet.
+struct AdmissionUnderWay {
+  // Runs when the tokens are covered; see AdmitAsHolder.
+  std::function<void(bool)> covered;
+  // Gets the decision if the request was repeated: whoever repeats a request
+  // waits no longer for the first one.
+  std::shared_ptr<Promise<pb::TurnGrant>> repeated;
+};
+
 /// @brief A slot that this instance holds or is claiming.
 struct HeldSlot {
   uint32_t slot = 0;
@@ -52,6 +61,7 @@
   // Start of the newest successful append. At that time no other instance had
   // taken the slot.
   Duration confirmed_at{};
+  bool is_confirming = false;  // an append that confirms the slot is queued
   TurnLedger ledger;
   std::map<std::string, RateReserve> rates;      // by team
   std::map<ProgramName, std::string> endpoints;  // that served each last
@@ -67,6 +77,10 @@
   std::map<std::pair<std::string, std::string>,
            std::vector<std::function<void(bool)>>>
       ending;
+  // By team and turn.
+  std::map<std::pair<std::string, std::string>,
+           std::shared_ptr<AdmissionUnderWay>>
+      admissions;
   // Callbacks of turns that are admitted and not yet covered, by program.
   std::multimap<ProgramName, std::function<void(bool)>> uncovered;
 };
@@ -96,7 +110,8 @@
 /// @brief Admits or refuses a turn, whose answer `relay` relays. `covered` runs
 /// with true when its tokens may be delivered, and with false if the slot is
 /// lost before that. It does not run if the result refuses the turn or says
-/// `covered`.
+/// `covered`. A request that repeats one that is not decided takes its place:
+/// the earlier one gets NOT_HOLDER.
 Task<pb::TurnGrant> AdmitAsHolder(Node& node,
                                   pb::TurnAdmission admission,
                                   TurnRelay relay,
@@ -106,10 +121,6 @@
 /// says `durable`.
 Task<pb::TurnEndDone> EndAsHolder(Node& node, pb::TurnEnd end);
 
-/// @brief Looks a turn up in the slots held here. Lists the slots without the
-/// turn only if the store confirms that this instance still holds them.
-Task<pb::TurnFound> LookUpHeldSlots(Node& node, pb::TurnLookup lookup);
-
 /// @brief Lets turns deliver that wait for a record, if their tokens are
 /// covered by now.
 void NotifyAllCovered(HeldSlot& slot);
--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -11,7 +11,8 @@
 using Kind = SlotStep::Kind;
 
 // Steps that make progress are drawn more often than failures.
-SlotStep MakeStep(bool with_abandoned_turns) {
+// @param extra a kind of step that is not drawn otherwise.
+SlotStep MakeStep(std::optional<Kind> extra) {
   SlotStep step;
   step.kind = *rc::gen::weightedElement<Kind>({{6, Kind::kClaim},
                                                {6, Kind::kAdmit},
@@ -26,9 +27,9 @@
                                                {1, Kind::kPowerLoss},
                                                {1, Kind::kStoreDown},
                                                {2, Kind::kStoreUp}});
-  constexpr int kOthersPerAbandon = 12;
-  if (with_abandoned_turns && *rc::gen::inRange(0, kOthersPerAbandon) == 0) {
-    step.kind = Kind::kAbandon;
+  constexpr int kOthersPerExtra = 12;
+  if (extra && *rc::gen::inRange(0, kOthersPerExtra) == 0) {
+    step.kind = *extra;
   }
   step.which =
       *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<uint32_t>(0, 8));
@@ -42,13 +43,13 @@
            uint64_t seed,
            bool retained = false,
            std::array<uint64_t, 2> sizes = {10, 10},
-           bool with_abandoned_turns = false) {
+           std::optional<Kind> extra = std::nullopt) {
   return CheckProperty(
       seed,
-      [rule, retained, sizes, with_abandoned_turns] {
+      [rule, retained, sizes, extra] {
         SlotModel model(rule, retained, sizes);
         for (int i = 0; i < kSteps; ++i) {
-          model.Apply(MakeStep(with_abandoned_turns));
+          model.Apply(MakeStep(extra));
           RC_ASSERT(!model.violation);
         }
       },
@@ -78,10 +79,19 @@
 
 // A holder may take the relay of a turn for gone that still delivers.
 TEST_CASE("budgets survive failures and abandoned turns") {
-  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, true));
-  CHECK(Holds(WithoutRule::kNone, 2, true, {10, 10}, true));
-  CHECK(Holds(WithoutRule::kNone, 3, false, {14, 6}, true));
-  CHECK(Holds(WithoutRule::kNone, 4, true, {14, 6}, true));
+  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 2, true, {10, 10}, Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 3, false, {14, 6}, Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 4, true, {14, 6}, Kind::kAbandon));
+}
+
+// A slow admission is requested again, and the second request is processed
+// late.
+TEST_CASE("budgets survive failures and repeated admissions") {
+  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, Kind::kAdmitAgain));
+  CHECK(Holds(WithoutRule::kNone, 2, true, {14, 6}, Kind::kAdmitAgain));
+  CHECK_FALSE(
+      Holds(WithoutRule::kRefuseEnded, 1, false, {10, 10}, Kind::kAdmitAgain));
 }
 
 // Applies the steps to instance 0; `turn` is the index of a turn.
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -20,9 +20,8 @@
 // there are few. A program with a free part needs them only beyond that part.
 constexpr uint64_t kTurnsAhead = 3;
 constexpr uint64_t kTurnsAheadBeyondFreePart = 1;
-// Per program. The end of a further turn is not recorded, and its late
-// admission request would count the turn as running.
-constexpr size_t kMaxEndedEarly = 64;
+// Of one slot. 10 s at 400 turns a second.
+constexpr size_t kMaxEnded = 4096;
 // The free part is the budget divided by this. Programs of the known
 // deployments use a fifth of their budgets at the median, and less than the
 // free part in three of four cases.
@@ -80,6 +79,11 @@
   }
 }
 
+void ForgetOldestEnd(EndedTurns& ended) {
+  ended.turns.erase(ended.by_time.front().second);
+  ended.by_time.pop_front();
+}
+
 void ReplayClaim(TurnLedger& ledger, const ClaimRecord& record) {
   if (record.cover != ClaimCover::kUnchanged) {
     ledger.has_open_cover = record.cover == ClaimCover::kOpen;
@@ -203,7 +207,7 @@
   if (spend.running.contains(request.turn)) {
     return {};
   }
-  if (spend.ended_early.contains(request.turn)) {
+  if (HasEnded(ledger, request.program.team, request.turn)) {
     return tl::unexpected(BudgetShortfall::kEnded);
   }
   if (spend.spent + request.most_tokens > request.budget) {
@@ -250,6 +254,26 @@
   }
 }
 
+void RecordEnded(TurnLedger& ledger,
+                 const std::string& team,
+                 const std::string& turn,
+                 Duration now) {
+  EndedTurns& ended = ledger.ended;
+  if (!ended.turns.emplace(team, turn).second) {
+    return;
+  }
+  ended.by_time.push_back({now, {team, turn}});
+  if (ended.by_time.size() > kMaxEnded) {
+    ForgetOldestEnd(ended);
+  }
+}
+
+bool HasEnded(const TurnLedger& ledger,
+              const std::string& team,
+              const std::string& turn) {
+  return ledger.ended.turns.contains({team, turn});
+}
+
 std::optional<SpendRecord> SettleTurn(TurnLedger& ledger,
                                       const ProgramName& program,
                                       const std::string& turn,
@@ -259,10 +283,9 @@
   ProgramSpend& spend = FindOrAddSpend(ledger, program, now);
   spend.used_at = now;
   spend.largest = std::max(spend.largest, most_tokens);
+  RecordEnded(ledger, program.team, turn, now);
   if (spend.running.erase(turn) > 0) {
     spend.spent += used;
-  } else if (spend.ended_early.size() < kMaxEndedEarly) {
-    spend.ended_early.insert(turn);
   }
   if (spend.requested_ceiling == 0) {
     return std::nullopt;
@@ -332,6 +355,10 @@
   std::erase_if(ledger.continued, [now, idle](const auto& entry) {
     return entry.second.admitted_at + idle < now;
   });
+  while (!ledger.ended.by_time.empty() &&
+         ledger.ended.by_time.front().first + kEndedTurnTime < now) {
+    ForgetOldestEnd(ledger.ended);
+  }
   std::erase_if(ledger.programs, [now, idle](const auto& entry) {
     const ProgramSpend& spend = entry.second;
     return spend.running.empty() && spend.used_at &&
--- a/src/celerykeel/core/turn_ledger_unittest.cc
+++ b/src/celerykeel/core/turn_ledger_unittest.cc
@@ -69,6 +69,34 @@
   CHECK(AdmitTurn(ledger, RequestFor("c"), seconds(1)));
 }
 
+// Guards against a budget that is held for minutes: a slow admission was
+// requested twice, and the second request was processed after the turn's end.
+TEST_CASE("a turn that has ended is not admitted again") {
+  TurnLedger ledger;
+  REQUIRE(AdmitTurn(ledger, RequestFor("a"), seconds(1)));
+  SettleTurn(ledger, kProgram, "a", 0, kMaxTokens, seconds(2));
+  const auto again = AdmitTurn(ledger, RequestFor("a"), seconds(3));
+  REQUIRE_FALSE(again);
+  CHECK(again.error() == BudgetShortfall::kEnded);
+  CHECK(AdmitTurn(ledger, RequestFor("b"), seconds(3)));
+  CHECK(AdmitTurn(ledger, RequestFor("c"), seconds(3)));
+}
+
+// Guards against a program of many turns whose later ends are not remembered,
+// and against memory for each turn that ever ended.
+TEST_CASE("ends are remembered for a limited time") {
+  TurnLedger ledger;
+  constexpr int kTurns = 5000;
+  for (int i = 0; i < kTurns; ++i) {
+    SettleTurn(ledger, kProgram, "t" + std::to_string(i), 0, 0, seconds(2));
+  }
+  CHECK_FALSE(AdmitTurn(ledger, RequestFor("t4999"), seconds(3)));
+  CHECK(ledger.ended.turns.size() < kTurns);
+  Expire(ledger, 0, seconds(2) + kEndedTurnTime + seconds(1), minutes(5));
+  CHECK(ledger.ended.turns.empty());
+  CHECK(ledger.ended.by_time.empty());
+}
+
 TEST_CASE("a refusal distinguishes running turns from a spent budget") {
   TurnLedger ledger;
   REQUIRE(AdmitTurn(ledger, RequestFor("a"), seconds(1)));
--- a/src/celerykeel/node/endless_answer_unittest.cc
+++ b/src/celerykeel/node/endless_answer_unittest.cc
@@ -20,12 +20,15 @@
 TEST_CASE("endless answers") {
   NodeFleet fleet(1);
   REQUIRE(fleet.WaitUntilServing());
-  const auto send = [&fleet](Endless where, const std::string& target) {
+  int sent = 0;
+  // A turn that has ended is not admitted again, so each call has its own id.
+  const auto send = [&](Endless where, const std::string& target) {
     for (EndpointStandin& endpoint : fleet.endpoints) {
       endpoint.endless = where;
       endpoint.endless_bytes = 0;
     }
-    auto answer = fleet.Send(0, "POST", target, Call("c"), "in");
+    const std::string id = "c" + std::to_string(++sent);
+    auto answer = fleet.Send(0, "POST", target, Call(id), "in");
     CHECK(fleet.endpoints[0].endless_bytes + fleet.endpoints[1].endless_bytes <
           kMaxReceivedBytes);
     return answer;
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -11,9 +11,11 @@
 #include "celerykeel/node/operator_feed.h"    // for ApplyOperatorNews
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
 #include "celerykeel/node/rates.h"          // for ReturnTokens
+#include "celerykeel/node/slot_log.h"       // for MarkSlotLost
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
 #include "celerykeel/node/suspect_run.h"    // for DecideSuspectRun
 #include "celerykeel/node/tunnel.h"         // for ServeTunnel
+#include "celerykeel/node/turn_lookup.h"    // for LookUpHeldSlots
 
 namespace celerykeel {
 
@@ -67,6 +69,11 @@
   for (const pb::HeldSlot& held : heartbeat.slots()) {
     RecordHolder(node.fleet, held.slot(), {heartbeat.instance(), held.epoch()});
     listed.insert(held.slot());
+    // The store has fenced this instance, which has not written since.
+    if (const HeldSlotPtr own = ActiveSlot(node, held.slot());
+        own != nullptr && own->epoch < held.epoch()) {
+      MarkSlotLost(node, own, "a peer has taken it");
+    }
   }
   ClearUnlistedSlots(node, heartbeat.instance(), listed);
   PeerState& state = node.peer_states[heartbeat.instance()];
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -6,13 +6,12 @@
 #include "celerykeel/node/node.h"           // for Node
 #include "celerykeel/node/slot_log.h"       // for Enqueue
 #include "celerykeel/node/stream_takeup.h"  // for RecordStreamBegan
+#include "celerykeel/node/turn_lookup.h"    // for FindHistory
 
 namespace celerykeel {
 
 namespace {
 
-constexpr Duration kConfirmTimeout = std::chrono::milliseconds(400);
-constexpr Duration kLookupTimeout = std::chrono::milliseconds(500);
 // Allows for clock differences between instances and for callers whose next
 // turn is late.
 constexpr WallMillis kExpiryMargin = 10000;
@@ -87,84 +86,6 @@
 
 namespace {
 
-// Appends another claim record, which becomes durable only if no other instance
-// has taken the slot.
-std::shared_ptr<Promise<bool>> StartConfirm(Node& node,
-                                            const HeldSlotPtr& slot) {
-  auto held = std::make_shared<Promise<bool>>(node.io);
-  Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
-          [held](bool durable) { held->SetValue(durable); });
-  return held;
-}
-
-struct History {
-  bool known = false;  // false: the turn may exist in a slot not searched
-  bool found = false;
-  bool foreign = false;  // found by a lookup in all slots
-  std::string text;
-};
-
-// Looks for a turn of another program, which may be in any slot. Only if the
-// holders of all slots have replayed their logs and none has found the turn is
-// it certain that the turn does not exist.
-Task<History> FindTurnInAllSlots(Node& node,
-                                 const std::string& team,
-                                 const std::string& turn) {
-  History history;
-  history.foreign = true;
-  std::set<uint32_t> searched;
-  pb::TurnLookup lookup;
-  lookup.set_team(team);
-  lookup.set_turn(turn);
-  std::vector<pb::TurnFound> answers;
-  answers.push_back(co_await LookUpHeldSlots(node, lookup));
-  std::set<std::string> holders;
-  for (const SlotHolder& holder : node.fleet.slots) {
-    holders.insert(holder.instance);
-  }
-  for (const std::string& holder : holders) {
-    const auto link = node.peers.links.find(holder);
-    if (link == node.peers.links.end()) {
-      continue;
-    }
-    pb::NodeFrame frame;
-    *frame.mutable_lookup() = lookup;
-    auto answer = co_await CallPeer(node.io, node.peers, link->second,
-                                    std::move(frame), kLookupTimeout);
-    if (answer && answer->has_found()) {
-      answers.push_back(std::move(*answer->mutable_found()));
-    }
-  }
-  for (pb::TurnFound& answer : answers) {
-    searched.insert(answer.slots().begin(), answer.slots().end());
-    if (answer.found()) {
-      history.known = true;
-      history.found = true;
-      history.text = std::move(*answer.mutable_history());
-      co_return history;
-    }
-  }
-  history.known = searched.size() == node.fleet.slots.size();
-  co_return history;
-}
-
-Task<History> FindHistory(Node& node,
-                          HeldSlotPtr slot,
-                          std::string team,
-                          std::string turn) {
-  if (turn.empty()) {
-    co_return History{
-        .known = true, .found = true, .foreign = false, .text = {}};
-  }
-  if (const auto stored = FindTurn(slot->ledger, team, turn)) {
-    co_return History{.known = true,
-                      .found = true,
-                      .foreign = false,
-                      .text = ChainText(*stored)};
-  }
-  co_return co_await FindTurnInAllSlots(node, team, turn);
-}
-
 // @return nothing if the turn goes on from one that is not known here, and the
 // end does not bring the chain's text.
 std::optional<TurnRecord> MakeTurnRecord(const Node& node,
@@ -220,43 +141,23 @@
              : nullptr;
 }
 
-// Another instance may have taken a slot without notice here and written turns
-// since. A successful append shows that none has.
-Task<pb::TurnFound> LookUpHeldSlots(Node& node, pb::TurnLookup lookup) {
-  pb::TurnFound found;
-  std::vector<std::pair<HeldSlotPtr, std::shared_ptr<Promise<bool>>>> asked;
-  for (const auto& [number, slot] : node.slots.held) {
-    if (!slot->active || slot->lost) {
-      continue;
-    }
-    if (const auto turn =
-            FindTurn(slot->ledger, lookup.team(), lookup.turn())) {
-      found.set_found(true);
-      found.set_history(ChainText(*turn));
-      co_return found;
-    }
-    asked.emplace_back(slot, StartConfirm(node, slot));
-  }
-  for (const auto& [slot, held] : asked) {
-    const auto confirmed = co_await held->Wait(kConfirmTimeout);
-    if (confirmed.value_or(false)) {
-      found.add_slots(slot->slot);
-    }
-  }
-  co_return found;
-}
+namespace {
 
-Task<pb::TurnGrant> AdmitAsHolder(Node& node,
-                                  pb::TurnAdmission admission,
-                                  TurnRelay relay,
-                                  std::function<void(bool)> covered) {
-  HeldSlotPtr slot = ActiveSlot(node, admission.slot());
-  if (slot == nullptr) {
-    co_return Verdict(pb::TurnGrant::NOT_HOLDER);
-  }
+using TurnName = std::pair<std::string, std::string>;  // team and turn
+
+// Longer than a lookup in all slots takes.
+constexpr Duration kMaxAdmissionTime = std::chrono::seconds(3);
+
+Task<pb::TurnGrant> Admit(Node& node,
+                          HeldSlotPtr slot,
+                          pb::TurnAdmission admission,
+                          TurnRelay relay,
+                          std::shared_ptr<AdmissionUnderWay> under_way) {
   const History history =
       co_await FindHistory(node, slot, admission.team(), admission.previous());
-  if (slot->lost) {
+  // The turn may have been given up meanwhile.
+  if (slot->lost ||
+      HasEnded(slot->ledger, admission.team(), admission.turn())) {
     co_return Verdict(pb::TurnGrant::NOT_HOLDER);
   }
   if (!history.found) {
@@ -298,20 +199,61 @@
       slot->ledger, slot->ledger.programs[program], IsConfirmed(*slot));
   grant.set_covered(is_covered);
   if (!is_covered) {
-    slot->uncovered.emplace(program, std::move(covered));
+    slot->uncovered.emplace(program, std::move(under_way->covered));
   }
   RaiseCeilingIfNeeded(node, slot, program, !is_covered);
   co_return grant;
 }
 
-namespace {
+// Waits for the decision on an earlier request for the same turn, which was
+// slow and whose sender has given it up.
+Task<pb::TurnGrant> AwaitAdmission(Node& node,
+                                   std::shared_ptr<AdmissionUnderWay> under_way,
+                                   std::function<void(bool)> covered) {
+  if (under_way->repeated != nullptr) {
+    under_way->repeated->SetValue(Verdict(pb::TurnGrant::NOT_HOLDER));
+  }
+  const auto decided = std::make_shared<Promise<pb::TurnGrant>>(node.io);
+  under_way->repeated = decided;
+  under_way->covered = std::move(covered);
+  auto grant = co_await decided->Wait(kMaxAdmissionTime);
+  co_return grant ? std::move(*grant) : Verdict(pb::TurnGrant::NOT_HOLDER);
+}
+
+}  // namespace
+
+Task<pb::TurnGrant> AdmitAsHolder(Node& node,
+                                  pb::TurnAdmission admission,
+                                  TurnRelay relay,
+                                  std::function<void(bool)> covered) {
+  HeldSlotPtr slot = ActiveSlot(node, admission.slot());
+  if (slot == nullptr) {
+    co_return Verdict(pb::TurnGrant::NOT_HOLDER);
+  }
+  const TurnName turn{admission.team(), admission.turn()};
+  if (const auto found = slot->admissions.find(turn);
+      found != slot->admissions.end()) {
+    co_return co_await AwaitAdmission(node, found->second, std::move(covered));
+  }
+  const auto under_way = std::make_shared<AdmissionUnderWay>();
+  under_way->covered = std::move(covered);
+  slot->admissions[turn] = under_way;
+  pb::TurnGrant grant = co_await Admit(node, slot, std::move(admission),
+                                       std::move(relay), under_way);
+  slot->admissions.erase(turn);
+  if (under_way->repeated != nullptr) {
+    under_way->repeated->SetValue(std::move(grant));
+    co_return Verdict(pb::TurnGrant::NOT_HOLDER);
+  }
+  co_return grant;
+}
 
-using EndedTurn = std::pair<std::string, std::string>;
+namespace {
 
 // Queues the record of a retained turn, and then notifies all that wait for it.
 void EnqueueTurn(Node& node,
                  const HeldSlotPtr& slot,
-                 const EndedTurn& turn,
+                 const TurnName& turn,
                  const TurnRecord& record) {
   Enqueue(node, slot, record, true, [slot, turn, record](bool durable) {
     if (durable) {
@@ -345,7 +287,7 @@
     co_return done;
   }
   const ProgramName program{end.team(), end.program()};
-  const EndedTurn turn{end.team(), end.turn()};
+  const TurnName turn{end.team(), end.turn()};
   const auto written = std::make_shared<Promise<bool>>(node.io);
   const std::function<void(bool)> on_written = [written](bool durable) {
     written->SetValue(durable);
@@ -355,6 +297,7 @@
     found->second.push_back(on_written);
     co_return co_await AwaitRecord(written);
   }
+  RecordEnded(slot->ledger, end.team(), end.turn(), Now());
   if (end.has_began()) {
     RecordStreamBegan(node, end.began());
   }
--- a/src/celerykeel/node/turn_holder.cc
+++ b/src/celerykeel/node/turn_holder.cc
@@ -34,37 +34,47 @@
   return admission;
 }
 
+// @return the decision; nothing if none arrived in time.
 Task<std::optional<pb::TurnGrant>> RequestAdmissionFromPeer(
     Node& node,
     PeerLinkPtr link,
     pb::TurnAdmission admission,
-    std::shared_ptr<Promise<bool>> covered) {
-  using Grant = std::optional<pb::TurnGrant>;
-  const auto granted = std::make_shared<Promise<Grant>>(node.io);
+    TurnPermit& permit,
+    Duration most) {
+  const auto call =
+      std::make_shared<AdmissionCall>(node.io, link, permit.covered);
   pb::NodeFrame frame;
   *frame.mutable_admission() = std::move(admission);
-  const PendingCall pending{
-      .on_frame =
-          [granted, covered](const pb::NodeFrame& answer) {
-            if (answer.has_grant()) {
-              granted->SetValue(answer.grant());
-            } else if (answer.has_covered()) {
-              covered->SetValue(true);
-            }
-          },
-      .on_lost =
-          [granted, covered] {
-            granted->SetValue(std::nullopt);
-            covered->SetValue(false);
-          }};
-  uint64_t call = 0;
-  if (!StartCall(node.peers, *link, std::move(frame), pending, &call)) {
+  AdmissionCall* const waiting = call.get();
+  const PendingCall pending{.on_frame =
+                                [waiting](const pb::NodeFrame& answer) {
+                                  if (answer.has_grant() && waiting->granted) {
+                                    waiting->granted->SetValue(answer.grant());
+                                  } else if (answer.has_covered()) {
+                                    waiting->covered->SetValue(true);
+                                  }
+                                },
+                            .on_lost =
+                                [waiting] {
+                                  if (waiting->granted) {
+                                    waiting->granted->SetValue(std::nullopt);
+                                  }
+                                  waiting->covered->SetValue(false);
+                                }};
+  if (!StartCall(node.peers, *link, std::move(frame), pending, &call->id)) {
     co_return std::nullopt;
   }
-  auto grant = co_await granted->Wait(kGrantTimeout);
-  if (!grant || !*grant || (*grant)->covered() ||
-      (*grant)->verdict() != pb::TurnGrant::GRANTED) {
-    EndCall(*link, call);
+  const Duration until = Now() + most;
+  auto grant = co_await call->granted->Wait(kGrantTimeout);
+  // Asked again, the holder would send a long history once more.
+  while (!grant && IsMovingLongFrame(*link) && Now() < until) {
+    grant =
+        co_await call->granted->Wait(std::min(kGrantTimeout, until - Now()));
+  }
+  call->granted.reset();
+  if (grant && *grant && !(*grant)->covered() &&
+      (*grant)->verdict() == pb::TurnGrant::GRANTED) {
+    permit.call = call;
   }
   co_return grant ? std::move(*grant) : std::nullopt;
 }
@@ -89,6 +99,7 @@
   permit.slot = SlotOfCall(node, *call);
   while (true) {
     permit.covered = std::make_shared<Promise<bool>>(node.io);
+    permit.call = nullptr;
     std::optional<pb::TurnGrant> grant;
     if (ActiveSlot(node, permit.slot) != nullptr) {
       // GCC 12 destroys a lambda or an aggregate twice if it is created inside
@@ -99,8 +110,9 @@
       grant = co_await AdmitAsHolder(node, AdmissionOf(*call, permit.slot),
                                      std::move(self), std::move(on_covered));
     } else if (const PeerLinkPtr link = LinkToHolder(node, permit.slot)) {
-      grant = co_await RequestAdmissionFromPeer(
-          node, link, AdmissionOf(*call, permit.slot), permit.covered);
+      grant = co_await RequestAdmissionFromPeer(node, link,
+                                                AdmissionOf(*call, permit.slot),
+                                                permit, TimeLeft(*call) / 2);
     }
     permit.may_be_counted = permit.may_be_counted || !grant;
     const auto verdict = grant ? grant->verdict() : pb::TurnGrant::NOT_HOLDER;
@@ -132,11 +144,15 @@
     } else if (const PeerLinkPtr link = LinkToHolder(node, end.slot())) {
       pb::NodeFrame frame;
       *frame.mutable_end() = end;
-      auto answer =
-          co_await CallPeer(node.io, node.peers, link, std::move(frame),
-                            std::min(kTurnEndTimeout, until - Now()));
-      if (answer && answer->has_end_done()) {
-        done = std::move(*answer->mutable_end_done());
+      const PeerCallPtr call =
+          BeginCall(node.io, node.peers, link, std::move(frame));
+      if (call != nullptr) {
+        const Duration left = until - Now();
+        auto answer =
+            co_await AwaitAnswer(*call, std::min(kTurnEndTimeout, left), left);
+        if (answer && answer->has_end_done()) {
+          done = std::move(*answer->mutable_end_done());
+        }
       }
     }
     if (done && done->durable()) {
--- a/src/celerykeel/testing/slot_model.cc
+++ b/src/celerykeel/testing/slot_model.cc
@@ -56,6 +56,11 @@
         this->Abandon(*holder, rest);
       }
       break;
+    case SlotStep::Kind::kAdmitAgain:
+      if (holder) {
+        this->AdmitAgain(*holder, rest);
+      }
+      break;
     case SlotStep::Kind::kKill:
       holder.reset();
       break;
@@ -205,6 +210,26 @@
   this->AnnounceCovered(holder);
 }
 
+// A request for the admission of a turn was repeated, and the repetition is
+// processed after the turn's end. Nobody reports the end once more.
+void SlotModel::AdmitAgain(Holder& holder, uint32_t which) {
+  if (holder.ended.empty()) {
+    return;
+  }
+  const Turn& turn = holder.ended[which % holder.ended.size()];
+  if (this->without == WithoutRule::kRefuseEnded) {
+    holder.ledger.ended = {};
+  }
+  const TurnRequest request{.program = kProgram,
+                            .turn = turn.id,
+                            .most_tokens = turn.most,
+                            .budget = kBudget,
+                            .is_retained = this->is_retained};
+  if (AdmitTurn(holder.ledger, request, kNow)) {
+    this->violation = "a turn that has ended holds budget";
+  }
+}
+
 void SlotModel::Append(std::optional<Holder>& holder, SlotStep::Kind how) {
   if (!holder || holder->queue.empty()) {
     return;
@@ -281,6 +306,7 @@
           SettleTurn(holder.ledger, kProgram, turn.id, used, turn.most, kNow)) {
     this->Enqueue(holder, *spend, "");
   }
+  holder.ended.push_back(turn);
   this->AnnounceCovered(holder);
   if (!turn.delivered) {
     this->turns.erase(chosen);
--- a/src/celerykeel/testing/slot_model.h
+++ b/src/celerykeel/testing/slot_model.h
@@ -31,6 +31,7 @@
   kSameSequence,    // an append without an answer counts as appended
   kAbandonOnce,     // each abandoned turn of a program counts nothing
   kDurableAbandon,  // an abandoned turn ends before its record is durable
+  kRefuseEnded,     // a turn may be admitted after its end
 };
 
 /// @brief One step of a run; `which` selects the instance or turn.
@@ -46,6 +47,7 @@
     kLookUpTurn,
     kEndCover,
     kAbandon,
+    kAdmitAgain,
     kKill,
     kPowerLoss,
     kStoreDown,
@@ -79,24 +81,26 @@
         completes_turn;  // its answer is complete once the record is durable
     std::string abandons_turn;  // it ends once the record is durable
   };
+  struct Turn {
+    std::string id;
+    uint64_t most = 0;     // max tokens
+    bool covered = false;  // the relaying instance may deliver its tokens
+    bool delivered = false;
+    bool ending = false;
+  };
   struct Holder {
     TurnLedger ledger;
     uint64_t epoch = 0;
     uint64_t sequence = 0;
     std::deque<Pending> queue;
+    std::vector<Turn> ended;  // whose end was reported to this holder
     bool appended =
         false;  // the first of `queue` is in the log, its answer is missing
   };
-  struct Turn {
-    std::string id;
-    uint64_t most = 0;     // max tokens
-    bool covered = false;  // the relaying instance may deliver its tokens
-    bool delivered = false;
-    bool ending = false;
-  };
 
   void Claim(size_t instance);
   void Admit(Holder& holder, uint32_t which);
+  void AdmitAgain(Holder& holder, uint32_t which);
   void EndCoverOf(Holder& holder);
   void Abandon(Holder& holder, uint32_t which);
   void Append(std::optional<Holder>& holder, SlotStep::Kind how);
