node: a holder that may be cut off gives nothing out

Cause: a holder lends as long as it believes that it holds the slot. Limits of endpoints and runs of suspect requests had the same gap.

Change: it hears most instances, or the store has confirmed the slot within 500 ms. Members are kept while their entries can't be read.

--- a/include/celerykeel/core/slot_table.h
+++ b/include/celerykeel/core/slot_table.h
@@ -45,6 +45,7 @@
   double self_link_mbps = 0;       // 0: unknown
   // Time at which the members' entries were first read; empty before.
   std::optional<Duration> members_read_at;
+  std::optional<Duration> entries_read_at;     // and last
   std::map<std::string, FleetMember> members;  // without `self`
   std::vector<SlotHolder> slots;  // by slot; epoch 0: no holder known
 };
@@ -84,6 +85,18 @@
                     uint64_t fencing_epoch,
                     bool is_first_claim);
 
+/// @brief True if this instance hears more than half of the members that it
+/// knows, itself included. Others take its slots only if they hear most members
+/// and not this one, so a holder may then rely on holding them although the
+/// store does not confirm it. Neither old entries nor refused connections show
+/// that a member is gone, as a partition looks the same.
+bool HearsMostMembers(const KnownFleet& fleet, Duration now);
+
+/// @brief True if members that were lost may be forgotten: their entries were
+/// read lately. An instance that can't read them can't tell the loss of the
+/// others from a partition of its own.
+bool MayForgetMembers(const KnownFleet& fleet, Duration now);
+
 /// @brief True if a member is stopping as planned, so that a slot without a
 /// holder was probably released rather than lost.
 bool HasLeavingMember(const KnownFleet& fleet);
@@ -102,6 +115,10 @@
 /// @brief Time for which an instance waits for heartbeats after it first read
 /// the list of members. It takes slots earlier if all members were heard.
 inline constexpr Duration kInitialListenTime = std::chrono::milliseconds(700);
+/// @brief Time for which a holder that hears too few others relies on the
+/// store's confirmation. Another instance may take the slot at any moment.
+inline constexpr Duration kHoldConfirmationTime =
+    std::chrono::milliseconds(500);
 /// @brief Time that an instance has to announce a slot that it took.
 inline constexpr Duration kContestedTime = std::chrono::milliseconds(700);
 
--- a/include/celerykeel/node/slot_upkeep.h
+++ b/include/celerykeel/node/slot_upkeep.h
@@ -1,8 +1,20 @@
 #pragma once
 
+#include "celerykeel/node/asio.h"       // for Task
+#include "celerykeel/node/slot_host.h"  // for HeldSlotPtr
+
 namespace celerykeel {
 
-struct Node;
+/// @brief True if this instance may act as the slot's holder without asking the
+/// store, for example lend from a team's rate: it hears most members, or the
+/// store confirmed the slot within kHoldConfirmationTime. Otherwise it may be
+/// partitioned, and another instance may have taken the slot. Requests a
+/// confirmation in time if it needs one.
+bool MayActAsHolder(Node& node, const HeldSlotPtr& slot);
+
+/// @brief Waits for MayActAsHolder, at most for `timeout`, and not while the
+/// store is unavailable.
+Task<bool> AwaitMayActAsHolder(Node& node, HeldSlotPtr slot, Duration timeout);
 
 /// @brief Appends another claim record to each slot without recent writes. The
 /// append succeeds only if no other instance has taken the slot.
--- a/src/celerykeel/core/slot_table.cc
+++ b/src/celerykeel/core/slot_table.cc
@@ -153,6 +153,22 @@
   return is_first_claim && fleet.slots[slot].epoch < fencing_epoch;
 }
 
+bool HearsMostMembers(const KnownFleet& fleet, Duration now) {
+  size_t known = 1;
+  size_t heard = 1;
+  for (const auto& [instance, member] : fleet.members) {
+    const bool is_heard = HasRecentHeartbeat(member, now);
+    known += is_heard || !member.leaving ? 1 : 0;
+    heard += is_heard ? 1 : 0;
+  }
+  return 2 * heard > known;
+}
+
+bool MayForgetMembers(const KnownFleet& fleet, Duration now) {
+  return fleet.entries_read_at &&
+         now < *fleet.entries_read_at + kStoreEntryTimeout;
+}
+
 bool HasLeavingMember(const KnownFleet& fleet) {
   return std::any_of(fleet.members.begin(), fleet.members.end(),
                      [](const auto& entry) { return entry.second.leaving; });
--- a/src/celerykeel/node/endpoint_limits.cc
+++ b/src/celerykeel/node/endpoint_limits.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/core/cold_endpoints.h"  // for CallLimitOf
 #include "celerykeel/node/fleet.h"           // for LinkToHolder
 #include "celerykeel/node/node.h"            // for Node
+#include "celerykeel/node/slot_upkeep.h"     // for MayActAsHolder
 
 namespace celerykeel {
 
@@ -109,7 +110,8 @@
                                           pb::LimitedCallWish wish) {
   const bool is_cold = wish.has_cold_per_second();
   if (ActiveSlot(node, slot) != nullptr) {
-    co_return ToVerdict(DecideAsHome(node, wish));
+    const pb::LimitedCallGrant grant = DecideAsHome(node, wish);
+    co_return grant.not_home() ? std::nullopt : std::optional(ToVerdict(grant));
   }
   Duration& silent_until = node.endpoint_limits.home_silent_until[slot];
   const PeerLinkPtr link = LinkToHolder(node, slot);
@@ -195,7 +197,8 @@
 pb::LimitedCallGrant DecideAsHome(Node& node, const pb::LimitedCallWish& wish) {
   const std::string& endpoint = wish.limit().endpoint();
   pb::LimitedCallGrant grant;
-  if (ActiveSlot(node, HomeSlotOf(node, endpoint)) == nullptr) {
+  if (const HeldSlotPtr slot = ActiveSlot(node, HomeSlotOf(node, endpoint));
+      slot == nullptr || !MayActAsHolder(node, slot)) {
     grant.set_not_home(true);
     return grant;
   }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -165,13 +165,14 @@
 }
 
 void ForgetLostMembers(Node& node, Duration now) {
+  const bool may_forget = MayForgetMembers(node.fleet, now);
   std::erase_if(node.fleet.members, [&](const auto& entry) {
     const FleetMember& member = entry.second;
     const bool in_store = member.store_entry_changed_at &&
                           now < *member.store_entry_changed_at + kForgetAfter;
     const bool heard = member.last_heartbeat_at &&
                        now < *member.last_heartbeat_at + kForgetAfter;
-    if (in_store || heard) {
+    if (in_store || heard || !may_forget) {
       return false;
     }
     node.peer_states.erase(entry.first);
@@ -267,6 +268,7 @@
     co_return;
   }
   const Duration now = Now();
+  node.fleet.entries_read_at = now;
   for (const KeyedRecord& record : *records) {
     ApplyMemberEntry(node, record, now);
   }
--- a/src/celerykeel/node/rate_lending.cc
+++ b/src/celerykeel/node/rate_lending.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/node.h"         // for Node
 #include "celerykeel/node/rate_recall.h"  // for RecallTokens
 #include "celerykeel/node/slot_log.h"     // for Enqueue
+#include "celerykeel/node/slot_upkeep.h"  // for MayActAsHolder
 
 namespace celerykeel {
 
@@ -132,8 +133,10 @@
                                RequestedLoan requested,
                                ProgramsUpdate programs) {
   pb::RateGrant grant;
+  const bool may_lend =
+      co_await AwaitMayActAsHolder(node, slot, kRecordTimeout);
   const DeployedTeam* team = FindTeam(node, requested.share.team);
-  if (team == nullptr) {
+  if (!may_lend || team == nullptr) {
     grant.set_not_home(true);
     co_return grant;
   }
@@ -178,7 +181,7 @@
     const double held = TokensHeld(queue, queued, Now());
     const bool recalled = co_await RecallTokens(node, requested, limits,
                                                 requested.needed + kept + held);
-    if (recalled) {
+    if (recalled && MayActAsHolder(node, slot)) {
       answer = lend();
     }
   }
--- a/src/celerykeel/node/rates.cc
+++ b/src/celerykeel/node/rates.cc
@@ -9,6 +9,7 @@
 #include "celerykeel/node/fleet.h"         // for LinkToHolder
 #include "celerykeel/node/node.h"          // for Node
 #include "celerykeel/node/rate_lending.h"  // for LendAsHome
+#include "celerykeel/node/slot_upkeep.h"   // for MayActAsHolder
 
 namespace celerykeel {
 
@@ -57,6 +58,8 @@
 
 struct HomeAnswer {
   bool answered = false;
+  // This instance is the home and may be partitioned from the others.
+  bool is_unsure = false;
   Duration retry_after{};
 };
 
@@ -72,7 +75,10 @@
     node.rates.scarcity_valid_until[requested.share.team] =
         Now() + kScarcityReportValidity;
   }
-  return {true, Duration(grant.retry_after_ns())};
+  HomeAnswer answer;
+  answer.answered = true;
+  answer.retry_after = Duration(grant.retry_after_ns());
+  return answer;
 }
 
 pb::RateNews ToRateNews(const Node& node,
@@ -201,7 +207,9 @@
   if (const HeldSlotPtr slot = ActiveSlot(node, number)) {
     const pb::RateGrant grant =
         co_await LendAsHome(node, slot, requested, programs);
-    co_return ApplyHomeGrant(node, requested, grant);
+    HomeAnswer answer = ApplyHomeGrant(node, requested, grant);
+    answer.is_unsure = grant.not_home() && !MayActAsHolder(node, slot);
+    co_return answer;
   }
   const PeerLinkPtr link = LinkToHolder(node, number);
   if (link == nullptr) {
@@ -322,7 +330,8 @@
         co_return std::move(*permit);
       }
     }
-    if (asked.answered || Now() + kHomeRetryPause >= until) {
+    // A partition rarely ends while a call waits.
+    if (asked.answered || asked.is_unsure || Now() + kHomeRetryPause >= until) {
       break;
     }
     co_await Sleep(node.io, kHomeRetryPause);
--- a/src/celerykeel/node/slot_upkeep.cc
+++ b/src/celerykeel/node/slot_upkeep.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/core/hand_over.h"        // for ShouldHandOver
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/slot_log.h"         // for Enqueue, MarkSlotLost
+#include "celerykeel/node/store_client.h"     // for IsStoreAvailable
 
 namespace celerykeel {
 
@@ -30,6 +31,15 @@
       });
 }
 
+void ConfirmSoon(Node& node, const HeldSlotPtr& slot) {
+  if (slot->is_confirming) {
+    return;
+  }
+  slot->is_confirming = true;
+  Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
+          [slot](bool) { slot->is_confirming = false; });
+}
+
 void OpenCoverOf(Node& node, const HeldSlotPtr& slot) {
   slot->is_opening_cover = true;
   Enqueue(node, slot,
@@ -55,6 +65,33 @@
 
 }  // namespace
 
+bool MayActAsHolder(Node& node, const HeldSlotPtr& slot) {
+  const Duration now = Now();
+  if (slot->lost) {
+    return false;
+  }
+  if (HearsMostMembers(node.fleet, now)) {
+    return true;
+  }
+  // Renewed early, so that it does not run out between two requests.
+  if (now >= slot->confirmed_at + kHoldConfirmationTime / 2) {
+    ConfirmSoon(node, slot);
+  }
+  return now < slot->confirmed_at + kHoldConfirmationTime;
+}
+
+Task<bool> AwaitMayActAsHolder(Node& node, HeldSlotPtr slot, Duration timeout) {
+  const Duration until = Now() + timeout;
+  while (!MayActAsHolder(node, slot)) {
+    constexpr Duration kStep = std::chrono::milliseconds(5);
+    if (slot->lost || !IsStoreAvailable(node) || Now() + kStep > until) {
+      co_return false;
+    }
+    co_await Sleep(node.io, kStep);
+  }
+  co_return true;
+}
+
 // The free parts of budgets are usable only for a limited time after the store
 // has confirmed the slot. Confirming regularly keeps them usable at the start
 // of an outage.
@@ -63,8 +100,7 @@
   for (const auto& [number, slot] : node.slots.held) {
     if (slot->active && !slot->writing &&
         now >= slot->confirmed_at + kConfirmInterval) {
-      Enqueue(node, slot, ClaimRecord{node.fleet.self, slot->epoch}, true,
-              [](bool) {});
+      ConfirmSoon(node, slot);
     }
   }
 }
--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -8,6 +8,7 @@
 #include "celerykeel/node/fleet.h"        // for LinkToHolder
 #include "celerykeel/node/isolation.h"    // for IsolateEndpoint
 #include "celerykeel/node/node.h"         // for Node
+#include "celerykeel/node/slot_upkeep.h"  // for MayActAsHolder
 #include "celerykeel/wire/crash_codec.h"  // for ToProto
 
 namespace celerykeel {
@@ -60,10 +61,11 @@
   *wish.mutable_request() = ToProto(request);
   wish.set_interval_ms(Millis(kCopyInterval));
   if (ActiveSlot(node, slot) != nullptr) {
-    co_return std::chrono::milliseconds(
-        DecideSuspectRun(node, wish).retry_ms());
-  }
-  if (const PeerLinkPtr link = LinkToHolder(node, slot)) {
+    const pb::SuspectRunGrant grant = DecideSuspectRun(node, wish);
+    if (!grant.not_home()) {
+      co_return std::chrono::milliseconds(grant.retry_ms());
+    }
+  } else if (const PeerLinkPtr link = LinkToHolder(node, slot)) {
     const auto answer = co_await CallPeer(node.io, node.peers, link,
                                           std::move(frame), kHomeAnswerTimeout);
     if (answer && answer->has_suspect_run_grant() &&
@@ -166,7 +168,8 @@
                                      const pb::SuspectRunWish& wish) {
   const RequestIdentity request = FromProto(wish.request());
   pb::SuspectRunGrant grant;
-  if (ActiveSlot(node, HomeSlotOf(node, request)) == nullptr) {
+  if (const HeldSlotPtr slot = ActiveSlot(node, HomeSlotOf(node, request));
+      slot == nullptr || !MayActAsHolder(node, slot)) {
     grant.set_not_home(true);
     return grant;
   }
