node: an answer that ends before its request was received is not whole

Cause: the failed write took the error of the reset, and the read saw a plain end. With a buffered upload, or over a tunnel, the end came before any reset.

Change: AwaitDelivery asks the kernel what the endpoint has received; a tunnel's mark of the end counts it. An endpoint that reads on is still served (test).

--- a/include/celerykeel/node/answer_reader.h
+++ b/include/celerykeel/node/answer_reader.h
@@ -19,7 +19,8 @@
  public:
   explicit AnswerReader(OutConnectionPtr from);
 
-  /// @brief Reads the head. An interim (1xx) answer fails with kMalformed.
+  /// @brief Reads the head. An interim (1xx) answer, a status above 599 and
+  /// another version than HTTP/1.0 and 1.1 fail with kMalformed.
   /// @param until steady time by which the head must be complete.
   Task<tl::expected<AnswerHead, ExchangeError>> ReadHead(
       asio::steady_timer::time_point until);
@@ -39,6 +40,11 @@
   /// is the end of the endpoint's connection.
   bool EndsWithConnection() const;
 
+  /// @brief After an answer that EndsWithConnection: true if the endpoint had
+  /// received the complete request. Otherwise it has stopped in the middle, and
+  /// so may have the answer.
+  Task<bool> WasRequestReceived(asio::io_context& loop);
+
  private:
   Task<> ParseMore(ErrorCode& error);
   Task<> ParseMoreOfTunnel(ErrorCode& error);
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -60,7 +60,7 @@
 /// @brief Called at the end of an answer's bytes.
 /// @return false if the answer ended with its connection because the endpoint
 /// crashed.
-Task<bool> IsWhole(Node& node, Attempt& attempt);
+Task<bool> IsWhole(Node& node, const Call& call, Attempt& attempt);
 
 /// @brief Reads an answer that is not an event stream to its end, then relays
 /// it unless the caller disconnected.
--- a/include/celerykeel/node/tunnel.h
+++ b/include/celerykeel/node/tunnel.h
@@ -7,6 +7,10 @@
 
 namespace celerykeel {
 
+/// @brief Bytes of the count that follows the mark of an endpoint's end,
+/// big-endian; see TunnelOpen.
+inline constexpr size_t kTunnelCountBytes = 8;
+
 struct Node;
 
 /// @brief Opens a tunnel, a connection to an endpoint over a peer that relays
--- a/src/celerykeel/node/answer_reader.cc
+++ b/src/celerykeel/node/answer_reader.cc
@@ -8,7 +8,9 @@
 #include <charconv>   // for std::from_chars
 #include <limits>     // for std::numeric_limits
 
+#include "celerykeel/node/delivery.h"   // for AwaitDelivery
 #include "celerykeel/node/peer_link.h"  // for kFrameLengthBytes
+#include "celerykeel/node/tunnel.h"     // for kTunnelCountBytes
 
 namespace celerykeel {
 
@@ -18,6 +20,9 @@
 
 constexpr uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+constexpr unsigned kVersion10 = 10;
+constexpr unsigned kVersion11 = 11;
 constexpr size_t kTunnelReadBytes = 16384;
 // Idle limit if the peer sends no Keep-Alive timeout.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
@@ -68,6 +73,18 @@
   co_return error || left > 0;
 }
 
+// Reads what follows the mark of the endpoint's end.
+Task<> ReadRequestBytes(OutConnectionPtr connection, ErrorCode& error) {
+  TunnelPieces& pieces = connection->tunnel_pieces;
+  if (!pieces.mark_has_count) {
+    co_return;
+  }
+  std::array<unsigned char, kTunnelCountBytes> count{};
+  co_await asio::async_read(connection->stream, asio::buffer(count),
+                            Into(error));
+  pieces.request_bytes = boost::endian::load_big_u64(count.data());
+}
+
 }  // namespace
 
 AnswerReader::AnswerReader(OutConnectionPtr from)
@@ -99,7 +116,10 @@
   const auto& message = this->parser.get();
   AnswerHead head;
   head.status = static_cast<int>(message.result_int());
-  if (message.result_int() < kFirstFinalStatus) {
+  const bool is_http1 =
+      message.version() == kVersion10 || message.version() == kVersion11;
+  if (message.result_int() < kFirstFinalStatus ||
+      message.result_int() > kLastStatus || !is_http1) {
     co_return tl::unexpected(ExchangeError::kMalformed);
   }
   for (const auto& field : message) {
@@ -149,6 +169,17 @@
   return this->parser.need_eof();
 }
 
+// A peer of an older build does not say what the endpoint has received.
+Task<bool> AnswerReader::WasRequestReceived(asio::io_context& loop) {
+  OutConnection& from = *this->connection;
+  if (from.is_request_cut ||
+      (from.tunnel_pieces.mark_has_count &&
+       from.tunnel_pieces.request_bytes < from.request_bytes)) {
+    co_return false;
+  }
+  co_return co_await AwaitDelivery(loop, from.stream.socket());
+}
+
 Task<> AnswerReader::ParseMore(ErrorCode& error) {
   if (this->connection->tunnel != nullptr) {
     co_await this->ParseMoreOfTunnel(error);
@@ -180,6 +211,9 @@
     }
     if (pieces.are_marked) {
       const bool has_piece = co_await ReadPieceLength(this->connection, error);
+      if (!error && !has_piece) {
+        co_await ReadRequestBytes(this->connection, error);
+      }
       if (error) {
         break;
       }
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -309,10 +309,16 @@
 
 // The kernel closes the connections of a crashed process, which looks like the
 // end of an answer that has neither a length nor chunks.
-Task<bool> IsWhole(Node& node, Attempt& attempt) {
+Task<bool> IsWhole(Node& node, const Call& call, Attempt& attempt) {
   if (!attempt.reader->EndsWithConnection()) {
     co_return true;
   }
+  const bool was_received =
+      co_await attempt.reader->WasRequestReceived(node.io);
+  if (!was_received) {
+    LogAttempt(node, call, attempt, "ended before the request");
+    co_return false;
+  }
   const bool has_crashed =
       co_await CheckForCrash(node, attempt.run->Endpoint());
   co_return !has_crashed;
@@ -324,7 +330,7 @@
   const auto connection = call->attempt;
   call->attempt = nullptr;
   if (body) {
-    const bool is_whole = co_await IsWhole(node, attempt);
+    const bool is_whole = co_await IsWhole(node, *call, attempt);
     if (!is_whole) {
       body = tl::unexpected(ExchangeError::kClosed);
     }
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -13,6 +13,7 @@
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/millis.h"         // for Millis
+#include "celerykeel/node/delivery.h"       // for AwaitDelivery
 #include "celerykeel/node/endpoint_link.h"  // for ConnectDirectly
 #include "celerykeel/node/node.h"           // for Node
 
@@ -105,7 +106,9 @@
   PeerSocketPtr peer;
   OutConnectionPtr endpoint;
   asio::steady_timer limit;
-  bool marks_end = false;  // see TunnelOpen
+  bool marks_end = false;       // see TunnelOpen
+  bool counts_request = false;  // see TunnelOpen
+  uint64_t request_bytes = 0;   // written to the endpoint
 };
 using RelayedTunnelPtr = std::shared_ptr<RelayedTunnel>;
 
@@ -139,14 +142,14 @@
           to, asio::buffer(piece.data(), kFrameLengthBytes + count),
           Into(error));
     } else {
-      co_await asio::async_write(to, asio::buffer(bytes, count), Into(error));
+      tunnel->request_bytes += co_await asio::async_write(
+          to, asio::buffer(bytes, count), Into(error));
     }
   }
   co_return error;
 }
 
 // The other instance must not take this end for the end of an answer.
-
 void CloseTunnel(RelayedTunnel& tunnel) {
   tunnel.limit.cancel();
   Close(*tunnel.endpoint);
@@ -163,18 +166,30 @@
 }
 
 // An answer may have no length and end with its connection. So a connection
-// that the endpoint reset must not look like one that it closed.
-Task<> CopyToPeer(RelayedTunnelPtr tunnel) {
+// that the endpoint reset must not look like one that it closed, nor one that
+// it closed before it had received the request.
+Task<> CopyToPeer(asio::io_context& loop, RelayedTunnelPtr tunnel) {
   const ErrorCode end = co_await Copy(tunnel, Direction::kToPeer);
   if (end != asio::error::eof) {
     CloseTunnel(*tunnel);
     co_return;
   }
+  const bool was_received =
+      co_await AwaitDelivery(loop, tunnel->endpoint->stream.socket());
+  if (!was_received) {
+    CloseTunnel(*tunnel);
+    co_return;
+  }
   ErrorCode ignored;  // the connection ends in any case
   if (tunnel->marks_end) {
-    std::array<char, kFrameLengthBytes> mark{};
-    co_await asio::async_write(tunnel->peer->socket, asio::buffer(mark),
-                               Into(ignored));
+    std::array<char, kFrameLengthBytes + kTunnelCountBytes> mark{};
+    boost::endian::store_big_u64(
+        reinterpret_cast<unsigned char*>(mark.data()) + kFrameLengthBytes,
+        tunnel->request_bytes);
+    const size_t size =
+        tunnel->counts_request ? mark.size() : kFrameLengthBytes;
+    co_await asio::async_write(tunnel->peer->socket,
+                               asio::buffer(mark.data(), size), Into(ignored));
   }
   tunnel->peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
 }
@@ -212,12 +227,14 @@
     open.set_max_idle_ms(Millis(max_idle));
     open.set_lifetime_ms(Millis(until - Now() + kLifetimeMargin));
     open.set_marks_end(true);
+    open.set_counts_request(true);
     const auto opened = co_await AskPeer(connection, std::move(open));
     if (opened && opened->verdict() == pb::TunnelOpened::OPENED) {
       connection->stream.expires_never();
       connection->tunnel =
           std::make_shared<TunnelUse>(node.tunnels[tunnel.peer]);
       connection->tunnel_pieces.are_marked = opened->marks_end();
+      connection->tunnel_pieces.mark_has_count = opened->counts_request();
       tunnel.connection = connection;
       co_return tunnel;
     }
@@ -235,6 +252,7 @@
   pb::TunnelOpened& opened = *frame.mutable_tunnel_opened();
   opened.set_verdict(pb::TunnelOpened::REFUSED);
   opened.set_marks_end(open.marks_end());
+  opened.set_counts_request(open.marks_end() && open.counts_request());
   OutConnectionPtr connection;
   // Only to endpoints of the own table: an instance is no open proxy.
   const auto found = node.endpoints.endpoints.find(open.endpoint());
@@ -271,6 +289,7 @@
   const auto tunnel =
       std::make_shared<RelayedTunnel>(node, peer, std::move(connection));
   tunnel->marks_end = open.marks_end();
+  tunnel->counts_request = opened.counts_request();
   tunnel->limit.expires_after(std::chrono::milliseconds(open.lifetime_ms()));
   tunnel->limit.async_wait([tunnel](const ErrorCode& cancelled) {
     if (!cancelled) {
@@ -278,7 +297,7 @@
     }
   });
   Spawn(node.io, CopyToEndpoint(tunnel));
-  Spawn(node.io, CopyToPeer(tunnel));
+  Spawn(node.io, CopyToPeer(node.io, tunnel));
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -141,7 +141,7 @@
       if (!splitter.partial.empty()) {
         co_return StreamEnd::kAborted;
       }
-      const bool is_whole = co_await IsWhole(node, attempt);
+      const bool is_whole = co_await IsWhole(node, *call, attempt);
       co_return is_whole ? StreamEnd::kComplete : StreamEnd::kAborted;
     }
     const std::vector<StreamEvent> events = AddBytes(splitter, **some);
--- a/src/celerykeel/node/unframed_answers_unittest.cc
+++ b/src/celerykeel/node/unframed_answers_unittest.cc
@@ -104,5 +104,97 @@
   CHECK(RunsOfBoth(fleet, "r") == 1);
 }
 
+// Guards against taking a part for the complete answer: the endpoint answers a
+// long upload at once, without a length, and closes the connection while the
+// upload is under way.
+TEST_CASE("an answer that ends before its request is not complete") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.early_answer = EarlyAnswer::kCloses;
+  }
+  size_t body_bytes = 0;
+  SUBCASE("directly") {
+    body_bytes = 3'500'000;
+  }
+  SUBCASE("that the kernel buffers") {
+    body_bytes = 300'000;
+  }
+  SUBCASE("over a tunnel") {
+    body_bytes = 3'500'000;
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  SUBCASE("over a tunnel that buffers the request") {
+    body_bytes = 300'000;
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  const std::string body(body_bytes, 'b');
+  CHECK(fleet.Send(0, "POST", "/pay/x", ToolHeaders("c1"), body).status == 502);
+  CHECK(RunsOfBoth(fleet, "c1") == 1);
+  CHECK(fleet
+            .Send(0, "POST", "/stream/kept/x", TurnHeaders("t1", "p", "", 9999),
+                  body)
+            .status != 200);
+  CHECK(fleet
+            .Send(1, "POST", "/stream/kept/x",
+                  TurnHeaders("t2", "p", "t1", 9999), "in")
+            .status == 404);
+}
+
+// The price of the check above must not be paid by endpoints that end their
+// answer early and read the rest of the request.
+TEST_CASE("an endpoint may end its answer before it has read the request") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    endpoint.early_answer = EarlyAnswer::kReadsOn;
+  }
+  SUBCASE("directly") {}
+  SUBCASE("over a tunnel") {
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  const std::string body(1'500'000, 'b');
+  const CallerAnswer answer =
+      fleet.Send(0, "POST", "/pay/x", ToolHeaders("c1"), body);
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "first part");
+}
+
+// Guards against passing on what is no answer of the protocol.
+TEST_CASE("an answer without a valid head fails") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  bool is_tunnel = false;
+  SUBCASE("directly") {}
+  SUBCASE("over a tunnel") {
+    is_tunnel = true;
+  }
+  if (is_tunnel) {
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  int number = 0;
+  for (const std::string first_line :
+       {"HTTP/1.1 000 None", "HTTP/1.1 600 High", "HTTP/1.1 999 High",
+        "HTTP/2.0 200 OK", "HTTP/1.1 200 OK cut", "HTTP/1.1 2"}) {
+    CAPTURE(first_line);
+    for (const std::string target : {"/pay/x", "/stream/kept/x"}) {
+      const std::string id = "c" + std::to_string(++number);
+      std::string answer = first_line;
+      if (first_line.size() > 10) {
+        answer += "\r\nX-Attempt-Id: " + id +
+                  "\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n";
+      }
+      if (!first_line.ends_with("cut")) {
+        answer += "\r\nok";
+      }
+      for (EndpointStandin& endpoint : fleet.endpoints) {
+        SetRawAnswer(endpoint, answer);
+      }
+      CHECK(fleet.Send(0, "POST", target, TurnHeaders(id, id, "", 9999), "in")
+                .status == 502);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace celerykeel::testing
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>  // for std::max
+#include <array>      // for std::array
 #include <span>       // for std::span
 #include <utility>    // for std::as_const
 
@@ -192,6 +193,36 @@
   EndpointStandin& endpoint;
 };
 
+// Answers before it reads the body; see EarlyAnswer.
+Task<bool> AnswerEarly(asio::io_context& loop,
+                       EndpointStandin& endpoint,
+                       StandinConnectionPtr connection,
+                       const StandinRequest& request) {
+  if (endpoint.early_answer == EarlyAnswer::kNone ||
+      request.method_string() != "POST") {
+    co_return false;
+  }
+  const std::string id(request["X-Attempt-Id"]);
+  RecordRun(endpoint, id, request);
+  const bool is_stream = request.target().starts_with("/stream/");
+  std::string answer = fmt::format(
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s.{}\r\n"
+      "Connection: close\r\nContent-Type: {}\r\n\r\n{}",
+      id, endpoint.id, is_stream ? "text/event-stream" : "text/plain",
+      is_stream ? "id: 1\ndata: e1\n\n" : "first part");
+  co_await Write(connection, std::move(answer));
+  ErrorCode error;
+  connection->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+  constexpr Duration kBeforeClose = std::chrono::milliseconds(100);
+  co_await Sleep(loop, kBeforeClose);
+  std::array<char, 65536> piece{};
+  while (!error && endpoint.early_answer == EarlyAnswer::kReadsOn) {
+    co_await connection->stream.async_read_some(asio::buffer(piece),
+                                                Into(error));
+  }
+  co_return true;
+}
+
 Task<bool> Handle(asio::io_context& loop,
                   EndpointStandin& endpoint,
                   StandinConnectionPtr connection,
@@ -291,6 +322,10 @@
                                               StandinRequest request) {
     return Handle(loop, endpoint, std::move(connection), std::move(request));
   };
+  endpoint.sockets.on_head = [&loop, &endpoint](StandinConnectionPtr connection,
+                                                const StandinRequest& request) {
+    return AnswerEarly(loop, endpoint, std::move(connection), request);
+  };
   while (true) {
     co_await ServeStandin(loop, address, handler, endpoint.sockets);
     co_await Sleep(loop, std::chrono::milliseconds(endpoint.down_ms));
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -26,6 +26,15 @@
   kEvent,       // one endless event
 };
 
+/// @brief What an endpoint does with the body of a request that it answers as
+/// soon as it has the head. The answer has no length and ends with the
+/// connection.
+enum class EarlyAnswer {
+  kNone,     // it answers complete requests only
+  kCloses,   // reads nothing of the body and closes
+  kReadsOn,  // reads the complete body and closes
+};
+
 /// @brief Stand-in for a model engine or a plain service. Answers a POST below
 /// /stream/ with events, and any other request with a short body.
 struct EndpointStandin {
@@ -40,6 +49,7 @@
   std::atomic<int> close_after_events{-1};
   // Sends answers without a length or chunks, which end with the connection.
   std::atomic<bool> is_unframed{false};
+  std::atomic<EarlyAnswer> early_answer{EarlyAnswer::kNone};
   // Ends streams inside an event, after all complete ones.
   std::atomic<bool> ends_inside_event{false};
   std::atomic<bool> is_full{false};  // answers 503, marked as not run
--- a/src/celerykeel/testing/http_standin.h
+++ b/src/celerykeel/testing/http_standin.h
@@ -38,6 +38,10 @@
   std::unique_ptr<Tcp::acceptor> acceptor;
   std::vector<std::weak_ptr<StandinConnection>> connections;
   int accepted = 0;  // connections since the start
+  // Called with the head of each request, before its body is read. Returns true
+  // if it has handled the request; the connection is closed then.
+  std::function<Task<bool>(StandinConnectionPtr, const StandinRequest&)>
+      on_head;
 };
 
 /// @brief Closes all sockets, as the end of a process does.
@@ -53,14 +57,25 @@
 }
 
 inline Task<> ServeStandinConnection(StandinConnectionPtr connection,
-                                     StandinHandler handler) {
+                                     StandinHandler handler,
+                                     StandinSockets& sockets) {
   while (true) {
     http::request_parser<http::string_body> parser;
     // The default is 1 MiB.
     parser.body_limit(std::numeric_limits<uint64_t>::max());
     ErrorCode error;
-    co_await http::async_read(connection->stream, connection->buffer, parser,
-                              Into(error));
+    co_await http::async_read_header(connection->stream, connection->buffer,
+                                     parser, Into(error));
+    if (!error && sockets.on_head) {
+      if (co_await sockets.on_head(connection, parser.get())) {
+        connection->stream.socket().close(error);
+        co_return;
+      }
+    }
+    if (!error) {
+      co_await http::async_read(connection->stream, connection->buffer, parser,
+                                Into(error));
+    }
     StandinRequest request = parser.release();
     if (error) {
       co_return;
@@ -89,7 +104,7 @@
       std::erase_if(sockets.connections,
                     [](const auto& weak) { return weak.expired(); });
       sockets.connections.push_back(connection);
-      Spawn(loop, ServeStandinConnection(connection, handler));
+      Spawn(loop, ServeStandinConnection(connection, handler, sockets));
     }
   }
 }
--- a/src/celerykeel/wire/build_compat_unittest.cc
+++ b/src/celerykeel/wire/build_compat_unittest.cc
@@ -2,14 +2,14 @@
 
 #include <string>  // for std::string
 
-#include "celerykeel/compat/node_ee675f9.pb.h"  // for pb_ee675f9::NodeFrame
+#include "celerykeel/compat/node_e0847c4.pb.h"  // for pb_e0847c4::NodeFrame
 #include "celerykeel/node.pb.h"                 // for pb::NodeFrame
 #include "celerykeel/wire/slot_codec.h"         // for EncodeSlotRecord
 
 namespace celerykeel {
 namespace {
 
-namespace old = pb_ee675f9;
+namespace old = pb_e0847c4;
 
 // Fills in a message of each kind that all builds know. The builds differ in
 // the namespace only.
@@ -61,27 +61,54 @@
   found.add_slots(6);
   (frame++)->mutable_store_call()->set_target("/x");
   (frame++)->mutable_store_answer()->set_status(200);
-  (frame++)->mutable_rate_wish()->set_needed(1.5);
-  (frame++)->mutable_rate_grant()->set_tokens(2.5);
+  auto& wish = *(frame++)->mutable_rate_wish();
+  wish.set_needed(1.5);
+  wish.set_max_wait_ms(20);
+  wish.set_program(5);
+  wish.set_caller(6);
+  auto& loan = *(frame++)->mutable_rate_grant();
+  loan.set_tokens(2.5);
+  loan.set_in_progress(true);
   (frame++)->mutable_rate_news()->add_uses()->set_closed(true);
   auto& news = *(frame++)->mutable_endpoint_news();
   news.add_changes()->set_entry("entry");
   news.add_departures()->set_started_at(11);
   news.add_limits()->set_per_second(3.5);
   news.add_versions()->set_in_use(true);
-  (frame++)->mutable_limited_call_wish()->set_max_wait_ns(7);
-  (frame++)->mutable_limited_call_grant()->set_granted(true);
-  (frame++)->mutable_tunnel_open()->set_lifetime_ms(8);
+  auto& limited = *(frame++)->mutable_limited_call_wish();
+  limited.set_max_wait_ns(7);
+  limited.set_cold_per_second(0.5);
+  auto& permit = *(frame++)->mutable_limited_call_grant();
+  permit.set_granted(true);
+  permit.set_keeps_cold_rate(true);
+  auto& open = *(frame++)->mutable_tunnel_open();
+  open.set_lifetime_ms(8);
+  open.set_marks_end(true);
   return frames;
 }
 
 // The rest of the messages of both builds.
 template <typename Frame>
 std::vector<Frame> LaterFrames() {
-  std::vector<Frame> frames(5);
+  std::vector<Frame> frames(11);
   auto frame = frames.begin();
-  (frame++)->mutable_tunnel_opened()->set_verdict(
-      Frame::default_instance().tunnel_opened().REFUSED);
+  auto& opened = *(frame++)->mutable_tunnel_opened();
+  opened.set_verdict(Frame::default_instance().tunnel_opened().REFUSED);
+  opened.set_marks_end(true);
+  (frame++)->mutable_operator_news()->add_evacuations()->set_zone("z");
+  (frame++)->mutable_deployment_wish()->set_newer_than(7);
+  (frame++)->mutable_deployment_piece()->set_bytes("piece");
+  (frame++)->mutable_programs_begun()->add_programs(9);
+  (frame++)->mutable_rate_recall()->set_team("orchard");
+  auto& beat = *(frame++)->mutable_heartbeat();
+  beat.set_evacuations_digest(7);
+  beat.set_gives_deployment(true);
+  beat.set_counts_covers(true);
+  beat.set_append_age_ms(3);
+  beat.set_rate_protocol(1);
+  beat.set_link_mbps(600);
+  beat.add_speeds()->set_calls(2);
+  beat.add_team_loads()->set_in_flight(2);
   (frame++)->mutable_stream_began()->set_call("c");
   (frame++)->mutable_suspect_run_wish()->set_interval_ms(5);
   (frame++)->mutable_suspect_run_grant()->set_retry_ms(6);
@@ -99,7 +126,7 @@
 
 // Guards against instances of two builds that can't serve together while they
 // are replaced one after the other.
-TEST_CASE("this build and ee675f9 read each other's messages") {
+TEST_CASE("this build and e0847c4 read each other's messages") {
   auto new_frames = KnownFrames<pb::NodeFrame>();
   auto old_frames = KnownFrames<old::NodeFrame>();
   for (const pb::NodeFrame& frame : LaterFrames<pb::NodeFrame>()) {
@@ -125,98 +152,28 @@
   }
 }
 
-// Guards against a peer of the other build that takes a message with a new
-// field, or without one, for something else.
-TEST_CASE("this build and ee675f9 serve each other without the new fields") {
+// Guards against a count after the end of a tunnel that the other build takes
+// for bytes of an answer: it is sent only if both builds know it.
+TEST_CASE("this build and e0847c4 open tunnels without the new field") {
   pb::NodeFrame open;
   open.mutable_tunnel_open()->set_endpoint("e1");
   open.mutable_tunnel_open()->set_marks_end(true);
+  open.mutable_tunnel_open()->set_counts_request(true);
   old::NodeFrame read_by_old;
   REQUIRE(read_by_old.ParseFromString(open.SerializeAsString()));
   CHECK(read_by_old.tunnel_open().endpoint() == "e1");
+  CHECK(read_by_old.tunnel_open().marks_end());
   old::NodeFrame opened;
-  opened.mutable_tunnel_opened();
+  opened.mutable_tunnel_opened()->set_marks_end(true);
   pb::NodeFrame read;
   REQUIRE(read.ParseFromString(opened.SerializeAsString()));
   CHECK(read.tunnel_opened().verdict() == pb::TunnelOpened::OPENED);
-  CHECK_FALSE(read.tunnel_opened().marks_end());
-  pb::NodeFrame done;
-  done.mutable_end_done()->set_needs_base(true);
-  REQUIRE(read_by_old.ParseFromString(done.SerializeAsString()));
-  CHECK_FALSE(read_by_old.end_done().durable());
-  CHECK_FALSE(read_by_old.end_done().not_holder());
-  old::NodeFrame old_done;
-  old_done.mutable_end_done()->set_durable(true);
-  REQUIRE(read.ParseFromString(old_done.SerializeAsString()));
-  CHECK_FALSE(read.end_done().needs_base());
-}
-
-// Guards against an older home of a cold endpoint whose grants are taken for
-// grants at its cold rate, and against heartbeats that an older build rejects.
-TEST_CASE("ee675f9 ignores evacuations and cold rates") {
-  pb::NodeFrame beat;
-  beat.mutable_heartbeat()->set_instance("i1");
-  beat.mutable_heartbeat()->set_evacuations_digest(7);
-  old::NodeFrame read_by_old;
-  REQUIRE(read_by_old.ParseFromString(beat.SerializeAsString()));
-  CHECK(read_by_old.heartbeat().instance() == "i1");
-  old::NodeFrame old_beat;
-  old_beat.mutable_heartbeat()->set_instance("i2");
-  pb::NodeFrame read;
-  REQUIRE(read.ParseFromString(old_beat.SerializeAsString()));
-  CHECK_FALSE(read.heartbeat().has_evacuations_digest());
-  pb::NodeFrame news;
-  news.mutable_operator_news()->add_evacuations()->set_zone("z");
-  REQUIRE(read_by_old.ParseFromString(news.SerializeAsString()));
-  CHECK(read_by_old.body_case() == old::NodeFrame::BODY_NOT_SET);
-  old::NodeFrame granted;
-  granted.mutable_limited_call_grant()->set_granted(true);
-  REQUIRE(read.ParseFromString(granted.SerializeAsString()));
-  CHECK_FALSE(read.limited_call_grant().keeps_cold_rate());
-}
-
-// Guards against a message of a kind that the older build doesn't know and that
-// makes it close the link.
-TEST_CASE("ee675f9 ignores messages and fields that it doesn't know") {
-  pb::NodeFrame wish;
-  wish.set_call(4);
-  wish.mutable_deployment_wish()->set_newer_than(7);
-  pb::NodeFrame begun;
-  begun.set_call(4);
-  begun.mutable_programs_begun()->set_team("orchard");
-  pb::NodeFrame recall;
-  recall.set_call(4);
-  recall.mutable_rate_recall()->set_team("orchard");
-  for (const pb::NodeFrame& frame : {wish, begun, recall}) {
-    old::NodeFrame read;
-    REQUIRE(read.ParseFromString(frame.SerializeAsString()));
-    CHECK(read.call() == 4);
-    CHECK(read.body_case() == old::NodeFrame::BODY_NOT_SET);
-  }
-  pb::NodeFrame beat;
-  beat.mutable_heartbeat()->set_instance("i1");
-  beat.mutable_heartbeat()->set_link_mbps(600);
-  beat.mutable_heartbeat()->set_counts_covers(true);
-  beat.mutable_heartbeat()->set_gives_deployment(true);
-  beat.mutable_heartbeat()->set_rate_protocol(1);
-  beat.mutable_heartbeat()->add_speeds()->set_calls(2);
-  beat.mutable_heartbeat()->add_team_loads()->set_in_flight(2);
-  old::NodeFrame read;
-  REQUIRE(read.ParseFromString(beat.SerializeAsString()));
-  CHECK(read.heartbeat().instance() == "i1");
-}
-
-// Guards against features that are taken for granted of an older peer.
-TEST_CASE("a heartbeat of ee675f9 announces no later feature") {
-  old::NodeFrame beat;
-  beat.mutable_heartbeat()->set_instance("i2");
-  pb::NodeFrame read;
-  REQUIRE(read.ParseFromString(beat.SerializeAsString()));
-  CHECK(read.heartbeat().link_mbps() == 0);
-  CHECK_FALSE(read.heartbeat().counts_covers());
-  CHECK_FALSE(read.heartbeat().gives_deployment());
-  CHECK(read.heartbeat().rate_protocol() == 0);
-  CHECK_FALSE(read.heartbeat().has_append_age_ms());
+  CHECK(read.tunnel_opened().marks_end());
+  CHECK_FALSE(read.tunnel_opened().counts_request());
+  old::NodeFrame old_open;
+  old_open.mutable_tunnel_open()->set_marks_end(true);
+  REQUIRE(read.ParseFromString(old_open.SerializeAsString()));
+  CHECK_FALSE(read.tunnel_open().counts_request());
 }
 
 // Checks that this build and another one read each other's records.
@@ -234,6 +191,7 @@
   Entry claim;
   claim.mutable_claim()->set_holder("i1");
   claim.mutable_claim()->set_epoch(1025);
+  claim.mutable_claim()->set_cover(claim.claim().COVER_OPEN);
   Entry rate;
   rate.mutable_rate()->set_kept(2.5);
   Entry stream;
@@ -256,7 +214,7 @@
 
 // Guards against losing turns whose ids are not UTF-8, which older builds
 // wrote.
-TEST_CASE("records of ee675f9 with ids that are no text are read") {
+TEST_CASE("records of e0847c4 with ids that are no text are read") {
   old::SlotEntry entry;
   entry.mutable_turn()->set_team("orchard");
   entry.mutable_turn()->set_program("\xff\xfe");
@@ -271,18 +229,7 @@
   CHECK(read.ParseFromString(frame.SerializeAsString()));
 }
 
-// Guards against a claim with a cover that an older holder rejects with the
-// rest of the log.
-TEST_CASE("ee675f9 reads claims that open or end a cover") {
-  const std::string open =
-      EncodeSlotRecord(ClaimRecord{"i1", 7, ClaimCover::kOpen});
-  old::SlotEntry read;
-  REQUIRE(read.ParseFromString(open));
-  REQUIRE(read.has_claim());
-  CHECK(read.claim().epoch() == 7);
-}
-
-TEST_CASE("this build and ee675f9 read each other's slot records") {
+TEST_CASE("this build and e0847c4 read each other's slot records") {
   CheckRecords<old::SlotEntry, old::MemberEntry>();
 }
 
