--- a/src/celerykeel/node/turn_lookup.cc
+++ b/src/celerykeel/node/turn_lookup.cc
@@ -160,8 +160,8 @@
     found.set_history(ChainText(*turn));
     co_return found;
   }
-  const auto confirmed = co_await AwaitConfirmations(
-      StartConfirmations(node), Now() + kConfirmTimeout);
+  const auto confirmed = co_await AwaitConfirmations(StartConfirmations(node),
+                                                     Now() + kConfirmTimeout);
   for (const uint32_t slot : confirmed) {
     found.add_slots(slot);
   }
