node: the holder of unit tests ends its queued records

The address sanitizer's run of the node tests passed its 81 cases and then named 41 leaks: records queued in a slot refer to that slot, and the fixture kept them. The fixture clears them as NodeFleet::Kill does; the nine cases that use it leave no leak now.

--- a/src/celerykeel/node/admission_unittest.cc
+++ b/src/celerykeel/node/admission_unittest.cc
@@ -51,7 +51,7 @@
 
   static constexpr uint32_t kPeerSlot = 3;
   static constexpr uint32_t kOwnSlot = 0;
-  std::unique_ptr<Node> node;
+  HolderPtr node;
   Tcp::acceptor acceptor{this->node->io,
                          {asio::ip::make_address("127.0.0.1"), 0}};
   PeerSocketPtr peer;
--- a/src/celerykeel/node/holder_unittest.h
+++ b/src/celerykeel/node/holder_unittest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>  // for std::unique_ptr
 #include <string>  // for std::string
 
 #include "celerykeel/base/clock.h"  // for Now
@@ -12,15 +13,28 @@
 // Tokens that the holder leaves to its successor; the burst is 40.
 inline constexpr double kReserve = 34;
 
+/// @brief Ends an instance. Queued records refer to the slot that owns them; a
+/// process that exits does not need this.
+struct EndHolder {
+  void operator()(Node* node) const {
+    for (const auto& [number, slot] : node->slots.held) {
+      slot->queue.clear();
+      slot->uncovered.clear();
+    }
+    delete node;
+  }
+};
+using HolderPtr = std::unique_ptr<Node, EndHolder>;
+
 /// @brief Returns an instance that holds all slots and has two peers. Nothing
 /// runs on its loop, and no store listens at its address.
-inline std::unique_ptr<Node> MakeHolder() {
+inline HolderPtr MakeHolder() {
   NodeOptions options;
   options.instance = "self";
   options.store_address = "127.0.0.1:1";
   options.store_partitions = 4;
   options.store_retention = std::chrono::seconds(300);
-  auto node = std::make_unique<Node>(options);
+  HolderPtr node(new Node(options));
   node->incarnation = 1;
   node->fleet.self = "self";
   auto deployment = std::make_shared<Deployment>();
