review/13: a long Connection header starves all callers

A script: 100 channels without a known key at each of three machines, a request of 13.9 KB a second on each.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,125 +1,96 @@
-"""A program is stopped, a process is killed, and the program returns within
-retention_s. The tokens handed out before and after are added up."""
+"""A client without a key sends requests that are inside the limits, with a long list in
+their Connection header. Ordinary callers send look-ups at the same time."""
 
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit-4"))
 import standins  # noqa: E402
 
-PROGRAMS = 16
-BUDGET = 1200  # tokens of a program
-MOST = 60  # of a turn: three events of 20
-TURNS_BEFORE = 6  # 360 of 1,200 tokens
-RETENTION_S = 60
-AWAY_S = 32  # from the kill to the program's return; below RETENTION_S
-# term: a planned stop instead of the kill. mixed: the program returns after 4 s, first
-# with a turn on a route that keeps turns.
-VARIANT = os.environ.get("VARIANT", "")
+CHANNELS = 100  # of the client at each machine
+GAP_S = 1.0  # between the requests of a channel
+LOOKS_PER_S = 15
+SENDS_S = 30
 
 CONFIG = {
     "version": 3,
-    "routes": [{"name": "plan", "host": "h.example", "path_prefix": "/plan/",
-                "route_kind": "streaming", "timeout_ms": 4000, "target_latency_ms": 200,
-                "priority": 1, "service": "llm", "max_attempts": 2, "retained": False,
-                "retention_s": RETENTION_S, "public": False, "sticky": True,
-                "resumable": True, "gap_target_ms": 250},
-               {"name": "talk", "host": "h.example", "path_prefix": "/talk/",
-                "route_kind": "streaming", "timeout_ms": 4000, "target_latency_ms": 200,
-                "priority": 1, "service": "llm", "max_attempts": 2, "retained": True,
-                "retention_s": RETENTION_S, "public": False, "sticky": True,
-                "resumable": False, "gap_target_ms": 250}],
-    "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 210,
-                  "protocol": "h1", "tls": False,
-                  "runtime": {"slots": 24, "kv_capacity": 657246, "chunk_tokens": 20}}],
+    "routes": [{"name": "look", "host": "h.example", "path_prefix": "/look/",
+                "route_kind": "idempotent", "timeout_ms": 1000, "target_latency_ms": 60,
+                "priority": 2, "service": "app", "max_attempts": 2, "retained": False,
+                "public": False, "sticky": False, "resumable": False}],
+    "services": [{"name": "app", "health_path": "/healthz", "max_conns": 110,
+                  "protocol": "h1", "tls": False}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    "tenants": [{"name": "orchard", "api_keys": ["key1"], "priority": 1,
-                 "rate_per_s": 2000, "burst": 2000}]}
-
-
-class Program:
-    def __init__(self, fleet, number):
-        self.fleet, self.number = fleet, number
-        self.name = f"p{number:02d}{fleet.new_id()[:6]}"
-        self.tokens = 0
-
-    async def turn(self, machine, path="/plan/x"):
-        """One turn, with a retry at another machine, as clients send it."""
-        for attempt in range(3):
-            identity = self.fleet.new_id()
-            channel = standins.Channel(self.fleet.front((machine + attempt) % 3))
-            answer = await channel.send("POST", path, {
-                "X-Attempt-Id": identity, "X-Program-Id": self.name,
-                "X-Session-Id": "s1", "X-Program-Deadline-Ms": "90000",
-                "X-Token-Budget": str(BUDGET), "X-Token-Usage": f"100,{MOST}",
-                "X-Deadline-Ms": "4000", "X-Model": "m",
-                "Authorization": "Bearer key1"}, b"input of " + identity.encode())
-            channel.close()
-            self.tokens += 20 * answer.events
-            self.fleet.note("turn", program=self.name, id=identity, answer=answer,
-                            events=answer.events, tokens=self.tokens)
-            if answer.status in (200, 402):
-                return answer
-            await asyncio.sleep(0.25)
-        return answer
+    "tenants": [{"name": "press", "api_keys": ["key1"], "priority": 1,
+                 "rate_per_s": 302, "burst": 302}]}
+
+BEGIN = ("GET /look/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c41d07be2a35f68\r\n"
+         "X-Deadline-Ms: 1000\r\nAuthorization: Bearer unknown\r\n")
+LISTED = BEGIN + "Connection: " + "a," * 5900 + "\r\n" + "b:\r\n" * 480 + "\r\n"
+PLAIN = BEGIN + "X-Long: " + "a" * (len(LISTED) - len(BEGIN) - 12) + "\r\n\r\n"
+
+
+async def client(fleet, machine, request, counts, delay):
+    await asyncio.sleep(delay)
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(*fleet.front(machine))
+            while True:
+                began = time.monotonic()
+                writer.write(request)
+                counts["sent"] += 1
+                head = await standins.read_head(reader)
+                if head is None:
+                    break
+                await standins.read_body(reader, head[1])
+                counts["answered"] += 1
+                await asyncio.sleep(max(0, began + GAP_S - time.monotonic()))
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            await asyncio.sleep(0.2)
+
+
+async def look(fleet, number):
+    identity = fleet.new_id()
+    machine = number % fleet.machines
+    channel = standins.Channel(fleet.front(machine))
+    answer = await channel.send("GET", "/look/x", {
+        "X-Attempt-Id": identity, "X-Deadline-Ms": "1000",
+        "Authorization": "Bearer key1"}, timeout=1.0)
+    channel.close()
+    fleet.note("look", id=identity, machine=machine + 1, answer=answer)
+    return answer
 
 
 async def case(fleet):
     await fleet.start_store(CONFIG)
-    for number in range(4):
-        await fleet.add_server(f"i-{number}", "llm")
+    for number in range(2):
+        await fleet.add_server(f"a-{number}", "app", slots=6)
     await asyncio.gather(*(fleet.start(machine, first=True)
                            for machine in range(fleet.machines)))
     await fleet.wait_ready()
-    await asyncio.sleep(4)
-
-    programs = [Program(fleet, number) for number in range(PROGRAMS)]
-
-    async def begin(program):
-        for number in range(TURNS_BEFORE):
-            await program.turn((program.number + number) % 3)
-            await asyncio.sleep(0.05)
-
-    await asyncio.gather(*(begin(program) for program in programs))
-    for program in programs:
-        if program.tokens != TURNS_BEFORE * MOST:
-            raise standins.CannotRun("a program wasn't served before the kill")
-    fleet.note("stopped", programs=PROGRAMS, tokens_each=TURNS_BEFORE * MOST)
-
-    holder = fleet.holder()
-    if fleet.trouble:
-        if VARIANT == "term":
-            await fleet.end(holder, standins.signal.SIGTERM)
-            await fleet.processes[holder].wait()
-        else:
-            await fleet.kill(holder)
-        await asyncio.sleep(1)
-        await fleet.start(holder)
-    await asyncio.sleep(3 if VARIANT == "mixed" else AWAY_S)
-
-    async def go_on(program):
-        refused = 0
-        if VARIANT == "mixed":
-            await program.turn(program.number % 3, "/talk/x")
-        for number in range(60):  # more than the whole budget
-            answer = await program.turn((program.number + number) % 3)
-            refused += answer.status == 402
-            if refused >= 3:  # a program that loops sends a turn twice more after a 402
-                break
-            await asyncio.sleep(0.02)
-
-    await asyncio.gather(*(go_on(program) for program in programs))
-    over = 0
-    for program in programs:
-        broken = program.tokens > BUDGET + MOST
-        over += broken
-        fleet.note("program", name=program.name, tokens=program.tokens,
-                   allowed=BUDGET + MOST, over=int(broken))
-    print(f"{over} of {PROGRAMS} programs got more than {BUDGET + MOST} tokens, "
-          f"at most {max(program.tokens for program in programs)}")
-    return over > 0
+    await asyncio.sleep(3)
+    request = (LISTED if fleet.trouble else PLAIN).encode()
+    counts = {"sent": 0, "answered": 0}
+    clients = [asyncio.create_task(client(fleet, machine, request, counts, n / CHANNELS))
+               for machine in range(fleet.machines) for n in range(CHANNELS)]
+    await asyncio.sleep(3)
+    looks = []
+    began = time.monotonic()
+    while time.monotonic() < began + SENDS_S:
+        looks.append(asyncio.create_task(look(fleet, len(looks))))
+        await asyncio.sleep(max(0, began + len(looks) / LOOKS_PER_S - time.monotonic()))
+    answers = await asyncio.gather(*looks)
+    for task in clients:
+        task.cancel()
+    served = sum(answer.status == 200 for answer in answers)
+    fleet.note("sum", looks=len(answers), served=served, **counts)
+    print(f"{counts['sent']} requests of {len(request)} bytes without a known key, "
+          f"{counts['answered']} answered; {served} of {len(answers)} ordinary look-ups served")
+    return served == 0  # RULES.md, Fault: no request is served
 
 
 standins.play(__file__, case)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,24 +1,32 @@
-"""Kept turns with an input that is inside max_body_bytes and larger than one record of
-the store, in calm."""
+"""A request crashes each server that begins to run it, and comes again. Other requests
+of its team begin with the same shared part of the prompt."""
 
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit-4"))
 import standins  # noqa: E402
 
-LARGE = 300_000  # bytes; max_body_bytes is 4,194,304, record_bytes 262,144
-ORDINARY = 1_680
-TURNS = 10
+SERVERS = 12
+SOUND_PER_S = 10
+DEADLY_GAP_S = 2.0  # from the end of one copy to the next
+BACK_S = 3.0  # a crashed server is back
+RUN_S = 45
+CONTACT_S = 3.0  # contact_ms
+SHARED = b"You plan pressing days for the members of an orchard co-operative. " * 200
+# distinct: the other requests begin with bytes of their own; then the rule holds.
+VARIANT = os.environ.get("VARIANT", "")
+DEADLY = b"the input that crashes servers"
 
 CONFIG = {
     "version": 3,
-    "routes": [{"name": "talk", "host": "h.example", "path_prefix": "/talk/",
+    "routes": [{"name": "plan", "host": "h.example", "path_prefix": "/plan/",
                 "route_kind": "streaming", "timeout_ms": 4000, "target_latency_ms": 200,
-                "priority": 0, "service": "llm", "max_attempts": 2, "retained": True,
+                "priority": 1, "service": "llm", "max_attempts": 2, "retained": False,
                 "retention_s": 60, "public": False, "sticky": True,
-                "resumable": False, "gap_target_ms": 250}],
+                "resumable": True, "gap_target_ms": 250}],
     "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 210,
                   "protocol": "h1", "tls": False,
                   "runtime": {"slots": 24, "kv_capacity": 657246, "chunk_tokens": 20}}],
@@ -28,44 +36,83 @@
                  "rate_per_s": 302, "burst": 302}]}
 
 
+async def send(fleet, machine, body, prefix):
+    identity = fleet.new_id()
+    channel = standins.Channel(fleet.front(machine))
+    answer = await channel.send("POST", "/plan/x", {
+        "X-Attempt-Id": identity, "X-Deadline-Ms": "4000", "X-Model": "m",
+        "X-Token-Usage": "13400,60", "X-Prompt-Prefix": f"5c1e07a2:13400,{prefix}:20",
+        "Authorization": "Bearer key1"}, body)
+    channel.close()
+    fleet.note("request", id=identity, machine=machine + 1,
+               deadly=int(body.endswith(DEADLY)), answer=answer)
+    return answer
+
+
 async def case(fleet):
     await fleet.start_store(CONFIG)
-    for number in range(4):
-        await fleet.add_server(f"i-{number}", "llm")
+    crashes, tasks = [], []
+    deadly_runs = []  # at servers
+
+    def on_run(server):
+        def begins(headers, body):
+            if not body.endswith(DEADLY):
+                return False
+            deadly_runs.append((time.monotonic(), headers["x-attempt-id"], server.name))
+            if not fleet.trouble:
+                return False
+            crashes.append(time.monotonic())
+            fleet.note("crash", server=server.name, id=headers["x-attempt-id"],
+                       number=len(crashes))
+            tasks.append(asyncio.create_task(server.crash(BACK_S)))
+            return True
+        return begins
+
+    for number in range(SERVERS):
+        server = await fleet.add_server(f"i-{number:02d}", "llm")
+        server.on_run = on_run(server)
     await asyncio.gather(*(fleet.start(machine, first=True)
                            for machine in range(fleet.machines)))
     await fleet.wait_ready()
     await asyncio.sleep(4)
-    size = LARGE if fleet.trouble else ORDINARY
-    lost = whole = 0
-    channels = [standins.Channel(fleet.front(machine)) for machine in range(3)]
+    until = time.monotonic() + RUN_S
+    sound = []
+
+    async def send_sound():
+        number = 0
+        while time.monotonic() < until:
+            body = SHARED + b"question %d" % number
+            if VARIANT == "distinct":
+                body = b"question %d: " % number + SHARED
+            sound.append(asyncio.create_task(
+                send(fleet, number % 3, body, f"{number:08x}")))
+            number += 1
+            await asyncio.sleep(1 / SOUND_PER_S)
 
-    async def turn(channel, size):
-        identity = fleet.new_id()
-        kept = channel.writer is not None
-        answer = await channel.send("POST", "/talk/x", {
-            "X-Attempt-Id": identity, "X-Program-Id": identity[:6], "X-Session-Id": "s1",
-            "X-Program-Deadline-Ms": "60000", "X-Token-Budget": "6000",
-            "X-Token-Usage": f"{size},60", "X-Deadline-Ms": "4000", "X-Model": "m",
-            "Authorization": "Bearer key1"},
-            (identity.encode() * (size // 16 + 1))[:size], timeout=4.5)
-        ran = any(run[2] == identity for run in fleet.runs)
-        fleet.note("turn", id=identity, bytes=size, kept=int(kept), ran=int(ran),
-                   answer=answer, events=answer.events)
-        return kept and ran and not answer.whole, answer.status == 200 and answer.whole
+    sending = asyncio.create_task(send_sound())
+    sent = []
+    number = 0
+    while time.monotonic() < until:
+        sent.append(time.monotonic())
+        await send(fleet, number % 3, SHARED + DEADLY, "ffffffff")
+        number += 1
+        await asyncio.sleep(DEADLY_GAP_S)
+    await sending
+    answers = await asyncio.gather(*sound)
+    await asyncio.gather(*tasks)
 
-    for number in range(TURNS):
-        channel = channels[number % 3]
-        # An ordinary turn first, so that the channel is a kept one.
-        _, is_whole = await turn(channel, ORDINARY)
-        if not is_whole:
-            raise standins.CannotRun("an ordinary turn wasn't answered")
-        is_lost, is_whole = await turn(channel, size)
-        lost += is_lost
-        whole += is_whole
-    print(f"{TURNS} turns of {size} bytes: {whole} answered whole, {lost} ran at a server "
-          f"and ended without a whole answer on a kept channel")
-    return lost > 3
+    # Retries that reached a server, sent later than contact_ms after the third crash.
+    late = set()
+    if len(crashes) >= 3:
+        third = crashes[2]
+        late = {identity for at, identity, _ in deadly_runs if at > third + CONTACT_S}
+    served = sum(answer.status == 200 and answer.whole for answer in answers)
+    print(f"{number} copies of the request, {len(deadly_runs)} runs at servers, "
+          f"{len(crashes)} crashes; {len(late)} copies reached a server later than "
+          f"{CONTACT_S:.0f} s after the third crash, 3 are allowed; {served} of "
+          f"{len(answers)} sound requests served")
+    fleet.note("sum", crashes=len(crashes), late=len(late), allowed=3)
+    return len(late) > 3
 
 
 standins.play(__file__, case)
