--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 SERVERS = 12
 SPOILING = 4  # garble: a share of 0.35
 SPOILED = 0.02  # of their answers
-TURNS_PER_S = 30
+TURNS_PER_S = 45
 SENDS_S = 75
 SPOILED_BYTES = 70_000
 
