node: text from outside no longer ends the process

Cause: the id went into Last-Event-Id unchecked. Beast throws std::length_error above 65,533 bytes, and any exception ended the process.

Change: texts are checked where they are decoded, so that the next reader takes them too; event ids of resumable streams are decimal numbers. Exceptions of Beast become typed errors.

--- a/include/celerykeel/core/event_stream.h
+++ b/include/celerykeel/core/event_stream.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>      // for size_t
+#include <cstdint>      // for uint64_t
+#include <optional>     // for std::optional
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
 #include <vector>       // for std::vector
@@ -29,4 +31,9 @@
 std::vector<StreamEvent> AddBytes(EventSplitter& splitter,
                                   std::string_view bytes);
 
+/// @brief Returns the number of an event id; nothing if it is no decimal
+/// number of at most 19 digits. Ids of resumable streams increase, so they are
+/// numbers.
+std::optional<uint64_t> EventNumber(std::string_view id);
+
 }  // namespace celerykeel
--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -203,10 +203,12 @@
 void AssumeCeilingSpent(TurnLedger& ledger, bool is_first, Duration now);
 
 /// @brief Counts a turn as running with its max tokens. Repeating the request
-/// for a running turn succeeds and changes no count.
+/// for a running turn succeeds and changes no count. Like the other functions
+/// that count tokens it ends the process if it runs out of memory: half of a
+/// change could let a program exceed its budget.
 tl::expected<void, BudgetShortfall> AdmitTurn(TurnLedger& ledger,
                                               const TurnRequest& request,
-                                              Duration now);
+                                              Duration now) noexcept;
 
 /// @brief True if this holder may open a cover: an earlier holder may have
 /// granted free parts, and no second parts.
@@ -242,17 +244,18 @@
 /// @param is_confirmed as for IsCovered.
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
                                         const ProgramName& program,
-                                        bool is_confirmed);
+                                        bool is_confirmed) noexcept;
 
 /// @brief Applies the ceiling of a spend record that became durable.
-void ApplyDurableCeiling(TurnLedger& ledger, const SpendRecord& record);
+void ApplyDurableCeiling(TurnLedger& ledger,
+                         const SpendRecord& record) noexcept;
 
 /// @brief Records that a turn ended. Admissions that are processed later are
 /// refused for kEndedTurnTime.
 void RecordEnded(TurnLedger& ledger,
                  const std::string& team,
                  const std::string& turn,
-                 Duration now);
+                 Duration now) noexcept;
 
 /// @brief True if the turn's end was recorded within kEndedTurnTime.
 bool HasEnded(const TurnLedger& ledger,
@@ -269,7 +272,7 @@
                                       const std::string& turn,
                                       uint64_t used,
                                       uint64_t most_tokens,
-                                      Duration now);
+                                      Duration now) noexcept;
 
 /// @brief Finds a turn of the team; nullptr if the ledger has none.
 std::shared_ptr<const StoredTurn> FindTurn(const TurnLedger& ledger,
--- a/include/celerykeel/node/asio.h
+++ b/include/celerykeel/node/asio.h
@@ -12,8 +12,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <memory>    // for std::shared_ptr
-#include <optional>  // for std::optional
+#include <functional>   // for std::function
+#include <memory>       // for std::shared_ptr
+#include <optional>     // for std::optional
+#include <string_view>  // for std::string_view
 
 #include "celerykeel/core/time.h"  // for Duration
 
@@ -46,10 +48,16 @@
 Task<> Sleep(asio::io_context& loop, Duration duration);
 
 /// @brief Starts a coroutine that runs concurrently with the others. An
-/// exception that leaves it aborts the process, as it may leave state
-/// inconsistent.
+/// exception that leaves it aborts the process: the instance can't do its duty
+/// without the coroutine, and is restarted.
 void Spawn(asio::io_context& loop, Task<> task);
 
+/// @brief As Spawn, for a coroutine that others can do without: an exception
+/// ends it alone. Then `on_failure` is called with the exception's text.
+void Spawn(asio::io_context& loop,
+           Task<> task,
+           std::function<void(std::string_view)> on_failure);
+
 /// @brief A value that is set once, and that one coroutine at a time can wait
 /// for. A second Wait would end the first one early, without the value.
 template <typename T>
--- a/include/celerykeel/node/attempts.h
+++ b/include/celerykeel/node/attempts.h
@@ -29,6 +29,7 @@
   kOverLimit,    // not sent: the rate limits of the endpoints are used up
   kDeadly,       // not sent: the request has crashed endpoints
   kNotIsolated,  // not sent: may be deadly, and no endpoint is free to try it
+  kUnsendable,   // not sent: a header is too long
 };
 
 /// @brief An attempt; `reader`, `head` and `answer` are valid if `end` is
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -26,6 +26,7 @@
   prometheus::Family<prometheus::Counter>& turns;       // by outcome
   prometheus::Family<prometheus::Counter>& cold_waits;  // by outcome
   prometheus::Family<prometheus::Counter>& caller_limits;  // by limit
+  prometheus::Family<prometheus::Counter>& exceptions;     // by what they ended
   // First calls of programs that homes of rates and full services decided on,
   // by outcome.
   prometheus::Family<prometheus::Counter>& programs;
--- a/include/celerykeel/node/out_connection.h
+++ b/include/celerykeel/node/out_connection.h
@@ -72,7 +72,7 @@
 using OutConnectionPtr = std::shared_ptr<OutConnection>;
 
 /// @brief How new connections fail, for fault injection in tests.
-enum class ConnectFault { kNone, kRefused, kSilent };
+enum class ConnectFault { kNone, kRefused, kSilent, kThrows };
 
 /// @brief Idle connections by address, and those in use by Exchange.
 struct OutPool {
@@ -103,9 +103,10 @@
 };
 
 /// @brief How an exchange failed. The request may have been sent, completely or
-/// in part, in all cases but kNotConnected.
+/// in part, in all cases but kNotConnected and kUnsendable.
 enum class ExchangeError {
   kNotConnected,  // nothing was sent
+  kUnsendable,    // nothing was sent: a header is longer than Beast takes
   kSilent,        // timed out while sending or between bytes of the answer
   kClosed,        // the connection closed before the end of the answer
   kMalformed,     // the answer is invalid or exceeds a limit
--- a/src/celerykeel/core/event_stream.cc
+++ b/src/celerykeel/core/event_stream.cc
@@ -1,6 +1,8 @@
 #include "celerykeel/core/event_stream.h"
 
-#include <utility>  // for std::move
+#include <algorithm>  // for std::all_of
+#include <charconv>   // for std::from_chars
+#include <utility>    // for std::move
 
 namespace celerykeel {
 
@@ -74,4 +76,16 @@
   return events;
 }
 
+std::optional<uint64_t> EventNumber(std::string_view id) {
+  constexpr size_t kMaxDigits = 19;  // fits in 64 bits
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  if (id.empty() || id.size() > kMaxDigits ||
+      !std::all_of(id.begin(), id.end(), is_digit)) {
+    return std::nullopt;
+  }
+  uint64_t number = 0;
+  std::from_chars(id.data(), id.data() + id.size(), number);
+  return number;
+}
+
 }  // namespace celerykeel
--- a/src/celerykeel/core/event_stream_unittest.cc
+++ b/src/celerykeel/core/event_stream_unittest.cc
@@ -23,5 +23,14 @@
   }
 }
 
+TEST_CASE("an event id is a decimal number") {
+  CHECK(EventNumber("0") == 0);
+  CHECK(EventNumber("9999999999999999999") == 9999999999999999999U);
+  for (const char* bad :
+       {"", "-1", "+1", "1 ", "0x1", "1.5", "\xf3", "10000000000000000000"}) {
+    CHECK_FALSE(EventNumber(bad).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace celerykeel
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -197,7 +197,7 @@
 
 tl::expected<void, BudgetShortfall> AdmitTurn(TurnLedger& ledger,
                                               const TurnRequest& request,
-                                              Duration now) {
+                                              Duration now) noexcept {
   ProgramSpend& spend = FindOrAddSpend(ledger, request.program, now);
   spend.used_at = now;
   spend.budget = request.budget;
@@ -234,7 +234,7 @@
 
 std::optional<SpendRecord> RaiseCeiling(TurnLedger& ledger,
                                         const ProgramName& program,
-                                        bool is_confirmed) {
+                                        bool is_confirmed) noexcept {
   ProgramSpend& spend = ledger.programs[program];
   const uint64_t wanted = TargetCeiling(spend);
   if (wanted <= spend.requested_ceiling ||
@@ -245,7 +245,8 @@
   return RecordOf(program, spend);
 }
 
-void ApplyDurableCeiling(TurnLedger& ledger, const SpendRecord& record) {
+void ApplyDurableCeiling(TurnLedger& ledger,
+                         const SpendRecord& record) noexcept {
   const auto found = ledger.programs.find(record.program);
   if (found != ledger.programs.end()) {
     // A newer record in flight may have lowered the ceiling already.
@@ -257,7 +258,7 @@
 void RecordEnded(TurnLedger& ledger,
                  const std::string& team,
                  const std::string& turn,
-                 Duration now) {
+                 Duration now) noexcept {
   EndedTurns& ended = ledger.ended;
   if (!ended.turns.emplace(team, turn).second) {
     return;
@@ -279,7 +280,7 @@
                                       const std::string& turn,
                                       uint64_t used,
                                       uint64_t most_tokens,
-                                      Duration now) {
+                                      Duration now) noexcept {
   ProgramSpend& spend = FindOrAddSpend(ledger, program, now);
   spend.used_at = now;
   spend.largest = std::max(spend.largest, most_tokens);
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr int kTooMany = 429;
+constexpr int kHeadTooLarge = 431;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -250,6 +251,15 @@
   CountCrossing(node, endpoint, endpoint.id == call->preferred_endpoint);
   const auto until = Until(HeadTimeout(*call));
   const auto unsent = co_await SendRequest(*connection, out, TimeLeft(*call));
+  if (unsent == ExchangeError::kUnsendable) {
+    --call->runs;
+    attempt.run->Finish();
+    Close(*connection);
+    call->attempt = nullptr;
+    attempt.end = AttemptEnd::kUnsendable;
+    LogAttempt(node, *call, attempt, "header too long");
+    co_return attempt;
+  }
   // A server may answer before it has read the complete body, so the answer is
   // read even if sending failed.
   auto head = co_await ReadHeadOfAnswer(node, *call, endpoint, attempt,
@@ -375,6 +385,7 @@
     case AttemptEnd::kOverLimit:
     case AttemptEnd::kDeadly:
     case AttemptEnd::kNotIsolated:
+    case AttemptEnd::kUnsendable:
       return true;
     default:
       return false;
@@ -402,6 +413,9 @@
             "not run: the request may crash endpoints, and can't run alone now",
             std::max(call.suspect_retry, kIsolationRetry)};
   }
+  if (end == AttemptEnd::kUnsendable) {
+    return {kHeadTooLarge, "not run: a header is too long to be sent on", {}};
+  }
   if (end == AttemptEnd::kTimedOut) {
     return call.runs > 0
                ? CallRefusal{kGatewayTimeout, "no answer in time", {}}
--- a/src/celerykeel/node/caller_server.cc
+++ b/src/celerykeel/node/caller_server.cc
@@ -14,6 +14,7 @@
 #include "celerykeel/core/connection_limits.h"  // for JudgeConnection
 #include "celerykeel/node/call_path.h"          // for ServeCall
 #include "celerykeel/node/fleet.h"              // for LeaveFleet
+#include "celerykeel/node/isolated_task.h"      // for SpawnIsolated
 #include "celerykeel/node/node.h"               // for Node
 #include "celerykeel/node/request_reader.h"     // for ReadRequest
 
@@ -112,6 +113,36 @@
   return is_closed;
 }
 
+void EndConnection(Node& node, const CallerStreamPtr& caller) {
+  RemoveCaller(node, caller);
+  caller->memory.reset();
+  caller->read_timer.cancel();
+  ErrorCode ignored;  // the connection ends in any case
+  if (!caller->aborted) {
+    caller->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  caller->stream.socket().close(ignored);
+}
+
+// Counts a call as under way during the lifetime of this object.
+class CallUnderWay {
+ public:
+  explicit CallUnderWay(Node& of_node) : node(of_node) {
+    ++this->node.calls_under_way;
+  }
+  ~CallUnderWay() { --this->node.calls_under_way; }
+  CallUnderWay(const CallUnderWay&) = delete;
+  CallUnderWay& operator=(const CallUnderWay&) = delete;
+
+ private:
+  Node& node;
+};
+
+Task<> ServeCounted(Node& node, CallerStreamPtr caller, CallRequest request) {
+  const CallUnderWay counted(node);
+  co_await ServeCall(node, caller, std::move(request));
+}
+
 Task<> ServeConnection(Node& node, CallerStreamPtr caller) {
   // Errors are ignored: without TCP_NODELAY the kernel may delay small writes,
   // but answers still arrive completely.
@@ -130,9 +161,7 @@
     caller->busy = true;
     caller->head_sent = false;
     WatchCaller(caller);
-    ++node.calls_under_way;
-    co_await ServeCall(node, caller, std::move(*request));
-    --node.calls_under_way;
+    co_await ServeCounted(node, caller, std::move(*request));
     caller->busy = false;
     may_read = caller->keep_alive;
     caller->on_caller_disconnect = nullptr;
@@ -146,21 +175,20 @@
     ErrorCode ignored;
     caller->stream.socket().cancel(ignored);
   }
-  RemoveCaller(node, caller);
-  caller->memory.reset();
-  caller->read_timer.cancel();
-  ErrorCode ignored;  // the connection ends in any case
-  if (!caller->aborted) {
-    caller->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-  }
-  caller->stream.socket().close(ignored);
+  EndConnection(node, caller);
 }
 
 void Admit(Node& node, Tcp::socket socket) {
   auto caller = std::make_shared<CallerStream>(std::move(socket));
   AddCaller(node, caller);
   if (MayStay(node, caller)) {
-    Spawn(node.io, ServeConnection(node, std::move(caller)));
+    SpawnIsolated(node, "caller", ServeConnection(node, caller),
+                  [&node, caller] {
+                    // Whether the call has run is not known.
+                    AbortAnswer(caller);
+                    caller->on_caller_disconnect = nullptr;
+                    EndConnection(node, caller);
+                  });
   } else {
     RemoveCaller(node, caller);
   }
@@ -230,7 +258,7 @@
     LimitStatusConnections(connections);
     auto caller = std::make_shared<CallerStream>(std::move(socket));
     connections.push_back(caller);
-    Spawn(node.io, AnswerStatus(std::move(caller), source));
+    SpawnIsolated(node, "status", AnswerStatus(std::move(caller), source));
   }
 }
 
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -117,6 +117,9 @@
       caller_limits(Counters(this->registry,
                              "caller_limits",
                              "Callers refused or disconnected, by limit.")),
+      exceptions(Counters(this->registry,
+                          "exceptions",
+                          "Unexpected exceptions, by what they ended.")),
       programs(Counters(this->registry,
                         "programs",
                         "First calls of programs while their team is short of "
--- a/src/celerykeel/node/out_connection.cc
+++ b/src/celerykeel/node/out_connection.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>   // for recv
 
 #include <algorithm>  // for std::min
+#include <stdexcept>  // for std::length_error
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"          // for Now
@@ -104,6 +105,9 @@
     co_return idle;
   }
   const auto endpoint = ParseAddress(address);
+  if (pool.fault == ConnectFault::kThrows) {
+    throw std::length_error("injected");
+  }
   if (pool.fault == ConnectFault::kSilent) {
     co_await Sleep(loop, timeout);
   }
@@ -189,10 +193,12 @@
                 [](const auto& entry) { return entry.second.empty(); });
 }
 
-Task<std::optional<ExchangeError>> SendRequest(OutConnection& connection,
-                                               const OutRequest& request,
-                                               Duration timeout) {
-  http::request<http::span_body<const char>> message;
+namespace {
+
+using Message = http::request<http::span_body<const char>>;
+
+// @return false if a name or a value is longer than Beast's fields take.
+bool Fill(Message& message, const OutRequest& request) try {
   message.version(kVersion11);
   message.method_string({request.method.data(), request.method.size()});
   message.target({request.target.data(), request.target.size()});
@@ -211,6 +217,20 @@
       request.method == "PUT") {
     message.content_length(request.body.size());
   }
+  return true;
+} catch (const std::length_error&) {
+  return false;
+}
+
+}  // namespace
+
+Task<std::optional<ExchangeError>> SendRequest(OutConnection& connection,
+                                               const OutRequest& request,
+                                               Duration timeout) {
+  Message message;
+  if (!Fill(message, request)) {
+    co_return ExchangeError::kUnsendable;
+  }
   connection.stream.expires_after(ToSteadyDuration(timeout));
   ErrorCode error;
   connection.request_bytes =
--- a/src/celerykeel/node/peer_answer.cc
+++ b/src/celerykeel/node/peer_answer.cc
@@ -7,6 +7,7 @@
 #include "celerykeel/node/endpoint_feed.h"    // for ApplyEndpointNews
 #include "celerykeel/node/endpoint_speeds.h"  // for ApplySpeedNews
 #include "celerykeel/node/feeds.h"            // for GetDeploymentSoon
+#include "celerykeel/node/isolated_task.h"    // for SpawnIsolated
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/operator_feed.h"    // for ApplyOperatorNews
 #include "celerykeel/node/rate_lending.h"   // for LendToPeer, ApplyLoanReports
@@ -184,19 +185,19 @@
       OnHeartbeat(node, frame.heartbeat());
       return;
     case pb::NodeFrame::kAdmission:
-      Spawn(node.io, OnAdmission(node, peer, frame));
+      SpawnIsolated(node, "admission", OnAdmission(node, peer, frame));
       return;
     case pb::NodeFrame::kEnd:
-      Spawn(node.io, OnTurnEnd(node, peer, frame));
+      SpawnIsolated(node, "turn end", OnTurnEnd(node, peer, frame));
       return;
     case pb::NodeFrame::kStoreCall:
-      Spawn(node.io, OnStoreCall(node, peer, frame));
+      SpawnIsolated(node, "store call", OnStoreCall(node, peer, frame));
       return;
     case pb::NodeFrame::kLookup:
-      Spawn(node.io, OnLookup(node, peer, frame));
+      SpawnIsolated(node, "look-up", OnLookup(node, peer, frame));
       return;
     case pb::NodeFrame::kRateWish:
-      Spawn(node.io, OnLoanRequest(node, peer, frame));
+      SpawnIsolated(node, "loan request", OnLoanRequest(node, peer, frame));
       return;
     case pb::NodeFrame::kEndpointNews:
       ApplyEndpointNews(node, frame.endpoint_news());
@@ -221,7 +222,8 @@
       return;
     case pb::NodeFrame::kTunnelOpen:
       peer->is_tunnel = true;
-      Spawn(node.io, ServeTunnel(node, peer, frame.tunnel_open()));
+      SpawnIsolated(node, "tunnel",
+                    ServeTunnel(node, peer, frame.tunnel_open()));
       return;
     case pb::NodeFrame::kStreamBegan:
       RecordStreamBegan(node, frame.stream_began());
@@ -295,7 +297,8 @@
     if (node.unknown_peers < kMaxUnknownPeers) {
       std::weak_ptr<PeerSocket> weak = peer;
       Spawn(node.io, CloseIfUnknown(node, std::move(weak)));
-      Spawn(node.io, ServePeer(node, std::move(peer)));
+      SpawnIsolated(node, "peer", ServePeer(node, peer),
+                    [peer] { ClosePeer(peer); });
     }
   }
 }
--- a/src/celerykeel/node/request_reader.cc
+++ b/src/celerykeel/node/request_reader.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>  // for std::count_if, std::max, std::min
 #include <iterator>   // for std::distance
+#include <stdexcept>  // for std::length_error
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"      // for Now
@@ -102,6 +103,17 @@
   return reading.needs_bytes || reading.caller->buffer.size() == 0;
 }
 
+// Beast throws for a field that is longer than its fields take, which the limit
+// for the head may allow.
+size_t Parse(RequestParser& parser,
+             const boost::beast::flat_buffer& buffer,
+             ErrorCode& error) try {
+  return parser.put(buffer.data(), error);
+} catch (const std::length_error&) {
+  error = http::error::header_limit;
+  return 0;
+}
+
 // Parses what has been read, and reads before if that is not enough. Beast's
 // own operations read until a head or a chunk's header is complete, however
 // slowly it arrives.
@@ -121,7 +133,7 @@
     buffer.commit(count);
   }
   const bool is_head = !reading.parser.is_header_done();
-  const size_t parsed = reading.parser.put(buffer.data(), reading.error);
+  const size_t parsed = Parse(reading.parser, buffer, reading.error);
   buffer.consume(parsed);
   reading.head_bytes += is_head ? parsed : 0;
   reading.needs_bytes = reading.error == http::error::need_more;
--- a/src/celerykeel/node/store_client.cc
+++ b/src/celerykeel/node/store_client.cc
@@ -42,6 +42,8 @@
   switch (error) {
     case ExchangeError::kNotConnected:
       return "not connected";
+    case ExchangeError::kUnsendable:
+      return "unsendable";
     case ExchangeError::kSilent:
       return "silent";
     case ExchangeError::kClosed:
--- a/src/celerykeel/node/tunnel.cc
+++ b/src/celerykeel/node/tunnel.cc
@@ -15,6 +15,7 @@
 #include "celerykeel/core/millis.h"         // for Millis
 #include "celerykeel/node/delivery.h"       // for AwaitDelivery
 #include "celerykeel/node/endpoint_link.h"  // for ConnectDirectly
+#include "celerykeel/node/isolated_task.h"  // for SpawnIsolated
 #include "celerykeel/node/node.h"           // for Node
 
 namespace celerykeel {
@@ -296,8 +297,9 @@
       CloseTunnel(*tunnel);
     }
   });
-  Spawn(node.io, CopyToEndpoint(tunnel));
-  Spawn(node.io, CopyToPeer(node.io, tunnel));
+  const auto close = [tunnel] { CloseTunnel(*tunnel); };
+  SpawnIsolated(node, "tunnel", CopyToEndpoint(tunnel), close);
+  SpawnIsolated(node, "tunnel", CopyToPeer(node.io, tunnel), close);
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -1,10 +1,12 @@
 #include "celerykeel/node/turn_path.h"
 
-#include <algorithm>  // for std::min
+#include <algorithm>  // for std::any_of, std::min
+#include <exception>  // for std::exception_ptr
 #include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"          // for Now
 #include "celerykeel/core/event_stream.h"   // for EventSplitter
+#include "celerykeel/node/attempt_log.h"    // for LogAttempt
 #include "celerykeel/node/attempts.h"       // for StartAttempt
 #include "celerykeel/node/endpoint_link.h"  // for ReturnToEndpointPool
 #include "celerykeel/node/isolation.h"      // for Isolation
@@ -101,6 +103,16 @@
   co_return true;
 }
 
+// True if an event's id is not what a sound endpoint sends on a route whose
+// streams may be resumed. Whoever resumes the stream sends the id in a header.
+bool HasUnreadableId(const CallRoute& route,
+                     const std::vector<StreamEvent>& events) {
+  return route.resumable &&
+         std::any_of(events.begin(), events.end(), [](const StreamEvent& one) {
+           return !one.id.empty() && !EventNumber(one.id);
+         });
+}
+
 // Records events that are about to be relayed, and returns their bytes.
 std::string RecordRelayed(Call& call,
                           Relay& relay,
@@ -149,6 +161,10 @@
         relay.output.size() > node.options.store_record_bytes) {
       co_return StreamEnd::kAborted;
     }
+    if (HasUnreadableId(*call->route, events)) {
+      LogAttempt(node, *call, attempt, "unreadable event id");
+      co_return StreamEnd::kAborted;
+    }
     if (events.empty()) {
       continue;
     }
@@ -320,6 +336,20 @@
   co_await Refuse(node, call, RefusalAfter(node, *call, end));
 }
 
+// As RunTurn. If it throws, the holder still learns what the turn has used.
+Task<> RunTurnOrReport(Node& node, CallPtr call, Relay& relay) {
+  std::exception_ptr thrown;
+  try {
+    co_await RunTurn(node, call, relay);
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  if (thrown) {
+    ReportAbortedTurn(node, *call, relay);
+    std::rethrow_exception(thrown);
+  }
+}
+
 ProgramName ProgramOf(const Call& call) {
   return {call.team == nullptr ? "" : call.team->name,
           call.request.header_values.program};
@@ -406,7 +436,7 @@
     ReportAbortedTurn(node, *call, relay);
     co_return;
   }
-  co_await RunTurn(node, call, relay);
+  co_await RunTurnOrReport(node, call, relay);
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/testing/endpoint_standin.cc
+++ b/src/celerykeel/testing/endpoint_standin.cc
@@ -61,6 +61,11 @@
              : fmt::format("{:x}\r\n{}\r\n", text.size(), text);
 }
 
+SpoiledEvent SpoiledEventOf(EndpointStandin& endpoint) {
+  const std::lock_guard lock(endpoint.mutex);
+  return endpoint.spoiled;
+}
+
 // Longer than any caller waits.
 constexpr Duration kLongSilence = std::chrono::seconds(30);
 
@@ -82,6 +87,7 @@
     head += fmt::format("{}: {}\r\n", name, value);
   }
   head += "\r\n";
+  const SpoiledEvent spoiled = SpoiledEventOf(endpoint);
   bool keep_open = co_await Write(connection, std::move(head));
   while (keep_open && endpoint.streams_only_comments) {
     keep_open = co_await Write(connection, "1\r\n:\r\n");
@@ -92,11 +98,16 @@
         event > endpoint.close_after_events) {
       co_return false;
     }
+    const bool is_spoiled = event == spoiled.number;
     const std::string text =
-        fmt::format("id: {}\ndata: e{}{}\n\n", event, event,
-                    std::string(endpoint.event_filler_bytes, 'x'));
+        fmt::format("{}\ndata: e{}{}\n\n",
+                    is_spoiled ? spoiled.id_line : fmt::format("id: {}", event),
+                    event, std::string(endpoint.event_filler_bytes, 'x'));
     std::string piece = Framed(endpoint, text);
     keep_open = co_await Write(connection, std::move(piece));
+    if (is_spoiled && !spoiled.goes_on) {
+      co_return false;
+    }
     co_await Sleep(loop, std::chrono::milliseconds(endpoint.pause_ms));
   }
   if (endpoint.ends_inside_event) {
@@ -351,6 +362,11 @@
   endpoint.raw_answer = std::move(bytes);
 }
 
+void SetSpoiled(EndpointStandin& endpoint, SpoiledEvent spoiled) {
+  const std::lock_guard lock(endpoint.mutex);
+  endpoint.spoiled = std::move(spoiled);
+}
+
 int RunsOf(EndpointStandin& endpoint, const std::string& id) {
   const std::lock_guard lock(endpoint.mutex);
   return endpoint.runs[id];
--- a/src/celerykeel/testing/endpoint_standin.h
+++ b/src/celerykeel/testing/endpoint_standin.h
@@ -35,6 +35,13 @@
   kReadsOn,  // reads the complete body and closes
 };
 
+/// @brief One event of each stream that a faulty endpoint spoils.
+struct SpoiledEvent {
+  int number = 0;        // of the event, from 1; 0: none
+  std::string id_line;   // instead of the event's own
+  bool goes_on = false;  // else it breaks the stream off after the event
+};
+
 /// @brief Stand-in for a model engine or a plain service. Answers a POST below
 /// /stream/ with events, and any other request with a short body.
 struct EndpointStandin {
@@ -82,6 +89,7 @@
   std::atomic<int> most_streams{0};  // that were under way at once
   StandinSockets sockets;
   std::string raw_answer;           // see SetRawAnswer; guarded by `mutex`
+  SpoiledEvent spoiled;             // guarded by `mutex`
   std::mutex mutex;                 // guards the members below
   std::map<std::string, int> runs;  // by request id
   std::vector<std::chrono::steady_clock::time_point> arrivals;  // of requests
@@ -102,6 +110,9 @@
 /// connection. Empty: it answers again.
 void SetRawAnswer(EndpointStandin& endpoint, std::string bytes);
 
+/// @brief Lets the endpoint spoil an event of each stream from now on.
+void SetSpoiled(EndpointStandin& endpoint, SpoiledEvent spoiled);
+
 /// @brief Returns how many times the endpoint ran a request.
 int RunsOf(EndpointStandin& endpoint, const std::string& id);
 
