node: a resumable stream goes on only after a confirmed event id

Cause: the last id that was relayed decided where the next server goes on, and was taken as it came. Nothing compared it with the ids before, with the number that was due, or a resumed stream's first id with the point of its resumption. A stream without ids began anew behind what had been relayed.

Change: core/event_sequence checks the ids of all servers of an answer. An id that doesn't increase breaks the stream off. An event with the next number is relayed at once; one that leaves numbers out waits for the event after it or the sound end, and is dropped if the stream breaks, so that the caller doesn't get its id either.

--- a/include/celerykeel/node/call_path.h
+++ b/include/celerykeel/node/call_path.h
@@ -7,6 +7,7 @@
 
 #include "celerykeel/core/call_request.h"      // for CallRequest
 #include "celerykeel/core/deployment.h"        // for Deployment, CallRoute
+#include "celerykeel/core/event_sequence.h"    // for EventSequence
 #include "celerykeel/core/request_identity.h"  // for RequestIdentity
 #include "celerykeel/core/stream_origin.h"     // for StreamOrigin
 #include "celerykeel/node/asio.h"              // for Task
@@ -40,8 +41,8 @@
   uint32_t runs = 0;   // tries in which the endpoint may have run it
   // Set once the first event is relayed; only the same version continues.
   std::optional<StreamOrigin> origin;
-  std::string last_event;                 // id of the last relayed event
-  uint64_t events = 0;                    // relayed events
+  EventSequence sequence;  // on routes whose streams may be resumed
+  uint64_t events = 0;     // relayed events
   std::optional<RatePermit> rate_permit;  // until SettleRate
   Duration rate_retry{};         // delay before a retry after kOverRate
   Duration limit_retry{};        // likewise after kOverLimit
--- a/src/celerykeel/node/attempts.cc
+++ b/src/celerykeel/node/attempts.cc
@@ -65,7 +65,7 @@
                                             PriorityOf(*call.route, call.team),
                                             call.begins_program))
                   : std::nullopt,
-          .resume_after = call.last_event};
+          .resume_after = call.sequence.last_id};
 }
 
 // Reads a complete body. Fails if it is too long, or if all bodies that are
--- a/src/celerykeel/node/foreign_text_unittest.cc
+++ b/src/celerykeel/node/foreign_text_unittest.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "celerykeel/core/event_stream.h"    // for AddBytes
 #include "celerykeel/node/calls_unittest.h"  // for TurnHeaders
 #include "celerykeel/node/out_connection.h"  // for SendRequest
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
@@ -17,6 +18,42 @@
     "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
     "id: 4\ndata: e4\n\n";
 
+// Returns the data of the events of a stream.
+std::string PiecesOf(const std::string& body) {
+  std::string pieces;
+  EventSplitter splitter;
+  for (const StreamEvent& event : AddBytes(splitter, body)) {
+    pieces += event.data + ' ';
+  }
+  return pieces;
+}
+
+// Sends a stream's request and returns the events that arrive, also of a stream
+// that is broken off.
+std::string ReceivedOf(NodeFleet& fleet, const HeaderList& headers) {
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  socket.connect(fleet.CallersAddress(0));
+  std::string request =
+      "POST /stream/plain/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n";
+  for (const auto& [name, value] : headers) {
+    request += name + ": " + value + "\r\n";
+  }
+  asio::write(socket, asio::buffer(request + "\r\n"));
+  std::string answer;
+  ErrorCode end;
+  asio::read(socket, asio::dynamic_buffer(answer), end);
+  std::string events;
+  for (size_t at = answer.find("id: "); at != std::string::npos;
+       at = answer.find("id: ", at)) {
+    const size_t after = answer.find("\n\n", at) + 2;
+    events += answer.substr(at, after - at);
+    at = after;
+  }
+  return events;
+}
+
 // Guards against an endpoint that ends the process: the instance resumed a
 // broken stream after an event whose id no header can hold, or that the next
 // endpoint takes for no id.
@@ -42,6 +79,63 @@
   }
 }
 
+// Guards against pieces that come twice or are missing in a complete answer: an
+// endpoint spoils one byte of an id and breaks the stream off, or goes on.
+TEST_CASE("a spoiled event id does not decide where a stream goes on") {
+  NodeFleet fleet(2);
+  REQUIRE(fleet.WaitUntilServing());
+  bool is_relayed = false;
+  SUBCASE("directly") {}
+  SUBCASE("over a tunnel") {
+    is_relayed = true;
+    fleet.CutOff(0, ConnectFault::kRefused);
+  }
+  CAPTURE(is_relayed);
+  int calls = 0;
+  for (const int number : {1, 2, 4}) {
+    for (const char* line : {"id: 0", "id: 92", "id: 3", "id:", "ie: 2", ""}) {
+      for (const bool goes_on : {false, true}) {
+        CAPTURE(number);
+        CAPTURE(line);
+        CAPTURE(goes_on);
+        SetSpoiled(fleet.endpoints[0],
+                   {.number = number, .id_line = line, .goes_on = goes_on});
+        for (int i = 0; i < 3; ++i) {
+          const std::string name = "c" + std::to_string(++calls);
+          const auto answer = fleet.Send(0, "POST", "/stream/plain/x",
+                                         TurnHeaders(name, name, "", 9999), "");
+          CHECK(answer.status == 200);
+          CHECK(PiecesOf(answer.body) == "e1 e2 e3 e4 ");
+        }
+      }
+    }
+  }
+}
+
+// Guards against a caller that takes a stream up after a spoiled id: it was
+// relayed to the caller as the last event before both endpoints broke off.
+TEST_CASE("a caller never gets an id after which the stream can't go on") {
+  NodeFleet fleet(1);
+  REQUIRE(fleet.WaitUntilServing());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    SetSpoiled(endpoint, {.number = 3, .id_line = "id: 92"});
+  }
+  CHECK(ReceivedOf(fleet, TurnHeaders("a", "a", "", 9999)) ==
+        "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    SetSpoiled(endpoint, {.number = 3, .id_line = "id: 1"});
+  }
+  HeaderList take_up = TurnHeaders("b", "a", "", 9999);
+  take_up.emplace_back("Last-Event-Id", "2");
+  take_up.emplace_back("Resumes", "a");
+  CHECK(ReceivedOf(fleet, take_up).empty());
+  for (EndpointStandin& endpoint : fleet.endpoints) {
+    SetSpoiled(endpoint, {});
+  }
+  take_up[0].second = "c";
+  CHECK(ReceivedOf(fleet, take_up) == "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n");
+}
+
 // Guards against a caller that ends the process before its key is checked, with
 // a value that the configured limit allows.
 TEST_CASE("a header value that no message can hold is refused") {
--- a/src/celerykeel/node/turn_path.cc
+++ b/src/celerykeel/node/turn_path.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/node/turn_path.h"
 
-#include <algorithm>  // for std::any_of, std::min
+#include <algorithm>  // for std::min
 #include <exception>  // for std::exception_ptr
 #include <utility>    // for std::move
 
@@ -103,16 +103,6 @@
   co_return true;
 }
 
-// True if an event's id is not what a sound endpoint sends on a route whose
-// streams may be resumed. Whoever resumes the stream sends the id in a header.
-bool HasUnreadableId(const CallRoute& route,
-                     const std::vector<StreamEvent>& events) {
-  return route.resumable &&
-         std::any_of(events.begin(), events.end(), [](const StreamEvent& one) {
-           return !one.id.empty() && !EventNumber(one.id);
-         });
-}
-
 // Records events that are about to be relayed, and returns their bytes.
 std::string RecordRelayed(Call& call,
                           Relay& relay,
@@ -126,13 +116,56 @@
     }
     relay.tokens += relay.tokens_per_event;
     ++call.events;
-    if (!event.id.empty()) {
-      call.last_event = event.id;
-    }
   }
   return piece;
 }
 
+// Relays events that are known to be sound.
+// @return why the stream must end; nothing if it goes on.
+Task<std::optional<StreamEnd>> Deliver(Node& node,
+                                       CallPtr call,
+                                       Attempt& attempt,
+                                       Relay& relay,
+                                       std::vector<StreamEvent> events) {
+  if (events.empty()) {
+    co_return std::nullopt;
+  }
+  if (!co_await MayDeliver(node, call, relay)) {
+    co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
+                                            : StreamEnd::kNotCovered;
+  }
+  if (!call->origin) {
+    call->origin = StreamOrigin{call->service, attempt.version};
+    if (call->route->resumable) {
+      ReportStreamBegan(node, StreamBeganOf(*call, relay.permit.slot));
+    }
+  }
+  if (Now() > attempt.run->BeganAt() + kBeginTime) {
+    call->isolation = nullptr;  // the next suspect may begin there
+  }
+  std::string piece = RecordRelayed(*call, relay, events);
+  if (call->route->retained) {
+    // Without memory the turn goes on: its output is at most one record.
+    call->caller->memory->Add(piece.size());
+  }
+  attempt.counted->AddBytes(piece.size());
+  if (!call->caller->head_sent) {
+    co_await BeginStream(call->caller, attempt.head.status,
+                         attempt.head.headers);
+  }
+  co_await SendBodyChunk(call->caller, std::move(piece));
+  if (!call->first_event_after) {
+    call->first_event_after = Now() - call->arrived_at;
+    Observe(node.metrics.first_event_seconds, *call->first_event_after);
+  }
+  co_return std::nullopt;
+}
+
+CheckedEvents CheckedFor(Call& call, std::vector<StreamEvent> events) {
+  return call.route->resumable ? CheckEvents(call.sequence, std::move(events))
+                               : CheckedEvents{std::move(events), false};
+}
+
 // Relays only complete events, as an endpoint may stop inside one. An event
 // that is too long, or retained output above a store record, aborts the stream.
 Task<StreamEnd> RelayEvents(Node& node,
@@ -154,48 +187,29 @@
         co_return StreamEnd::kAborted;
       }
       const bool is_whole = co_await IsWhole(node, *call, attempt);
-      co_return is_whole ? StreamEnd::kComplete : StreamEnd::kAborted;
+      if (!is_whole) {
+        co_return StreamEnd::kAborted;
+      }
+      const auto end = co_await Deliver(node, call, attempt, relay,
+                                        CompleteSequence(call->sequence));
+      co_return end.value_or(StreamEnd::kComplete);
     }
-    const std::vector<StreamEvent> events = AddBytes(splitter, **some);
+    std::vector<StreamEvent> events = AddBytes(splitter, **some);
     if (splitter.partial.size() > kMaxEventBytes ||
         relay.output.size() > node.options.store_record_bytes) {
       co_return StreamEnd::kAborted;
     }
-    if (HasUnreadableId(*call->route, events)) {
-      LogAttempt(node, *call, attempt, "unreadable event id");
-      co_return StreamEnd::kAborted;
-    }
-    if (events.empty()) {
-      continue;
+    if (!events.empty()) {
+      attempt.timer->Answered();
     }
-    attempt.timer->Answered();
-    if (!co_await MayDeliver(node, call, relay)) {
-      co_return TimeLeft(*call) <= kEndMargin ? StreamEnd::kTimedOut
-                                              : StreamEnd::kNotCovered;
+    CheckedEvents checked = CheckedFor(*call, std::move(events));
+    if (const auto end = co_await Deliver(node, call, attempt, relay,
+                                          std::move(checked.events))) {
+      co_return *end;
     }
-    if (!call->origin) {
-      call->origin = StreamOrigin{call->service, attempt.version};
-      if (call->route->resumable) {
-        ReportStreamBegan(node, StreamBeganOf(*call, relay.permit.slot));
-      }
-    }
-    if (Now() > attempt.run->BeganAt() + kBeginTime) {
-      call->isolation = nullptr;  // the next suspect may begin there
-    }
-    std::string piece = RecordRelayed(*call, relay, events);
-    if (call->route->retained) {
-      // Without memory the turn goes on: its output is at most one record.
-      call->caller->memory->Add(piece.size());
-    }
-    attempt.counted->AddBytes(piece.size());
-    if (!call->caller->head_sent) {
-      co_await BeginStream(call->caller, attempt.head.status,
-                           attempt.head.headers);
-    }
-    co_await SendBodyChunk(call->caller, std::move(piece));
-    if (!call->first_event_after) {
-      call->first_event_after = Now() - call->arrived_at;
-      Observe(node.metrics.first_event_seconds, *call->first_event_after);
+    if (checked.is_spoiled) {
+      LogAttempt(node, *call, attempt, "spoiled event id");
+      co_return StreamEnd::kAborted;
     }
   }
 }
@@ -262,7 +276,8 @@
 }
 
 bool MayResume(const Call& call) {
-  return call.route->resumable && MayTry(call);  // at another endpoint
+  return call.route->resumable && CanResume(call.sequence) &&
+         MayTry(call);  // at another endpoint
 }
 
 Task<> RunTurn(Node& node, CallPtr call, Relay& relay) {
@@ -290,6 +305,7 @@
       } else {
         const StreamEnd stream_end =
             co_await RelayEvents(node, call, attempt, relay);
+        BreakSequence(call->sequence);
         const auto connection = std::exchange(call->attempt, nullptr);
         if (stream_end == StreamEnd::kComplete) {
           HandleCompletion(node, *attempt.run);
@@ -381,6 +397,7 @@
 Task<> ServeTurn(Node& node, CallPtr call) {
   Relay relay;
   relay.permit.slot = SlotOfCall(node, *call);
+  call->sequence = BeginSequence(call->request.header_values.last_event);
   if (const auto service = call->deployment->services.find(call->service);
       service != call->deployment->services.end() && service->second.engine) {
     relay.tokens_per_event = service->second.engine->tokens_per_event;
