node, core, wire: sound requests that begin alike no longer clear a deadly one

Cause: team, path and the first 256 bytes were the identity of a request, and each sound one that completed cleared all its crashes.

Change: crashes are recorded by whole body; requests that begin alike count as copies of one until one of them completes, and by themselves afterwards. A body that has crashed nothing is tried alone after 30 s in place of being refused for ten minutes.

--- a/include/celerykeel/core/crash_records.h
+++ b/include/celerykeel/core/crash_records.h
@@ -41,6 +41,10 @@
 /// the request may have caused the crash. A request that completes has caused
 /// none, so it is removed, and the other requests of its crashes remain as the
 /// possible causes.
+///
+/// Copies of a deadly request may differ in length. So all requests of a group
+/// count as copies of one, until one of them completes: then the group has
+/// sound requests too, and each request counts by itself.
 struct CrashRecords {
   struct Crash {
     Duration at{};
@@ -53,8 +57,16 @@
     Duration seen_at{};               // see CrashedRun
   };
 
+  struct Group {
+    std::set<RequestIdentity> suspects;  // not empty
+    bool is_mixed = false;               // a request of it has completed
+  };
+
   std::map<EndpointStart, Crash> crashes;
   std::map<RequestIdentity, Request> requests;
+  std::map<RequestIdentity, Group> groups;  // of `requests`
+  // Groups of which a request completed of late, whether a suspect or not.
+  std::map<RequestIdentity, Duration> sound_groups;
   // Suspects that completed recently, to ignore reports of earlier crashes.
   std::map<RequestIdentity, Duration> completed_at;
 };
@@ -75,17 +87,40 @@
                       Duration now);
 
 /// @brief Records that an endpoint ran a request to its end at `completed_at`,
-/// which clears the request of earlier crashes.
-/// @return true if the request was a suspect.
+/// which clears the request of earlier crashes, and shows that its group has
+/// sound requests.
+/// @return true if the request was a suspect, or if this was not known of its
+/// group, which has suspects.
 bool RecordCompletion(CrashRecords& records,
                       const RequestIdentity& request,
                       Duration completed_at);
 
 /// @brief Records that a request was refused as deadly.
-/// @return true if the peers should be notified, for example by CrashedRunsOf.
-bool RecordDeadlyArrival(CrashRecords& records,
-                         const RequestIdentity& request,
-                         Duration now);
+/// @return its copies, if the peers should be notified, for example by
+/// CrashedRunsOf.
+std::vector<RequestIdentity> RecordDeadlyArrival(CrashRecords& records,
+                                                 const RequestIdentity& request,
+                                                 Duration now);
+
+/// @brief True if requests of the group that have crashed nothing are known to
+/// be sound.
+bool IsMixed(const CrashRecords& records, const RequestIdentity& request);
+
+/// @brief Returns the identity that all copies of a request share: its own, or
+/// that of its group unless that is mixed.
+RequestIdentity IdentityOfCopies(const CrashRecords& records,
+                                 const RequestIdentity& request);
+
+/// @brief Returns the number of crashes at which copies of a request were
+/// unfinished.
+size_t CountCrashes(const CrashRecords& records,
+                    const RequestIdentity& request);
+
+/// @brief True if requests that are no copies of this one were unfinished at
+/// the crash.
+bool HasOtherSuspects(const CrashRecords& records,
+                      const EndpointStart& crash,
+                      const RequestIdentity& request);
 
 Suspicion SuspicionOf(const CrashRecords& records,
                       const RequestIdentity& request,
@@ -113,6 +148,11 @@
 inline constexpr Duration kBeginTime = std::chrono::milliseconds(200);
 
 inline constexpr Duration kCrashRecordLifetime = std::chrono::minutes(10);
+
+/// @brief Time for which the completions of a group's requests are remembered
+/// before it has suspects.
+inline constexpr Duration kSoundGroupLifetime = std::chrono::minutes(1);
+inline constexpr size_t kMaxSoundGroups = 4096;
 /// @brief Bounds of CrashRecords. A team that exceeds its bound replaces its
 /// own requests only.
 inline constexpr size_t kMaxSuspectsPerTeam = 128;
--- a/include/celerykeel/wire/crash_codec.h
+++ b/include/celerykeel/wire/crash_codec.h
@@ -15,7 +15,9 @@
 pb::CrashedRun ToProto(const CrashedRun& run, Duration now);
 CrashedRun FromProto(const pb::CrashedRun& run, Duration now);
 
-pb::CompletedRun CompletedRunOf(const RequestIdentity& request);
+/// @param clears_group true if no other request of the group is a suspect.
+pb::CompletedRun CompletedRunOf(const RequestIdentity& request,
+                                bool clears_group);
 
 /// @brief Returns the request of a completed run, and when it completed.
 std::pair<RequestIdentity, Duration> FromProto(const pb::CompletedRun& run,
--- a/src/celerykeel/core/crash_records.cc
+++ b/src/celerykeel/core/crash_records.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/core/crash_records.h"
 
-#include <algorithm>  // for std::count_if, std::max_element
+#include <algorithm>  // for std::all_of, std::count_if, std::max_element
 #include <tuple>      // for std::tuple
 
 namespace celerykeel {
@@ -26,8 +26,55 @@
 // Fraction of the lifetime after which an arrival is worth a message.
 constexpr int kRenewalDivisor = 4;
 
-bool IsProvenCause(const CrashRecords::Crash& crash, Duration now) {
-  return crash.suspects.size() == 1 && !crash.others_missing &&
+// A request of a group whose other requests crash endpoints has not crashed any
+// itself, and may be sound. It is tried this long after their newest crash; the
+// time doubles with each further crash.
+constexpr Duration kOtherBodyHoldTime = std::chrono::seconds(30);
+
+using Identities = std::set<RequestIdentity>;
+
+// Returns the suspects that count as copies of the request.
+Identities CopiesOf(const CrashRecords& records,
+                    const RequestIdentity& request) {
+  if (const auto group = records.groups.find(GroupOf(request));
+      group != records.groups.end() && !group->second.is_mixed) {
+    return group->second.suspects;
+  }
+  return records.requests.contains(request) ? Identities{request}
+                                            : Identities{};
+}
+
+std::set<EndpointStart> CrashesOf(const CrashRecords& records,
+                                  const Identities& copies) {
+  std::set<EndpointStart> crashes;
+  for (const RequestIdentity& copy : copies) {
+    const auto& own = records.requests.at(copy).crashes;
+    crashes.insert(own.begin(), own.end());
+  }
+  return crashes;
+}
+
+// True if all suspects of the crash, or all that began recently, are copies.
+bool AreCopies(const CrashRecords::Crash& crash,
+               const Identities& copies,
+               bool only_recent) {
+  return std::all_of(
+      crash.suspects.begin(), crash.suspects.end(), [&](const auto& entry) {
+        return (only_recent && !entry.second) || copies.contains(entry.first);
+      });
+}
+
+bool HasRecentCopy(const CrashRecords::Crash& crash, const Identities& copies) {
+  return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                     [&](const auto& entry) {
+                       return entry.second && copies.contains(entry.first);
+                     });
+}
+
+bool IsProvenCause(const CrashRecords::Crash& crash,
+                   const Identities& copies,
+                   Duration now) {
+  return AreCopies(crash, copies, false) && !crash.others_missing &&
          now >= crash.at + kReportTime;
 }
 
@@ -63,11 +110,46 @@
   RemoveSuspect(records, oldest.value(), identity, false);
 }
 
+void EraseRequest(CrashRecords& records, Requests::iterator request) {
+  if (const auto group = records.groups.find(GroupOf(request->first));
+      group != records.groups.end()) {
+    group->second.suspects.erase(request->first);
+    if (group->second.suspects.empty()) {
+      records.groups.erase(group);
+    }
+  }
+  records.requests.erase(request);
+}
+
 void RemoveRequest(CrashRecords& records, Requests::iterator request) {
   for (const EndpointStart& endpoint : request->second.crashes) {
     RemoveSuspect(records, endpoint, request->first, false);
   }
-  records.requests.erase(request);
+  EraseRequest(records, request);
+}
+
+void AddToGroup(CrashRecords& records, const RequestIdentity& request) {
+  const RequestIdentity identity = GroupOf(request);
+  CrashRecords::Group& group = records.groups[identity];
+  group.suspects.insert(request);
+  group.is_mixed = group.is_mixed || records.sound_groups.contains(identity);
+}
+
+// @return true if the group has suspects and was not known to be mixed.
+bool RecordSoundGroup(CrashRecords& records,
+                      const RequestIdentity& request,
+                      Duration completed_at) {
+  const RequestIdentity identity = GroupOf(request);
+  if (records.sound_groups.size() < kMaxSoundGroups ||
+      records.sound_groups.contains(identity)) {
+    records.sound_groups[identity] = completed_at;
+  }
+  const auto group = records.groups.find(identity);
+  if (group == records.groups.end() || group->second.is_mixed) {
+    return false;
+  }
+  group->second.is_mixed = true;
+  return true;
 }
 
 // Removes the team's request with the fewest crashes; the oldest of several.
@@ -110,30 +192,53 @@
 }
 
 // True if no other suspect began shortly before the crash.
-bool IsLikelyCause(const CrashRecords::Crash& crash,
-                   const RequestIdentity& request) {
-  return !crash.others_missing && crash.suspects.at(request) &&
-         std::count_if(crash.suspects.begin(), crash.suspects.end(),
-                       [](const auto& entry) { return entry.second; }) == 1;
+bool IsLikelyCause(const CrashRecords::Crash& crash, const Identities& copies) {
+  return !crash.others_missing && HasRecentCopy(crash, copies) &&
+         AreCopies(crash, copies, true);
 }
 
-// Returns until when the request must not run.
+const CrashRecords::Crash& NewestOf(const CrashRecords& records,
+                                    const std::set<EndpointStart>& crashes) {
+  return records.crashes.at(*std::max_element(
+      crashes.begin(), crashes.end(), [&records](const auto& a, const auto& b) {
+        return IsOlder(records, a, b);
+      }));
+}
+
+// Returns until when copies with these crashes must not run.
 Duration HeldUntil(const CrashRecords& records,
-                   const Requests::value_type& request) {
-  const auto& [identity, record] = request;
-  const size_t count = record.crashes.size();
+                   const Identities& copies,
+                   const std::set<EndpointStart>& crashes) {
+  const size_t count = crashes.size();
   if (count < 2) {
     return {};
   }
-  const CrashRecords::Crash& newest = records.crashes.at(
-      *std::max_element(record.crashes.begin(), record.crashes.end(),
-                        [&records](const auto& a, const auto& b) {
-                          return IsOlder(records, a, b);
-                        }));
+  const CrashRecords::Crash& newest = NewestOf(records, crashes);
   if (count < kMinCrashes) {
-    return IsLikelyCause(newest, identity) ? newest.at + kHoldTime : Duration{};
+    return IsLikelyCause(newest, copies) ? newest.at + kHoldTime : Duration{};
   }
-  return newest.at + kHoldTime * (1 << (count - kMinCrashes));
+  const size_t further = std::min(count, kMaxCrashesPerRequest) - kMinCrashes;
+  return newest.at + kHoldTime * (1 << further);
+}
+
+// Returns until when a request must not run whose copies are deadly, if it has
+// crashed nothing itself.
+Duration OtherBodyHeldUntil(const CrashRecords& records,
+                            const std::set<EndpointStart>& crashes) {
+  const size_t further =
+      std::min(crashes.size(), kMaxCrashesPerRequest) - kMinCrashes;
+  return NewestOf(records, crashes).at + kOtherBodyHoldTime * (1 << further);
+}
+
+bool AreDeadly(const CrashRecords& records,
+               const Identities& copies,
+               const std::set<EndpointStart>& crashes,
+               Duration now) {
+  const auto proven = static_cast<size_t>(std::count_if(
+      crashes.begin(), crashes.end(), [&](const EndpointStart& endpoint) {
+        return IsProvenCause(records.crashes.at(endpoint), copies, now);
+      }));
+  return crashes.size() >= kMinCrashes && proven >= kMinProvenCrashes;
 }
 
 }  // namespace
@@ -152,6 +257,7 @@
   if (!records.requests.contains(run.request)) {
     MakeRoomFor(records, run.request.team);
   }
+  AddToGroup(records, run.request);
   CrashRecords::Request& request = records.requests[run.request];
   const bool is_renewed =
       run.seen_at > request.seen_at + kCrashRecordLifetime / kRenewalDivisor;
@@ -174,9 +280,10 @@
 bool RecordCompletion(CrashRecords& records,
                       const RequestIdentity& request,
                       Duration completed_at) {
+  const bool is_news = RecordSoundGroup(records, request, completed_at);
   const auto found = records.requests.find(request);
   if (found == records.requests.end()) {
-    return false;
+    return is_news;
   }
   std::erase_if(found->second.crashes, [&](const EndpointStart& endpoint) {
     const auto crash = records.crashes.find(endpoint);
@@ -187,7 +294,7 @@
     return true;
   });
   if (found->second.crashes.empty()) {
-    records.requests.erase(found);
+    EraseRequest(records, found);
   }
   // Without an entry, a late report makes the request a suspect again until it
   // completes once more.
@@ -198,39 +305,65 @@
   return true;
 }
 
-bool RecordDeadlyArrival(CrashRecords& records,
-                         const RequestIdentity& request,
-                         Duration now) {
-  const auto found = records.requests.find(request);
-  if (found == records.requests.end() ||
-      now < found->second.seen_at + kCrashRecordLifetime / kRenewalDivisor) {
-    return false;
+std::vector<RequestIdentity> RecordDeadlyArrival(CrashRecords& records,
+                                                 const RequestIdentity& request,
+                                                 Duration now) {
+  std::vector<RequestIdentity> renewed;
+  for (const RequestIdentity& copy : CopiesOf(records, request)) {
+    CrashRecords::Request& record = records.requests.at(copy);
+    if (now >= record.seen_at + kCrashRecordLifetime / kRenewalDivisor) {
+      record.seen_at = now;
+      renewed.push_back(copy);
+    }
   }
-  found->second.seen_at = now;
-  return true;
+  return renewed;
+}
+
+bool IsMixed(const CrashRecords& records, const RequestIdentity& request) {
+  const auto group = records.groups.find(GroupOf(request));
+  return group != records.groups.end() && group->second.is_mixed;
+}
+
+RequestIdentity IdentityOfCopies(const CrashRecords& records,
+                                 const RequestIdentity& request) {
+  return IsMixed(records, request) ? request : GroupOf(request);
+}
+
+size_t CountCrashes(const CrashRecords& records,
+                    const RequestIdentity& request) {
+  return CrashesOf(records, CopiesOf(records, request)).size();
+}
+
+bool HasOtherSuspects(const CrashRecords& records,
+                      const EndpointStart& crash,
+                      const RequestIdentity& request) {
+  return !AreCopies(records.crashes.at(crash), CopiesOf(records, request),
+                    false);
 }
 
 Suspicion SuspicionOf(const CrashRecords& records,
                       const RequestIdentity& request,
                       Duration now) {
-  const auto found = records.requests.find(request);
-  if (found == records.requests.end()) {
+  const Identities copies = CopiesOf(records, request);
+  if (copies.empty()) {
     return Suspicion::kNone;
   }
-  const std::set<EndpointStart>& crashes = found->second.crashes;
-  size_t proven = 0;
-  size_t recent = 0;
-  for (const EndpointStart& endpoint : crashes) {
-    const CrashRecords::Crash& crash = records.crashes.at(endpoint);
-    proven += IsProvenCause(crash, now) ? 1 : 0;
-    recent += crash.suspects.at(request) ? 1 : 0;
-  }
-  if (crashes.size() >= kMinCrashes && proven >= kMinProvenCrashes) {
-    return Suspicion::kDeadly;
+  const std::set<EndpointStart> crashes = CrashesOf(records, copies);
+  if (AreDeadly(records, copies, crashes, now)) {
+    if (copies.contains(request)) {
+      return Suspicion::kDeadly;
+    }
+    return OtherBodyHeldUntil(records, crashes) > now
+               ? Suspicion::kHeld
+               : Suspicion::kRepeatedSuspect;
   }
-  if (HeldUntil(records, *found) > now) {
+  if (HeldUntil(records, copies, crashes) > now) {
     return Suspicion::kHeld;
   }
+  const auto recent =
+      std::count_if(crashes.begin(), crashes.end(), [&](const auto& endpoint) {
+        return HasRecentCopy(records.crashes.at(endpoint), copies);
+      });
   if (recent > 1 || crashes.size() > 2) {
     return Suspicion::kRepeatedSuspect;
   }
@@ -255,14 +388,17 @@
 Duration TimeUntilAllowed(const CrashRecords& records,
                           const RequestIdentity& request,
                           Duration now) {
-  const auto found = records.requests.find(request);
-  if (found == records.requests.end()) {
+  const Identities copies = CopiesOf(records, request);
+  if (copies.empty()) {
     return Duration::zero();
   }
-  const Duration until =
-      SuspicionOf(records, request, now) == Suspicion::kDeadly
-          ? found->second.seen_at + kCrashRecordLifetime
-          : HeldUntil(records, *found);
+  const std::set<EndpointStart> crashes = CrashesOf(records, copies);
+  Duration until = HeldUntil(records, copies, crashes);
+  if (AreDeadly(records, copies, crashes, now)) {
+    until = copies.contains(request)
+                ? records.requests.at(request).seen_at + kCrashRecordLifetime
+                : OtherBodyHeldUntil(records, crashes);
+  }
   return std::max(until - now, Duration::zero());
 }
 
@@ -295,6 +431,9 @@
   std::erase_if(records.completed_at, [now](const auto& entry) {
     return entry.second + kCompletionLifetime <= now;
   });
+  std::erase_if(records.sound_groups, [now](const auto& entry) {
+    return entry.second + kSoundGroupLifetime <= now;
+  });
 }
 
 }  // namespace celerykeel
--- a/src/celerykeel/core/crash_records_unittest.cc
+++ b/src/celerykeel/core/crash_records_unittest.cc
@@ -15,7 +15,20 @@
 constexpr Duration kStart = seconds(1000);
 
 RequestIdentity Request(uint64_t number, const std::string& team = "orchard") {
-  return {.team = team, .hash_high = 0, .hash_low = number};
+  return {.team = team,
+          .hash_high = 0,
+          .hash_low = number,
+          .group_high = 1,
+          .group_low = number};
+}
+
+// Returns a request of the group that begins like all others of it.
+RequestIdentity Alike(uint64_t number) {
+  return {.team = "orchard",
+          .hash_high = 2,
+          .hash_low = number,
+          .group_high = 2,
+          .group_low = 0};
 }
 
 EndpointStart Endpoint(int number) {
@@ -119,8 +132,9 @@
   CrashedRun run = RunOf(request, 1, kStart);
   CHECK(RecordCrashedRun(records, run, kStart));
   CHECK(!RecordCrashedRun(records, run, kStart));
-  CHECK(!RecordDeadlyArrival(records, request, kStart + seconds(1)));
-  CHECK(RecordDeadlyArrival(records, request, kStart + minutes(5)));
+  CHECK(RecordDeadlyArrival(records, request, kStart + seconds(1)).empty());
+  CHECK(RecordDeadlyArrival(records, request, kStart + minutes(5)) ==
+        std::vector<RequestIdentity>{request});
   run.seen_at = kStart + minutes(9);
   CHECK(RecordCrashedRun(records, run, kStart + minutes(9)));
   DropExpiredCrashes(records, kStart + minutes(18));
@@ -238,6 +252,81 @@
   }
 }
 
+// Guards against a deadly request that each sound one clears which begins with
+// the same bytes.
+TEST_CASE("sound requests that begin alike do not clear a deadly one") {
+  CrashRecords records;
+  const RequestIdentity deadly = Alike(0);
+  Duration now = kStart;
+  for (uint64_t sound = 1; sound <= 30; ++sound) {
+    now += seconds(1);
+    if (sound % 10 == 0) {
+      Crash(records, static_cast<int>(sound), {deadly, Alike(sound)}, now);
+      CHECK(SuspicionOf(records, Alike(100 + sound), now + seconds(1)) ==
+            Suspicion::kNone);
+    }
+    RecordCompletion(records, Alike(sound), now + milliseconds(500));
+  }
+  now += seconds(1);
+  CHECK(SuspicionOf(records, deadly, now) == Suspicion::kDeadly);
+  CHECK(SuspicionOf(records, Alike(30), now) == Suspicion::kNone);
+  CHECK(SuspicionOf(records, Alike(200), now) == Suspicion::kNone);
+  CHECK(IdentityOfCopies(records, deadly) == deadly);
+  CHECK(records.groups.size() == 1);
+}
+
+// Guards against copies that differ in length, and each crash endpoints anew.
+TEST_CASE("requests that begin alike are copies while none completes") {
+  CrashRecords records;
+  for (uint64_t copy = 0; copy < 3; ++copy) {
+    const Duration at = kStart + copy * seconds(4);
+    Crash(records, static_cast<int>(copy), {Alike(copy)}, at);
+    CHECK(CountCrashes(records, Alike(9)) == copy + 1);
+  }
+  const Duration now = kStart + seconds(9);
+  CHECK(SuspicionOf(records, Alike(0), now) == Suspicion::kDeadly);
+  CHECK(IdentityOfCopies(records, Alike(9)) == GroupOf(Alike(9)));
+  // A body that crashed nothing may be sound. It is tried alone, later.
+  CHECK(SuspicionOf(records, Alike(9), now) == Suspicion::kHeld);
+  CHECK(TimeUntilAllowed(records, Alike(9), now) == seconds(29));
+  const Duration later = kStart + seconds(39);
+  CHECK(SuspicionOf(records, Alike(9), later) == Suspicion::kRepeatedSuspect);
+  SUBCASE("it crashes an endpoint too, and the next one waits for longer") {
+    Crash(records, 9, {Alike(9)}, later);
+    CHECK(SuspicionOf(records, Alike(9), later + seconds(1)) ==
+          Suspicion::kDeadly);
+    CHECK(TimeUntilAllowed(records, Alike(10), later) == seconds(60));
+  }
+  SUBCASE("it completes, and no other pays for the copies") {
+    CHECK(RecordCompletion(records, Alike(9), later));
+    CHECK(SuspicionOf(records, Alike(10), later) == Suspicion::kNone);
+    CHECK(SuspicionOf(records, Alike(0), later) == Suspicion::kSuspect);
+  }
+  SUBCASE("a group's entry and its memory end with its suspects") {
+    for (uint64_t copy = 0; copy < 3; ++copy) {
+      RecordCompletion(records, Alike(copy), later);
+    }
+    CHECK(records.groups.empty());
+    DropExpiredCrashes(records, later + kSoundGroupLifetime);
+    CHECK(records.sound_groups.empty());
+  }
+}
+
+// Guards against blame from builds that know the group of a request alone, and
+// against their completions clearing a request.
+TEST_CASE("reports of a group alone neither clear nor blame its requests") {
+  CrashRecords records;
+  const RequestIdentity unknown = GroupOf(Alike(0));
+  for (int crash = 0; crash < 3; ++crash) {
+    Crash(records, crash, {unknown}, kStart);
+    Crash(records, 10 + crash, {Alike(7)}, kStart);
+  }
+  const Duration now = kStart + seconds(1);
+  CHECK(RecordCompletion(records, unknown, now));
+  CHECK(SuspicionOf(records, Alike(7), now) == Suspicion::kDeadly);
+  CHECK(SuspicionOf(records, Alike(1), now) == Suspicion::kNone);
+}
+
 // Guards against holding back the sound calls of a large service because an
 // endpoint crashed once under them.
 TEST_CASE("a first suspicion sets a call apart in a small service only") {
--- a/src/celerykeel/core/request_identity.cc
+++ b/src/celerykeel/core/request_identity.cc
@@ -7,6 +7,14 @@
 
 namespace celerykeel {
 
+RequestIdentity GroupOf(const RequestIdentity& identity) {
+  return {.team = identity.team,
+          .hash_high = identity.group_high,
+          .hash_low = identity.group_low,
+          .group_high = identity.group_high,
+          .group_low = identity.group_low};
+}
+
 RequestIdentity IdentityOf(std::string_view team,
                            std::string_view method,
                            std::string_view target,
@@ -15,12 +23,18 @@
   std::string head(method);
   head += ' ';
   head += target;
-  const std::string_view begin = body.substr(0, kIdentityBodyBytes);
-  const XXH128_hash_t hash = XXH3_128bits_withSeed(
-      begin.data(), begin.size(), XXH3_64bits(head.data(), head.size()));
+  const uint64_t seed = XXH3_64bits(head.data(), head.size());
+  const std::string_view begin = body.substr(0, kGroupBodyBytes);
+  const XXH128_hash_t group =
+      XXH3_128bits_withSeed(begin.data(), begin.size(), seed);
+  // Another seed, as a short body is no other's group.
+  const XXH128_hash_t whole =
+      XXH3_128bits_withSeed(body.data(), body.size(), ~seed);
   return {.team = std::string(team),
-          .hash_high = hash.high64,
-          .hash_low = hash.low64};
+          .hash_high = whole.high64,
+          .hash_low = whole.low64,
+          .group_high = group.high64,
+          .group_low = group.low64};
 }
 
 std::string HashText(const RequestIdentity& identity) {
--- a/src/celerykeel/node/crash_store.cc
+++ b/src/celerykeel/node/crash_store.cc
@@ -16,7 +16,7 @@
 // The instance that saw a crash writes it at once. Readers write it after this
 // time, in case that instance has failed.
 constexpr Duration kReaderDelay = std::chrono::seconds(1);
-constexpr size_t kMinStoredCrashes = 2;  // of a request
+constexpr size_t kMinStoredCrashes = 2;  // of a request and its copies
 // A later arrival of a deadly request is written after this time.
 constexpr Duration kRenewalTime = kCrashRecordLifetime / 4;
 // Bounds one write; the rest follows.
@@ -50,13 +50,12 @@
   std::vector<KeyUpdate> updates;
   std::set<std::string> needed;
   for (const auto& [request, record] : records.requests) {
-    if (record.crashes.size() < kMinStoredCrashes) {
+    if (CountCrashes(records, request) < kMinStoredCrashes) {
       continue;
     }
     for (CrashedRun& run : CrashedRunsOf(records, request)) {
       // Suspects with fewer crashes are not stored.
-      run.others_missing |=
-          records.crashes.at(run.endpoint).suspects.size() > 1;
+      run.others_missing |= HasOtherSuspects(records, run.endpoint, request);
       std::string key = StoredCrashKey(run);
       const CrashStore::Stored current{.others_missing = run.others_missing,
                                        .seen_at = run.seen_at};
--- a/src/celerykeel/node/crash_watch.cc
+++ b/src/celerykeel/node/crash_watch.cc
@@ -145,6 +145,26 @@
             {"crashes", found->second.crashes.size()}});
 }
 
+bool HasSuspects(const Node& node, const RequestIdentity& group) {
+  return node.crash_watch.records.groups.contains(group);
+}
+
+// Records a report, and adds to the news what this instance knows of the
+// request's group.
+// @return true if the report is news.
+bool RecordRun(Node& node, const CrashedRun& run, pb::EndpointNews& news) {
+  CrashRecords& records = node.crash_watch.records;
+  const bool was_mixed = IsMixed(records, run.request);
+  const bool is_news = RecordCrashedRun(records, run, Now());
+  if (is_news) {
+    LogSuspicion(node, run.request);
+  }
+  if (!was_mixed && IsMixed(records, run.request)) {
+    *news.add_completed_runs() = CompletedRunOf(GroupOf(run.request), false);
+  }
+  return is_news;
+}
+
 void ReportCrash(Node& node,
                  const EndpointStart& endpoint,
                  const UnfinishedRequests& unfinished,
@@ -159,9 +179,8 @@
                          .began_recently = began_recently,
                          .others_missing = false,
                          .seen_at = now};
-    if (RecordCrashedRun(node.crash_watch.records, run, now)) {
+    if (RecordRun(node, run, news)) {
       *news.add_crashed_runs() = ToProto(run, now);
-      LogSuspicion(node, request);
     }
   }
   if (node.crash_watch.crashed_at.emplace(endpoint, crashed_at).second) {
@@ -346,21 +365,23 @@
   }
   pb::NodeFrame frame;
   *frame.mutable_endpoint_news()->add_completed_runs() =
-      CompletedRunOf(run.Request());
+      CompletedRunOf(run.Request(), !HasSuspects(node, GroupOf(run.Request())));
   SendToAll(node.peers, frame);
 }
 
 void HandleDeadlyArrival(Node& node, const RequestIdentity& request) {
   const Duration now = Now();
-  if (!RecordDeadlyArrival(node.crash_watch.records, request, now)) {
-    return;
-  }
+  CrashRecords& records = node.crash_watch.records;
   pb::NodeFrame frame;
-  for (const CrashedRun& run :
-       CrashedRunsOf(node.crash_watch.records, request)) {
-    *frame.mutable_endpoint_news()->add_crashed_runs() = ToProto(run, now);
+  for (const RequestIdentity& copy :
+       RecordDeadlyArrival(records, request, now)) {
+    for (const CrashedRun& run : CrashedRunsOf(records, copy)) {
+      *frame.mutable_endpoint_news()->add_crashed_runs() = ToProto(run, now);
+    }
+  }
+  if (frame.has_endpoint_news()) {
+    SendToAll(node.peers, frame);
   }
-  SendToAll(node.peers, frame);
 }
 
 void AddKnownCrashes(const Node& node, pb::EndpointNews& news) {
@@ -371,9 +392,14 @@
       *news.add_crashed_runs() = ToProto(run, now);
     }
   }
+  for (const auto& [identity, group] : records.groups) {
+    if (group.is_mixed) {
+      *news.add_completed_runs() = CompletedRunOf(identity, false);
+    }
+  }
   for (const auto& [request, completed_at] : records.completed_at) {
     pb::CompletedRun& run = *news.add_completed_runs();
-    run = CompletedRunOf(request);
+    run = CompletedRunOf(request, !HasSuspects(node, GroupOf(request)));
     run.set_age_ms(static_cast<uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(now -
                                                               completed_at)
@@ -383,11 +409,10 @@
 
 void ApplyCrashNews(Node& node, const pb::EndpointNews& news) {
   const Duration now = Now();
+  pb::NodeFrame known;
   for (const pb::CrashedRun& one : news.crashed_runs()) {
     const CrashedRun run = FromProto(one, now);
-    if (RecordCrashedRun(node.crash_watch.records, run, now)) {
-      LogSuspicion(node, run.request);
-    }
+    RecordRun(node, run, *known.mutable_endpoint_news());
     if (run.crashed_at + kMaxCrashAge > now) {
       RecordCrash(node.endpoints, run.endpoint, run.crashed_at);
     }
@@ -396,6 +421,9 @@
     const auto [request, completed_at] = FromProto(one, now);
     RecordCompletion(node.crash_watch.records, request, completed_at);
   }
+  if (known.endpoint_news().completed_runs_size() > 0) {
+    SendToAll(node.peers, known);
+  }
 }
 
 void ReviewCrashes(Node& node) {
--- a/src/celerykeel/node/deadly_requests_unittest.cc
+++ b/src/celerykeel/node/deadly_requests_unittest.cc
@@ -107,6 +107,42 @@
   CHECK(SendUntilServed(fleet, "last", "/stream/kept/x") == 200);
 }
 
+// Guards against sound requests that clear a deadly one, as they begin with the
+// same bytes and come all the time, and against refusing them in its place.
+TEST_CASE("sound requests that begin like a deadly one are told from it") {
+  NodeFleet fleet(3);
+  REQUIRE(fleet.WaitUntilServing());
+  SetDeadly(fleet);
+  const std::string shared(1000, 's');
+  std::string target;
+  SUBCASE("as a turn") {
+    target = "/stream/plain/x";
+  }
+  SUBCASE("as a call that may be repeated") {
+    target = "/look/x";
+  }
+  CAPTURE(target);
+  constexpr int kCopies = 30;
+  int served = 0;
+  for (int i = 0; i < kCopies; ++i) {
+    const std::string n = std::to_string(i);
+    for (const char* sibling : {"a", "b"}) {
+      const std::string id = sibling + n;
+      const auto answer =
+          fleet.Send(static_cast<size_t>(i) % 3, "POST", target,
+                     TurnHeaders(id, id, "", 9999), shared + id);
+      served += answer.status == 200 ? 1 : 0;
+    }
+    fleet.Send(static_cast<size_t>(i) % 3, "POST", target,
+               TurnHeaders("d" + n, "d" + n, "", 9999), shared + "deadly");
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  }
+  CHECK(CrashesOf(fleet) <= kMostCrashes);
+  CHECK(CrashesOf(fleet) > 0);
+  // At each crash one of two endpoints is down for a while.
+  CHECK(served >= 2 * kCopies - 2 * kMostCrashes);
+}
+
 // Guards against a request that silences each endpoint that runs it: its calls
 // end by their deadline, and no connection is closed.
 TEST_CASE("a request that silences endpoints runs a few times only") {
--- a/src/celerykeel/node/suspect_run.cc
+++ b/src/celerykeel/node/suspect_run.cc
@@ -85,7 +85,8 @@
   if (suspicion == Suspicion::kSuspect && Now() < call->suspect_run_until) {
     co_return true;
   }
-  call->suspect_retry = co_await RequestSuspectRun(node, call->identity);
+  call->suspect_retry = co_await RequestSuspectRun(
+      node, IdentityOfCopies(node.crash_watch.records, call->identity));
   if (call->suspect_retry > Duration::zero()) {
     co_return false;
   }
--- a/src/celerykeel/wire/build_compat_unittest.cc
+++ b/src/celerykeel/wire/build_compat_unittest.cc
@@ -4,6 +4,7 @@
 
 #include "celerykeel/compat/node_e0847c4.pb.h"  // for pb_e0847c4::NodeFrame
 #include "celerykeel/node.pb.h"                 // for pb::NodeFrame
+#include "celerykeel/wire/crash_codec.h"        // for ToProto, FromProto
 #include "celerykeel/wire/slot_codec.h"         // for EncodeSlotRecord
 
 namespace celerykeel {
@@ -152,6 +153,41 @@
   }
 }
 
+// Guards against clearing or blaming requests that begin alike: e0847c4 takes
+// all of them for one.
+TEST_CASE("this build and e0847c4 read each other's crashes") {
+  const RequestIdentity request =
+      IdentityOf("orchard", "POST", "/a", std::string(300, 'x'));
+  const RequestIdentity group = GroupOf(request);
+  const auto read_by_old = [](const auto& message, auto& out) {
+    return out.ParseFromString(message.SerializeAsString());
+  };
+  old::CrashedRun crashed;
+  REQUIRE(read_by_old(ToProto(CrashedRun{.request = request,
+                                         .endpoint = {"e1", 7},
+                                         .crashed_at = {},
+                                         .seen_at = {}},
+                              Duration::zero()),
+                      crashed));
+  CHECK(crashed.request().hash_high() == group.hash_high);
+  CHECK(crashed.request().hash_low() == group.hash_low);
+  // A completion that clears no other request of the group is told to it.
+  old::CompletedRun completed;
+  REQUIRE(read_by_old(CompletedRunOf(request, true), completed));
+  CHECK(completed.request().hash_low() == group.hash_low);
+  REQUIRE(read_by_old(CompletedRunOf(request, false), completed));
+  CHECK_FALSE(completed.has_request());
+  // What it writes is known to be of the group alone.
+  pb::CompletedRun of_old;
+  of_old.mutable_request()->set_team(group.team);
+  of_old.mutable_request()->set_hash_high(group.hash_high);
+  of_old.mutable_request()->set_hash_low(group.hash_low);
+  CHECK(FromProto(of_old, Duration::zero()).first == group);
+  CHECK(FromProto(ToProto(request)) == request);
+  CHECK(GroupOf(FromProto(ToProto(request))) == group);
+  CHECK(FromProto(ToProto(group)) == group);
+}
+
 // Guards against a count after the end of a tunnel that the other build takes
 // for bytes of an answer: it is sent only if both builds know it.
 TEST_CASE("this build and e0847c4 open tunnels without the new field") {
--- a/src/celerykeel/wire/crash_codec.cc
+++ b/src/celerykeel/wire/crash_codec.cc
@@ -32,15 +32,22 @@
 pb::RequestIdentity ToProto(const RequestIdentity& request) {
   pb::RequestIdentity out;
   out.set_team(request.team);
-  out.set_hash_high(request.hash_high);
-  out.set_hash_low(request.hash_low);
+  out.set_hash_high(request.group_high);
+  out.set_hash_low(request.group_low);
+  if (!(request == GroupOf(request))) {
+    out.set_whole_high(request.hash_high);
+    out.set_whole_low(request.hash_low);
+  }
   return out;
 }
 
 RequestIdentity FromProto(const pb::RequestIdentity& request) {
+  const bool has_whole = request.whole_high() != 0 || request.whole_low() != 0;
   return {.team = request.team(),
-          .hash_high = request.hash_high(),
-          .hash_low = request.hash_low()};
+          .hash_high = has_whole ? request.whole_high() : request.hash_high(),
+          .hash_low = has_whole ? request.whole_low() : request.hash_low(),
+          .group_high = request.hash_high(),
+          .group_low = request.hash_low()};
 }
 
 pb::CrashedRun ToProto(const CrashedRun& run, Duration now) {
@@ -65,15 +72,20 @@
       .seen_at = TimeOfAge(run.seen_age_ms(), now)};
 }
 
-pb::CompletedRun CompletedRunOf(const RequestIdentity& request) {
+pb::CompletedRun CompletedRunOf(const RequestIdentity& request,
+                                bool clears_group) {
   pb::CompletedRun out;
-  *out.mutable_request() = ToProto(request);
+  *out.mutable_completed() = ToProto(request);
+  if (clears_group) {
+    *out.mutable_request() = out.completed();
+  }
   return out;
 }
 
 std::pair<RequestIdentity, Duration> FromProto(const pb::CompletedRun& run,
                                                Duration now) {
-  return {FromProto(run.request()), TimeOfAge(run.age_ms(), now)};
+  return {FromProto(run.has_completed() ? run.completed() : run.request()),
+          TimeOfAge(run.age_ms(), now)};
 }
 
 std::string StoredCrashKey(const CrashedRun& run) {
--- a/src/celerykeel/wire/crash_codec_unittest.cc
+++ b/src/celerykeel/wire/crash_codec_unittest.cc
@@ -9,17 +9,21 @@
 
 using std::chrono::seconds;
 
-const CrashedRun kRun{
-    .request = {.team = "orchard", .hash_high = 1, .hash_low = 2},
-    .endpoint = {.endpoint = "e1", .started_at = 7},
-    .crashed_at = seconds(100),
-    .began_recently = true,
-    .others_missing = true,
-    .seen_at = seconds(130)};
+const CrashedRun kRun{.request = {.team = "orchard",
+                                  .hash_high = 1,
+                                  .hash_low = 2,
+                                  .group_high = 3,
+                                  .group_low = 4},
+                      .endpoint = {.endpoint = "e1", .started_at = 7},
+                      .crashed_at = seconds(100),
+                      .began_recently = true,
+                      .others_missing = true,
+                      .seen_at = seconds(130)};
 
 bool IsSame(const CrashedRun& a, const CrashedRun& b) {
-  return a.request == b.request && a.endpoint == b.endpoint &&
-         a.crashed_at == b.crashed_at && a.began_recently == b.began_recently &&
+  return a.request == b.request && GroupOf(a.request) == GroupOf(b.request) &&
+         a.endpoint == b.endpoint && a.crashed_at == b.crashed_at &&
+         a.began_recently == b.began_recently &&
          a.others_missing == b.others_missing && a.seen_at == b.seen_at;
 }
 
