--- a/include/celerykeel/core/turn_ledger.h
+++ b/include/celerykeel/core/turn_ledger.h
@@ -32,8 +32,6 @@
   std::string holder;
   uint64_t epoch = 0;
   ClaimCover cover = ClaimCover::kUnchanged;
-  // With kOpen: programs of which the log has everything get no second part.
-  bool spares_recorded = true;
 };
 
 /// @brief Token counts of a program: tokens spent and the durable ceiling.
@@ -43,9 +41,6 @@
   uint64_t ceiling = 0;     // tokens up to which answers may be delivered
   uint64_t largest = 0;     // max tokens of a single turn so far
   bool slack_used = false;  // a takeover has granted the slack of one turn
-  // The counts include all tokens granted so far, and the program gets no
-  // others without a record, except for the slack.
-  bool has_all = false;
 };
 
 /// @brief A turn with a complete answer.
@@ -59,8 +54,7 @@
   std::string output;
   WallMillis ended_at = 0;
   WallMillis expires_at = 0;
-  uint64_t spent = 0;    // tokens of the program, this turn included
-  bool has_all = false;  // as in SpendRecord
+  uint64_t spent = 0;  // tokens of the program, this turn included
 };
 
 /// @brief Tokens of a team's rate that a holder leaves to its successor.
@@ -112,24 +106,16 @@
   uint64_t budget = 0;  // as stated by the last turn
   bool slack_used = false;
   // Tokens that the program may spend without a durable record, in addition to
-  // the max tokens of one turn: a part of the largest budget that its turns
-  // have stated.
+  // the max tokens of one turn.
   uint64_t free_part = 0;
   // Tokens that an inherited program may spend without a record in addition to
   // the charged free part, under a holder with an open cover.
   uint64_t second_part = 0;
-  // The program has sent a retained turn, or the log has a record with
-  // `has_all`. From then on it gets no part without a record.
-  bool needs_records = false;
-  // As found in the log by the replay: no earlier holder has granted more than
-  // the records say.
-  bool log_has_all = false;
   // The program ran under an earlier holder, or may have run there without a
   // record. It gets no free part from this holder; the free part that an
   // earlier holder may have granted counts as spent.
   bool is_inherited = false;
-  bool free_part_charged = false;  // earlier free part was counted
-  uint64_t charged = 0;            // tokens that it was counted up to
+  bool free_part_charged = false;              // earlier free part was counted
   std::map<std::string, RunningTurn> running;  // by turn
   std::optional<Duration> used_at;             // empty during a replay
 };
@@ -158,7 +144,6 @@
   // The log has a cover that did not end. After the replay: one of an earlier
   // holder, whose second parts count as spent.
   bool has_open_cover = false;
-  bool cover_spares_recorded = false;  // of the open cover; see ClaimRecord
   // The cover of this holder is durable: it grants second parts.
   bool grants_second_part = false;
 };
@@ -182,9 +167,10 @@
   std::string turn;
   uint64_t most_tokens = 0;
   uint64_t budget = 0;
-  // The turn is retained: it needs the store at its end, so from then on the
-  // program gets no free part, only the slack of one turn. What a successor
-  // counts as spent does not depend on it.
+  // The program's turns are retained. It gets no free part, only the slack of
+  // one turn, as its turns need the store anyway. A program without a retained
+  // turn can only have started its first one, so a successor counts nothing as
+  // spent.
   bool is_retained = false;
   TurnRelay relay{};
 };
@@ -199,10 +185,6 @@
 /// @brief Returns the record of a program's counts, with the newest ceiling.
 SpendRecord RecordOf(const ProgramName& program, const ProgramSpend& spend);
 
-/// @brief True if a record that is written now says of the program all that it
-/// was granted, and it gets nothing further without a record.
-bool HasAllGranted(const ProgramSpend& spend);
-
 /// @brief Applies a record of the slot's log. Records must be applied in order.
 /// Of claims only the cover counts; team rates and streams change nothing. A
 /// turn record names a previous turn only if that had not expired at
--- a/src/celerykeel/core/turn_ledger.cc
+++ b/src/celerykeel/core/turn_ledger.cc
@@ -43,8 +43,8 @@
                   uint64_t tokens,
                   bool is_confirmed) {
   const uint64_t slack = spend.slack_used ? 0 : spend.largest;
-  const uint64_t part = spend.needs_records ? 0 : spend.free_part;
-  return is_confirmed && !spend.is_inherited && tokens <= part + slack;
+  return is_confirmed && !spend.is_inherited &&
+         tokens <= spend.free_part + slack;
 }
 
 // The second part follows the free part that an earlier holder may have
@@ -54,7 +54,7 @@
                     uint64_t tokens,
                     bool is_confirmed) {
   return is_confirmed && ledger.grants_second_part && spend.is_inherited &&
-         !spend.needs_records && tokens <= spend.free_part + spend.second_part;
+         tokens <= spend.free_part + spend.second_part;
 }
 
 ProgramSpend& FindOrAddSpend(TurnLedger& ledger,
@@ -67,33 +67,16 @@
   return found->second;
 }
 
-// Returns up to how many tokens earlier holders may have granted without a
-// record, not counting the slack. The kind of the program's turns does not
-// matter: those before may have been of another kind.
-uint64_t UnrecordedTokens(const TurnLedger& ledger, const ProgramSpend& spend) {
-  const uint64_t both = spend.free_part + spend.second_part;
-  if (spend.log_has_all) {
-    return ledger.has_open_cover && !ledger.cover_spares_recorded ? both : 0;
-  }
-  return ledger.has_open_cover ? both : spend.free_part;
-}
-
 // Counts the free part that an earlier holder may have granted as spent, and
 // the second part if a cover was open. The free part included the slack of one
-// turn. A turn that states a larger budget than those before adds what they
-// lacked.
+// turn.
 void ChargeInheritedParts(const TurnLedger& ledger, ProgramSpend& spend) {
-  if (!spend.is_inherited) {
-    return;
-  }
-  if (!spend.free_part_charged) {
+  if (spend.is_inherited && !spend.free_part_charged) {
     spend.free_part_charged = true;
     spend.slack_used = true;
-    spend.charged = spend.spent;
+    const uint64_t second = ledger.has_open_cover ? spend.second_part : 0;
+    spend.spent = std::max(spend.spent, spend.free_part + second);
   }
-  const uint64_t due = std::max(spend.charged, UnrecordedTokens(ledger, spend));
-  spend.spent += due - spend.charged;
-  spend.charged = due;
 }
 
 void ForgetOldestEnd(EndedTurns& ended) {
@@ -104,7 +87,6 @@
 void ReplayClaim(TurnLedger& ledger, const ClaimRecord& record) {
   if (record.cover != ClaimCover::kUnchanged) {
     ledger.has_open_cover = record.cover == ClaimCover::kOpen;
-    ledger.cover_spares_recorded = record.spares_recorded;
   }
 }
 
@@ -117,7 +99,6 @@
   spend.requested_ceiling = spend.ceiling;
   spend.largest = std::max(spend.largest, record.largest);
   spend.slack_used = spend.slack_used || record.slack_used;
-  spend.log_has_all = spend.log_has_all || record.has_all;
 }
 
 void ReplayTurn(TurnLedger& ledger, const TurnRecord& record) {
@@ -125,7 +106,6 @@
   if (record.spent > 0) {
     ProgramSpend& spend = ledger.programs[record.program];
     spend.spent = std::max(spend.spent, record.spent);
-    spend.log_has_all = spend.log_has_all || record.has_all;
   }
   auto turn = std::make_shared<StoredTurn>();
   turn->text = record.base + record.input + record.output;
@@ -149,14 +129,7 @@
           .spent = spend.spent,
           .ceiling = spend.requested_ceiling,
           .largest = spend.largest,
-          .slack_used = spend.slack_used,
-          .has_all = HasAllGranted(spend)};
-}
-
-bool HasAllGranted(const ProgramSpend& spend) {
-  const uint64_t running = Running(spend);
-  return spend.needs_records &&
-         (running == 0 || spend.requested_ceiling >= spend.spent + running);
+          .slack_used = spend.slack_used};
 }
 
 void Replay(TurnLedger& ledger, const SlotRecord& record) {
@@ -185,7 +158,6 @@
   for (auto& [program, spend] : ledger.programs) {
     spend.used_at = now;
     spend.is_inherited = true;
-    spend.needs_records = spend.log_has_all;
     const uint64_t slack = spend.slack_used ? 0 : spend.largest;
     const uint64_t assumed = spend.ceiling - std::min(spend.ceiling, slack);
     spend.slack_used = spend.slack_used || spend.ceiling > spend.spent;
@@ -229,12 +201,9 @@
   ProgramSpend& spend = FindOrAddSpend(ledger, request.program, now);
   spend.used_at = now;
   spend.budget = request.budget;
-  spend.free_part =
-      std::max(spend.free_part, request.budget / kFreePartDivisor);
-  spend.second_part =
-      std::max(spend.second_part, request.budget / kSecondPartDivisor);
+  spend.free_part = request.is_retained ? 0 : request.budget / kFreePartDivisor;
+  spend.second_part = request.budget / kSecondPartDivisor;
   ChargeInheritedParts(ledger, spend);
-  spend.needs_records = spend.needs_records || request.is_retained;
   if (spend.running.contains(request.turn)) {
     return {};
   }
--- a/src/celerykeel/node/slot_host.cc
+++ b/src/celerykeel/node/slot_host.cc
@@ -106,7 +106,6 @@
   if (const auto spend = slot.ledger.programs.find(record.program);
       spend != slot.ledger.programs.end()) {
     record.spent = spend->second.spent;
-    record.has_all = HasAllGranted(spend->second);
   }
   if (!record.base.empty()) {
     record.previous.clear();
--- a/src/celerykeel/wire/slot_codec.cc
+++ b/src/celerykeel/wire/slot_codec.cc
@@ -27,8 +27,6 @@
         record.cover == ClaimCover::kOpen    ? pb::SlotClaim::COVER_OPEN
         : record.cover == ClaimCover::kEnded ? pb::SlotClaim::COVER_ENDED
                                              : pb::SlotClaim::COVER_UNKNOWN);
-    this->entry.mutable_claim()->set_spares_recorded(
-        record.cover == ClaimCover::kOpen && record.spares_recorded);
   }
 
   void operator()(const SpendRecord& record) const {
@@ -39,7 +37,6 @@
     spend.set_ceiling(record.ceiling);
     spend.set_largest(record.largest);
     spend.set_slack_used(record.slack_used);
-    spend.set_has_all(record.has_all);
   }
 
   void operator()(const RateRecord& record) const {
@@ -68,7 +65,6 @@
     turn.set_ended_at(record.ended_at);
     turn.set_expires_at(record.expires_at);
     turn.set_spent(record.spent);
-    turn.set_has_all(record.has_all);
   }
 };
 
@@ -87,18 +83,15 @@
   }
   switch (entry.record_case()) {
     case pb::SlotEntry::kClaim:
-      return ClaimRecord{.holder = entry.claim().holder(),
-                         .epoch = entry.claim().epoch(),
-                         .cover = CoverOf(entry.claim()),
-                         .spares_recorded = entry.claim().spares_recorded()};
+      return ClaimRecord{entry.claim().holder(), entry.claim().epoch(),
+                         CoverOf(entry.claim())};
     case pb::SlotEntry::kSpend: {
       const pb::SlotSpend& spend = entry.spend();
       return SpendRecord{.program = {spend.team(), spend.program()},
                          .spent = spend.spent(),
                          .ceiling = spend.ceiling(),
                          .largest = spend.largest(),
-                         .slack_used = spend.slack_used(),
-                         .has_all = spend.has_all()};
+                         .slack_used = spend.slack_used()};
     }
     case pb::SlotEntry::kTurn: {
       const pb::SlotTurn& turn = entry.turn();
@@ -110,8 +103,7 @@
                         .output = turn.output(),
                         .ended_at = turn.ended_at(),
                         .expires_at = turn.expires_at(),
-                        .spent = turn.spent(),
-                        .has_all = turn.has_all()};
+                        .spent = turn.spent()};
     }
     case pb::SlotEntry::kRate:
       return RateRecord{entry.rate().team(), entry.rate().kept()};
