--- a/src/celerykeel/core/slot_model_unittest.cc
+++ b/src/celerykeel/core/slot_model_unittest.cc
@@ -41,13 +41,13 @@
 
 bool Holds(WithoutRule rule,
            uint64_t seed,
-           bool retained = false,
+           TurnKinds kinds = TurnKinds::kPlain,
            std::array<uint64_t, 2> sizes = {10, 10},
            std::optional<Kind> extra = std::nullopt) {
   return CheckProperty(
       seed,
-      [rule, retained, sizes, extra] {
-        SlotModel model(rule, retained, sizes);
+      [rule, kinds, sizes, extra] {
+        SlotModel model(rule, kinds, sizes);
         for (int i = 0; i < kSteps; ++i) {
           model.Apply(MakeStep(extra));
           RC_ASSERT(!model.violation);
@@ -59,10 +59,10 @@
 TEST_CASE("budgets and turns survive failures, and each rule is needed") {
   CHECK(Holds(WithoutRule::kNone, 1));
   CHECK(Holds(WithoutRule::kNone, 2));
-  CHECK(Holds(WithoutRule::kNone, 1, true));
-  CHECK(Holds(WithoutRule::kNone, 2, true));
-  CHECK(Holds(WithoutRule::kNone, 3, false, {14, 6}));
-  CHECK(Holds(WithoutRule::kNone, 3, true, {14, 6}));
+  CHECK(Holds(WithoutRule::kNone, 1, TurnKinds::kRetained));
+  CHECK(Holds(WithoutRule::kNone, 2, TurnKinds::kRetained));
+  CHECK(Holds(WithoutRule::kNone, 3, TurnKinds::kPlain, {14, 6}));
+  CHECK(Holds(WithoutRule::kNone, 3, TurnKinds::kRetained, {14, 6}));
   CHECK_FALSE(Holds(WithoutRule::kCover, 1));
   CHECK_FALSE(Holds(WithoutRule::kAssumeSpent, 1));
   CHECK_FALSE(Holds(WithoutRule::kSlackOnce, 1));
@@ -72,26 +72,45 @@
   CHECK_FALSE(Holds(WithoutRule::kSecondPartLimit, 1));
   CHECK_FALSE(Holds(WithoutRule::kDurableCover, 1));
   CHECK_FALSE(Holds(WithoutRule::kFence, 1));
-  CHECK_FALSE(Holds(WithoutRule::kConfirm, 1));
-  CHECK_FALSE(Holds(WithoutRule::kDurableEnd, 1));
+  CHECK_FALSE(Holds(WithoutRule::kConfirm, 1, TurnKinds::kRetained));
+  CHECK_FALSE(Holds(WithoutRule::kDurableEnd, 1, TurnKinds::kRetained));
   CHECK_FALSE(Holds(WithoutRule::kSameSequence, 1));
 }
 
+// Guards against a charge that depends on the turn that a program sends first
+// after a takeover: it may be of another kind, or state another budget, than
+// those before.
+TEST_CASE("budgets survive failures of programs with turns of both kinds") {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    CHECK(Holds(WithoutRule::kNone, seed, TurnKinds::kMixed));
+    CHECK(Holds(WithoutRule::kNone, seed, TurnKinds::kMixed, {14, 6}));
+    CHECK(Holds(WithoutRule::kNone, seed, TurnKinds::kMixed, {6, 2}));
+  }
+  CHECK(Holds(WithoutRule::kNone, 5, TurnKinds::kMixed, {10, 10},
+              Kind::kAbandon));
+}
+
 // A holder may take the relay of a turn for gone that still delivers.
 TEST_CASE("budgets survive failures and abandoned turns") {
-  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, Kind::kAbandon));
-  CHECK(Holds(WithoutRule::kNone, 2, true, {10, 10}, Kind::kAbandon));
-  CHECK(Holds(WithoutRule::kNone, 3, false, {14, 6}, Kind::kAbandon));
-  CHECK(Holds(WithoutRule::kNone, 4, true, {14, 6}, Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 1, TurnKinds::kPlain, {10, 10},
+              Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 2, TurnKinds::kRetained, {10, 10},
+              Kind::kAbandon));
+  CHECK(
+      Holds(WithoutRule::kNone, 3, TurnKinds::kPlain, {14, 6}, Kind::kAbandon));
+  CHECK(Holds(WithoutRule::kNone, 4, TurnKinds::kRetained, {14, 6},
+              Kind::kAbandon));
 }
 
 // A slow admission is requested again, and the second request is processed
 // late.
 TEST_CASE("budgets survive failures and repeated admissions") {
-  CHECK(Holds(WithoutRule::kNone, 1, false, {10, 10}, Kind::kAdmitAgain));
-  CHECK(Holds(WithoutRule::kNone, 2, true, {14, 6}, Kind::kAdmitAgain));
-  CHECK_FALSE(
-      Holds(WithoutRule::kRefuseEnded, 1, false, {10, 10}, Kind::kAdmitAgain));
+  CHECK(Holds(WithoutRule::kNone, 1, TurnKinds::kPlain, {10, 10},
+              Kind::kAdmitAgain));
+  CHECK(Holds(WithoutRule::kNone, 2, TurnKinds::kRetained, {14, 6},
+              Kind::kAdmitAgain));
+  CHECK_FALSE(Holds(WithoutRule::kRefuseEnded, 1, TurnKinds::kPlain, {10, 10},
+                    Kind::kAdmitAgain));
 }
 
 // Applies the steps to instance 0; `turn` is the index of a turn.
@@ -106,7 +125,7 @@
 // Guards against two turns of lost instances whose tokens nobody counts.
 TEST_CASE("only the first abandoned turn of a program counts nothing") {
   const auto violation = [](WithoutRule rule) {
-    SlotModel model(rule, false);
+    SlotModel model(rule, TurnKinds::kPlain);
     ApplyToTurn(model, {Kind::kClaim});
     for (uint32_t turn = 0; turn < 2; ++turn) {
       ApplyToTurn(model, {Kind::kAdmit, Kind::kAppend, Kind::kDeliver}, turn);
@@ -125,7 +144,7 @@
 // turn has used.
 TEST_CASE("an abandoned turn ends when its record is durable") {
   const auto violation = [](WithoutRule rule) {
-    SlotModel model(rule, false);
+    SlotModel model(rule, TurnKinds::kPlain);
     ApplyToTurn(model,
                 {Kind::kClaim, Kind::kAdmit, Kind::kAdmit, Kind::kAdmit,
                  Kind::kAppend, Kind::kDeliver, Kind::kAbandon, Kind::kAdmit});
@@ -147,7 +166,7 @@
 // charged: its large turn was refused, so it had no record.
 TEST_CASE("a cover ends with records of the programs that were charged") {
   const auto violation = [](WithoutRule rule) {
-    SlotModel model(rule, false, {12, 5});
+    SlotModel model(rule, TurnKinds::kPlain, {12, 5});
     const auto apply = [&model](const std::vector<Kind>& kinds,
                                 uint32_t which = 0) {
       for (const Kind kind : kinds) {
--- a/src/celerykeel/testing/slot_model.cc
+++ b/src/celerykeel/testing/slot_model.cc
@@ -184,14 +184,22 @@
   }
 }
 
+bool SlotModel::IsRetained(uint32_t which) const {
+  return this->kinds == TurnKinds::kRetained ||
+         (this->kinds == TurnKinds::kMixed && which % 2 == 1);
+}
+
 void SlotModel::Admit(Holder& holder, uint32_t which) {
   const std::string id = "t" + std::to_string(this->next_turn);
   const uint64_t most = this->sizes[which % this->sizes.size()];
+  const bool has_small_budget =
+      this->kinds == TurnKinds::kMixed && which / 2 % 2 == 1;
+  const bool is_retained = this->IsRetained(which);
   const TurnRequest request{.program = kProgram,
                             .turn = id,
                             .most_tokens = most,
-                            .budget = kBudget,
-                            .is_retained = this->is_retained};
+                            .budget = has_small_budget ? kSmallBudget : kBudget,
+                            .is_retained = is_retained};
   if (!AdmitTurn(holder.ledger, request, kNow)) {
     return;
   }
@@ -203,7 +211,7 @@
     holder.ledger.programs[kProgram].second_part = kBudget;
   }
   ++this->next_turn;
-  this->turns.push_back({.id = id, .most = most});
+  this->turns.push_back({.id = id, .most = most, .is_retained = is_retained});
   if (const auto record = RaiseCeiling(holder.ledger, kProgram, true)) {
     this->Enqueue(holder, *record, "");
   }
@@ -224,7 +232,7 @@
                             .turn = turn.id,
                             .most_tokens = turn.most,
                             .budget = kBudget,
-                            .is_retained = this->is_retained};
+                            .is_retained = turn.is_retained};
   if (AdmitTurn(holder.ledger, request, kNow)) {
     this->violation = "a turn that has ended holds budget";
   }
@@ -308,7 +316,7 @@
   }
   holder.ended.push_back(turn);
   this->AnnounceCovered(holder);
-  if (!turn.delivered) {
+  if (!turn.delivered || !turn.is_retained) {
     this->turns.erase(chosen);
     return;
   }
--- a/src/celerykeel/testing/slot_model.h
+++ b/src/celerykeel/testing/slot_model.h
@@ -34,6 +34,14 @@
   kRefuseEnded,     // a turn may be admitted after its end
 };
 
+/// @brief The kinds of turns that the program sends.
+enum class TurnKinds {
+  kPlain,
+  kRetained,
+  // Both, and its turns state different budgets.
+  kMixed,
+};
+
 /// @brief One step of a run; `which` selects the instance or turn.
 struct SlotStep {
   enum class Kind {
@@ -63,9 +71,9 @@
  public:
   /// @param turn_sizes max tokens of turns; the larger one is the first.
   SlotModel(WithoutRule rule,
-            bool retained,
+            TurnKinds turn_kinds,
             std::array<uint64_t, 2> turn_sizes = {10, 10})
-      : without(rule), is_retained(retained), sizes(turn_sizes) {}
+      : without(rule), kinds(turn_kinds), sizes(turn_sizes) {}
 
   void Apply(const SlotStep& step);
 
@@ -73,6 +81,8 @@
   std::optional<std::string> violation;
 
   static constexpr uint64_t kBudget = 30;  // tokens of the program
+  // As some turns of TurnKinds::kMixed state it.
+  static constexpr uint64_t kSmallBudget = 12;
 
  private:
   struct Pending {
@@ -83,7 +93,8 @@
   };
   struct Turn {
     std::string id;
-    uint64_t most = 0;     // max tokens
+    uint64_t most = 0;  // max tokens
+    bool is_retained = false;
     bool covered = false;  // the relaying instance may deliver its tokens
     bool delivered = false;
     bool ending = false;
@@ -99,6 +110,7 @@
   };
 
   void Claim(size_t instance);
+  bool IsRetained(uint32_t which) const;
   void Admit(Holder& holder, uint32_t which);
   void AdmitAgain(Holder& holder, uint32_t which);
   void EndCoverOf(Holder& holder);
@@ -113,7 +125,7 @@
   bool IsFenced(const Holder& holder) const;
 
   WithoutRule without;
-  bool is_retained;  // the program's turns are on a retained route
+  TurnKinds kinds;
   std::array<uint64_t, 2> sizes;
   bool store_available = true;
   std::vector<SlotRecord> log;
