--- a/src/celerykeel/node/foreign_text_unittest.cc
+++ b/src/celerykeel/node/foreign_text_unittest.cc
@@ -38,7 +38,7 @@
       "POST /stream/plain/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
       "Connection: close\r\n";
   for (const auto& [name, value] : headers) {
-    request += name + ": " + value + "\r\n";
+    request.append(name).append(": ").append(value).append("\r\n");
   }
   asio::write(socket, asio::buffer(request + "\r\n"));
   std::string answer;
