--- a/include/celerykeel/core/event_sequence.h
+++ b/include/celerykeel/core/event_sequence.h
@@ -26,7 +26,7 @@
 };
 
 /// @brief Returns a sequence for a call.
-/// @param resumed_after the Last-Event-Id of the caller; empty: none.
+/// @param resumed_after id after which the caller resumes; empty: none.
 EventSequence BeginSequence(const std::string& resumed_after);
 
 /// @brief Events that may be relayed.
--- a/src/celerykeel/core/crash_records.cc
+++ b/src/celerykeel/core/crash_records.cc
@@ -36,6 +36,10 @@
 // Returns the suspects that count as copies of the request.
 Identities CopiesOf(const CrashRecords& records,
                     const RequestIdentity& request) {
+  // Asked for each call, and mostly there are none.
+  if (records.requests.empty()) {
+    return {};
+  }
   if (const auto group = records.groups.find(GroupOf(request));
       group != records.groups.end() && !group->second.is_mixed) {
     return group->second.suspects;
