testing: the store's stand-in pages its lists as the platform's page says

A reader of keyed topics met one page with all keys, whatever `after` said, so no test could show how it goes on. Faults: pages that come again, are empty, or grow while they are read. Writes of the system to the operators' and the endpoints' topics get 403. EdgeProcess can be killed and started again, and its endpoint writes heartbeats while a test waits.

--- a/src/celerykeel/testing/edge_process.cc
+++ b/src/celerykeel/testing/edge_process.cc
@@ -15,6 +15,8 @@
 
 #include <fmt/format.h>  // for fmt::format
 
+#include "celerykeel/testing/run_on_loop.h"  // for RunOnLoop
+
 namespace celerykeel::testing {
 
 namespace {
@@ -86,11 +88,7 @@
   const std::string ip = this->Ip();
   this->endpoint.id = "e0";
   PutKeyed(this->store, "keyed.op", "config", kDeployment + limits + "}");
-  PutKeyed(this->store, "keyed.servers", "e0",
-           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
-                       R"("version":"v1","slots":1000,"state":"ready",)"
-                       R"("sequence":1,"born":1}})",
-                       ip, kEndpointPort));
+  this->PutHeartbeat();
   const auto address = asio::ip::make_address(ip);
   Spawn(this->loop, ServeStore(this->loop, this->store, this->store_access,
                                {address, kStorePort}));
@@ -102,6 +100,22 @@
   this->process = Spawned(name, name + ".json");
 }
 
+void EdgeProcess::PutHeartbeat() {
+  PutKeyed(this->store, "keyed.servers", "e0",
+           fmt::format(R"({{"service":"llm","address":"{}:{}","zone":"z",)"
+                       R"("version":"v1","slots":1000,"state":"ready",)"
+                       R"("sequence":{},"born":1}})",
+                       this->Ip(), kEndpointPort, ++this->heartbeats));
+}
+
+void EdgeProcess::Restart(const std::function<void()>& change) {
+  kill(this->process, SIGKILL);
+  waitpid(this->process, nullptr, 0);
+  RunOnLoop(this->loop, change);
+  const std::string name = FileName(this->subnet);
+  this->process = Spawned(name, name + ".json");
+}
+
 EdgeProcess::~EdgeProcess() {
   if (this->process > 0) {
     kill(this->process, SIGKILL);
@@ -125,6 +139,7 @@
 bool EdgeProcess::WaitUntilServing() {
   constexpr int kMaxPolls = 200;  // 20 s
   for (int i = 0; i < kMaxPolls && this->IsAlive(); ++i) {
+    RunOnLoop(this->loop, [this] { this->PutHeartbeat(); });
     if (this->SendOrdinary() == 200) {
       return true;
     }
--- a/src/celerykeel/testing/edge_process.h
+++ b/src/celerykeel/testing/edge_process.h
@@ -2,8 +2,9 @@
 
 #include <sys/types.h>  // for pid_t
 
-#include <string>  // for std::string
-#include <thread>  // for std::thread
+#include <functional>  // for std::function
+#include <string>      // for std::string
+#include <thread>      // for std::thread
 
 #include "celerykeel/testing/endpoint_standin.h"  // for EndpointStandin
 #include "celerykeel/testing/store_standin.h"     // for StoreStandin
@@ -23,7 +24,13 @@
   EdgeProcess(const EdgeProcess&) = delete;
   EdgeProcess& operator=(const EdgeProcess&) = delete;
 
+  /// @brief Kills the process, runs `change` on the stand-ins' loop and starts
+  /// the process again.
+  void Restart(const std::function<void()>& change);
+
   /// @brief Waits until the process is ready and answers an ordinary request.
+  /// Meanwhile the endpoint writes its entry to the store, as all endpoints do
+  /// at each heartbeat.
   bool WaitUntilServing();
 
   /// @brief Sends one ordinary request over a new connection.
@@ -53,7 +60,10 @@
   EndpointStandin endpoint;
 
  private:
+  void PutHeartbeat();
+
   int subnet = 0;
+  int heartbeats = 0;
   pid_t process = -1;
   int requests = 0;  // sent by SendOrdinary
   asio::io_context loop{1};
--- a/src/celerykeel/testing/node_fleet_state.cc
+++ b/src/celerykeel/testing/node_fleet_state.cc
@@ -7,23 +7,13 @@
 #include "celerykeel/node/slot_log.h"        // for kSlotTopic
 #include "celerykeel/testing/node_fleet.h"   // for NodeFleet
 #include "celerykeel/testing/run_on_loop.h"  // for RunOnLoop
+#include "celerykeel/testing/wait_for.h"     // for WaitFor
 #include "celerykeel/wire/slot_codec.h"      // for EncodeSlotRecord
 
 namespace celerykeel::testing {
 
 namespace {
 
-bool WaitFor(const std::function<bool()>& condition) {
-  constexpr int kMaxPolls = 400;  // 20 s
-  for (int i = 0; i < kMaxPolls; ++i) {
-    if (condition()) {
-      return true;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  }
-  return false;
-}
-
 // True if the node has a link to the peer and hears its heartbeats.
 bool IsInTouch(const Node& node, const std::string& peer) {
   const auto link = node.peers.links.find(peer);
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -1,6 +1,6 @@
 #include "celerykeel/testing/store_standin.h"
 
-#include <openssl/evp.h>                // for EVP_EncodeBlock
+#include <fmt/format.h>                 // for fmt::format
 #include <boost/endian/conversion.hpp>  // for store_big_u64
 #include <nlohmann/json.hpp>            // for nlohmann::json
 
@@ -25,7 +25,8 @@
   while (at != std::string::npos) {
     const size_t end = target.find('&', at + 1);
     const std::string pair = target.substr(at + 1, end - at - 1);
-    query[pair.substr(0, pair.find('='))] = pair.substr(pair.find('=') + 1);
+    query[pair.substr(0, pair.find('='))] =
+        PercentDecoded(pair.substr(pair.find('=') + 1));
     at = end;
   }
   return query;
@@ -111,34 +112,13 @@
   return Answer(200, std::move(body));
 }
 
-std::string Base64(const std::string& bytes) {
-  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const int size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                      reinterpret_cast<const unsigned char*>(bytes.data()),
-                      static_cast<int>(bytes.size()));
-  text.resize(static_cast<size_t>(size));
-  return text;
-}
-
-StandinResponse Newest(const StoreStandin::Partition& partition) {
-  std::map<std::string, KeyedRecord> newest;
-  for (uint64_t at = 0; at < partition.records.size(); ++at) {
-    KeyedRecord record = platform::DecodeKeyed(partition.records[at], at);
-    newest[record.key] = record;
-  }
-  json items = json::array();
-  for (const auto& [key, record] : newest) {
-    if (!record.dropped) {
-      items.push_back({{"key", key},
-                       {"value", Base64(record.value)},
-                       {"offset", record.offset}});
-    }
+// Adds a page of keys that sort behind all others.
+void AddKeys(StoreStandin::Partition& partition, const PageRules& rules) {
+  for (size_t i = 0; i <= rules.max_items; ++i) {
+    partition.records.push_back(platform::EncodeKeyed(
+        fmt::format("{}{:012}", rules.grows_with, partition.records.size()),
+        "{}"));
   }
-  return Answer(200, json{{"items", items},
-                          {"truncated", false},
-                          {"end", partition.records.size()}}
-                         .dump());
 }
 
 Task<> AppendAfterDelay(asio::io_context& loop,
@@ -206,6 +186,11 @@
   StandinResponse response = Answer(404, "");
   if (target.find("log-append") != std::string::npos) {
     ++store.appends;
+    if (query["topic"] == platform::kConfigurationTopic ||
+        query["topic"] == platform::kEndpointTopic) {
+      StandinResponse forbidden = Answer(403, "");  // others write there
+      co_return co_await Respond(connection, std::move(forbidden));
+    }
     if (query.contains("epoch") &&
         store.refused_epochs.contains(std::stoull(query["epoch"]))) {
       StandinResponse refused = Answer(503, "");
@@ -220,7 +205,16 @@
       co_return false;
     }
   } else if (target.find("log-newest") != std::string::npos) {
-    response = Newest(partition);
+    ++store.list_reads;
+    const auto rules = store.pages_of_topics.find(query["topic"]);
+    response = Answer(
+        200, NewestPage(partition.newest, partition.records, query["after"],
+                        rules == store.pages_of_topics.end() ? store.pages
+                                                             : rules->second));
+    if (rules != store.pages_of_topics.end() &&
+        !rules->second.grows_with.empty()) {
+      AddKeys(partition, rules->second);
+    }
   } else if (target.find("log-read") != std::string::npos) {
     const uint64_t from = std::stoull(query["from"]);
     const bool waits = query.contains("wait_ms") && query["wait_ms"] != "0";
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -10,6 +10,7 @@
 #include <vector>   // for std::vector
 
 #include "celerykeel/testing/http_standin.h"  // for StandinRequest
+#include "celerykeel/testing/keyed_pages.h"   // for NewestRecords, PageRules
 
 namespace celerykeel::testing {
 
@@ -22,7 +23,8 @@
 };
 
 /// @brief Stand-in for the platform's store. Supports offsets, producer epochs
-/// and sequences, and keyed topics.
+/// and sequences, and keyed topics, whose lists come in pages. The system may
+/// not write to the topics of operators and endpoints.
 struct StoreStandin {
   struct Partition {
     std::vector<std::string> records;
@@ -30,6 +32,7 @@
     uint64_t next_sequence = 0;
     uint64_t last_offset = 0;  // of the last stamped append
     uint64_t first = 0;        // earlier records can't be read any more
+    NewestRecords newest;      // of a keyed topic
   };
 
   std::map<std::pair<std::string, uint32_t>, Partition> partitions;
@@ -39,6 +42,9 @@
   // Closes the connection of a waiting read after a second, without an answer.
   std::atomic<bool> drops_waiting_reads{false};
   std::atomic<uint64_t> appends{0};
+  std::atomic<uint64_t> list_reads{0};
+  PageRules pages;  // of all topics but these
+  std::map<std::string, PageRules> pages_of_topics;
   // Of one read, which takes `read_delay_ms`.
   std::atomic<size_t> max_records_per_read{std::numeric_limits<size_t>::max()};
   std::atomic<int> read_delay_ms{0};
