node: logs and metrics tell what a start waits for, and how lists are read

Nothing between the lines `started` and `serving` told which dependency was missing, so the hypotheses of the incident could not be told apart.

--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -9,16 +9,28 @@
 #include <tl/expected.hpp>  // for tl::expected
 
 #include "celerykeel/core/store_call.h"  // for KeyedRecord, StoreError
+#include "celerykeel/core/time.h"        // for Duration
 #include "celerykeel/node/asio.h"        // for Task
 
 namespace celerykeel {
 
 struct Node;
 
+/// @brief A read of the newest record of each key that is under way.
+struct KeyedList {
+  std::string after;  // key after which the next page begins
+  Duration began_at{};
+  Duration logged_at{};  // time of the last log line on it
+  uint64_t pages = 0;
+  uint64_t records = 0;
+  uint64_t bytes = 0;  // of keys and values
+};
+
 /// @brief Read position in a topic that keeps the newest record of each key.
 struct KeyedTopic {
   std::string_view name;
-  std::optional<uint64_t> next;  // offset; nothing: read all keys first
+  std::optional<uint64_t> next{};   // offset; nothing: read all keys first
+  std::optional<KeyedList> list{};  // under way
 };
 
 using KeyedRecords = tl::expected<std::vector<KeyedRecord>, StoreError>;
--- a/include/celerykeel/node/metrics.h
+++ b/include/celerykeel/node/metrics.h
@@ -39,6 +39,8 @@
   prometheus::Family<prometheus::Counter>& crossings;
   // Shares of a service's calls that go to other zones, by service and zone.
   prometheus::Family<prometheus::Gauge>& zone_shares;
+  // Reads of the store's lists, by topic and what is counted.
+  prometheus::Family<prometheus::Gauge>& lists;
   prometheus::Family<prometheus::Gauge>&
       levels;  // by name; set in RenderMetrics
 };
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -26,6 +26,7 @@
 #include "celerykeel/node/crash_watch.h"         // for CrashWatch
 #include "celerykeel/node/endpoint_limits.h"     // for EndpointLimitState
 #include "celerykeel/node/feeds.h"               // for DeploymentFeed
+#include "celerykeel/node/list_log.h"            // for ListReadsByTopic
 #include "celerykeel/node/log_sink.h"            // for LogSink
 #include "celerykeel/node/metrics.h"             // for NodeMetrics
 #include "celerykeel/node/options.h"             // for NodeOptions
@@ -143,6 +144,7 @@
   OutPool endpoint_pool;
   OutPool tunnel_pool;  // connections to peers; none is idle
   StoreClient store;
+  ListReadsByTopic list_reads;
 
   KnownFleet fleet;
   PeerNetwork peers;
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -3,6 +3,8 @@
 #include <iterator>  // for std::make_move_iterator
 #include <utility>   // for std::move
 
+#include "celerykeel/base/clock.h"         // for Now
+#include "celerykeel/node/list_log.h"      // for RecordPage
 #include "celerykeel/node/node.h"          // for Node
 #include "celerykeel/node/store_client.h"  // for ReadNewest
 #include "platform/store_calls.h"          // for platform::DecodeKeyed
@@ -13,20 +15,27 @@
   NewestRecordsCall call{.topic = std::string(topic.name), .after = {}};
   std::vector<KeyedRecord> all;
   std::optional<uint64_t> next;
+  topic.list.emplace();
+  topic.list->began_at = Now();
   while (true) {
     auto done = co_await ReadNewest(node, call);
     if (!done) {
+      RecordFailedPage(node, topic, done.error());
       co_return tl::unexpected(done.error());
     }
     // A key that was written after its part was read is found from here on.
     next = next.value_or(done->end);
+    RecordPage(node, topic, done->records);
     all.insert(all.end(), std::make_move_iterator(done->records.begin()),
                std::make_move_iterator(done->records.end()));
     if (!done->more || done->records.empty()) {
+      RecordListEnd(node, topic);
+      topic.list.reset();
       topic.next = next;
       co_return all;
     }
     call.after = all.back().key;
+    topic.list->after = call.after;
   }
 }
 
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -101,6 +101,29 @@
                     [](const auto& entry) { return entry.second.in_force; }));
 }
 
+void SetStartGauges(Node& node) {
+  const StartNeeds needs = MissingAtStart(node);
+  NodeMetrics& metrics = node.metrics;
+  SetGauge(metrics, "waits_for_configuration", needs.configuration ? 1 : 0);
+  SetGauge(metrics, "waits_for_evacuations", needs.evacuations ? 1 : 0);
+  SetGauge(metrics, "waits_for_endpoints", needs.endpoints ? 1 : 0);
+  SetGauge(metrics, "waits_for_members", needs.members ? 1 : 0);
+}
+
+void SetListGauges(Node& node, Duration now) {
+  for (const auto& [topic, reads] : node.list_reads) {
+    const auto set = [&node, &topic = topic](const char* of, double value) {
+      node.metrics.lists.Add({{"topic", topic}, {"of", of}}).Set(value);
+    };
+    const Duration under_way = reads.since ? now - *reads.since : Duration{};
+    set("seconds_under_way", std::chrono::duration<double>(under_way).count());
+    set("pages", static_cast<double>(reads.pages));
+    set("records", static_cast<double>(reads.records));
+    set("bytes", static_cast<double>(reads.bytes));
+    set("failed_pages", static_cast<double>(reads.failed_pages));
+  }
+}
+
 }  // namespace
 
 NodeMetrics::NodeMetrics()
@@ -153,6 +176,11 @@
                       .Name("celerykeel_zone_share")
                       .Help("Share of a service's calls for another zone.")
                       .Register(this->registry)),
+      lists(prometheus::BuildGauge()
+                .Name("celerykeel_list")
+                .Help("Reads of the store's lists of keys since the start, by "
+                      "topic.")
+                .Register(this->registry)),
       levels(prometheus::BuildGauge()
                  .Name("celerykeel_level")
                  .Help("State of the moment, by what it is of.")
@@ -237,6 +265,8 @@
            static_cast<double>(node.log.sampled_out_total));
   SetGauge(metrics, "log_lines_dropped",
            static_cast<double>(node.log.dropped_total));
+  SetStartGauges(node);
+  SetListGauges(node, now);
   return prometheus::TextSerializer().Serialize(metrics.registry.Collect());
 }
 
