core, node: lists of the store are used page by page, whatever others write there

Cause: a start read each list whole, with all its pages in memory, before it used the first record, and trusted that each page leads to the next one. So it depended on the bytes, the number and the size of all keys that others write: a key that doesn't arrive as it was listed, a page that comes again, a page without a usable key (taken for the list's end: the endpoints behind it were removed), a list without an end, or one above the machine's memory.

--- a/include/celerykeel/core/endpoint_table.h
+++ b/include/celerykeel/core/endpoint_table.h
@@ -41,6 +41,7 @@
   // Time at which its entry was removed shortly after an outage of the store;
   // empty while it has an entry.
   std::optional<Duration> lapsed_at;
+  Duration listed_at{};    // when a record of it was last read
   Duration avoid_until{};  // after failures
   uint32_t failures = 0;   // in a row
   // Time before which its rate limit allows no further call.
--- a/include/celerykeel/node/crash_store.h
+++ b/include/celerykeel/node/crash_store.h
@@ -20,7 +20,7 @@
     Duration seen_at{};
   };
 
-  KeyedTopic topic{.name = "keyed.celerykeel-crashes", .next = {}};
+  KeyedTopic topic{.name = "keyed.celerykeel-crashes"};
   std::map<std::string, Stored> stored;  // by key; written or read here
   bool is_writing = false;
 };
--- a/include/celerykeel/node/endpoint_feed.h
+++ b/include/celerykeel/node/endpoint_feed.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>  // for uint64_t
+
 #include "celerykeel/core/endpoint_table.h"  // for EndpointEntry
 #include "celerykeel/node.pb.h"              // for pb::EndpointNews
 #include "celerykeel/node/asio.h"            // for Task
@@ -8,6 +10,17 @@
 
 struct Node;
 
+/// @brief What the list of endpoints did not fit into the table.
+struct EndpointListState {
+  bool has_left_out = false;  // since the last list that was due
+  bool is_due = false;        // the list is to be read again
+  uint64_t left_out = 0;      // entries, since the start
+};
+
+/// @brief Reads the list again if entries were left out: a new configuration
+/// may have their services.
+void ReadLeftOutEndpoints(EndpointListState& list);
+
 /// @brief Follows the entries that endpoints write to the store. Reads them and
 /// forwards changes to the peers if this instance is a reader or no reader is
 /// up to date; otherwise relies on the readers' updates.
--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>      // for uint64_t
+#include <functional>   // for std::function
 #include <optional>     // for std::optional
 #include <string>       // for std::string
 #include <string_view>  // for std::string_view
@@ -8,9 +9,10 @@
 
 #include <tl/expected.hpp>  // for tl::expected
 
-#include "celerykeel/core/store_call.h"  // for KeyedRecord, StoreError
-#include "celerykeel/core/time.h"        // for Duration
-#include "celerykeel/node/asio.h"        // for Task
+#include "celerykeel/core/list_cursor.h"  // for ListCursor
+#include "celerykeel/core/store_call.h"   // for KeyedRecord, StoreError
+#include "celerykeel/core/time.h"         // for Duration
+#include "celerykeel/node/asio.h"         // for Task
 
 namespace celerykeel {
 
@@ -18,9 +20,11 @@
 
 /// @brief A read of the newest record of each key that is under way.
 struct KeyedList {
-  std::string after;  // key after which the next page begins
+  ListCursor cursor;
+  std::optional<uint64_t> end;  // of the topic, when the read began
   Duration began_at{};
-  Duration logged_at{};  // time of the last log line on it
+  Duration logged_at{};     // time of the last log line on it
+  Duration next_page_at{};  // a long list is read slowly
   uint64_t pages = 0;
   uint64_t records = 0;
   uint64_t bytes = 0;  // of keys and values
@@ -29,19 +33,36 @@
 /// @brief Read position in a topic that keeps the newest record of each key.
 struct KeyedTopic {
   std::string_view name;
-  std::optional<uint64_t> next{};   // offset; nothing: read all keys first
-  std::optional<KeyedList> list{};  // under way
+  std::optional<uint64_t> next{};  // offset; nothing: read all keys first
+  uint64_t end = 0;                // of the topic, at the last read of records
+  std::vector<WantedKeys> wanted{};  // see ListCursor
+  std::optional<KeyedList> list{};   // under way
 };
 
 using KeyedRecords = tl::expected<std::vector<KeyedRecord>, StoreError>;
 
-/// @brief Reads the newest record of each key, and sets `topic.next` to where
-/// ReadNewRecords continues. Records that were written during the read may be
-/// read again.
-Task<KeyedRecords> ReadAllKeys(Node& node, KeyedTopic& topic);
+enum class ListEnd {
+  kComplete,    // each key was listed
+  kIncomplete,  // it has ended, and keys may be missing
+  kGoesOn,      // the time is up; the next call goes on there
+};
+
+/// @brief Takes the records of one page.
+using ApplyRecords = std::function<void(const std::vector<KeyedRecord>&)>;
+
+/// @brief Reads the newest record of each key, one page after the other, and
+/// passes each page to `apply`. Sets `topic.next`, with the first page, to
+/// where ReadNewRecords continues; records that were written during the read
+/// may be read again. After an error the next call goes on at the same page.
+/// @param time after which no further page is read.
+Task<tl::expected<ListEnd, StoreError>> ReadList(Node& node,
+                                                 KeyedTopic& topic,
+                                                 Duration time,
+                                                 ApplyRecords apply);
 
-/// @brief Reads the records from `topic.next` on, which must be set. Clears
-/// `topic.next` if the store has deleted records from there on.
+/// @brief Reads the records from `topic.next` on, which must be set; one call's
+/// worth of them. Clears `topic.next` if the store has deleted records from
+/// there on.
 /// @param wait_ms longest wait in the store for a record if there is none.
 Task<KeyedRecords> ReadNewRecords(Node& node,
                                   KeyedTopic& topic,
--- a/include/celerykeel/node/list_log.h
+++ b/include/celerykeel/node/list_log.h
@@ -8,7 +8,7 @@
 #include <vector>       // for std::vector
 
 #include "celerykeel/core/time.h"         // for Duration
-#include "celerykeel/node/keyed_topic.h"  // for KeyedTopic
+#include "celerykeel/node/keyed_topic.h"  // for KeyedTopic, ListEnd
 
 namespace celerykeel {
 
@@ -22,11 +22,14 @@
   uint64_t records = 0;
   uint64_t bytes = 0;  // of keys and values
   uint64_t failed_pages = 0;
+  uint64_t skips = 0;       // pages that didn't lead to a next one
+  uint64_t incomplete = 0;  // lists that ended without all keys
 };
 
 using ListReadsByTopic = std::map<std::string, ListReads, std::less<>>;
 
-/// @brief Notes a page of the list, and logs a line if the list has taken long.
+/// @brief Notes a page of the list, and logs a line if the list has taken long
+/// or a page led nowhere.
 void RecordPage(Node& node,
                 KeyedTopic& topic,
                 const std::vector<KeyedRecord>& records);
@@ -35,6 +38,6 @@
 void RecordFailedPage(Node& node, KeyedTopic& topic, const StoreError& error);
 
 /// @brief Notes the end of a list; one of several pages gets a log line.
-void RecordListEnd(Node& node, const KeyedTopic& topic);
+void RecordListEnd(Node& node, const KeyedTopic& topic, ListEnd end);
 
 }  // namespace celerykeel
--- a/include/celerykeel/node/node.h
+++ b/include/celerykeel/node/node.h
@@ -24,6 +24,7 @@
 #include "celerykeel/node/caller_stream.h"       // for CallerStream
 #include "celerykeel/node/crash_store.h"         // for CrashStore
 #include "celerykeel/node/crash_watch.h"         // for CrashWatch
+#include "celerykeel/node/endpoint_feed.h"       // for EndpointListState
 #include "celerykeel/node/endpoint_limits.h"     // for EndpointLimitState
 #include "celerykeel/node/feeds.h"               // for DeploymentFeed
 #include "celerykeel/node/list_log.h"            // for ListReadsByTopic
@@ -162,6 +163,7 @@
   // When the next copy of a request may run, as its home or without one.
   std::map<RequestIdentity, Duration> suspect_runs;
 
+  EndpointListState endpoint_list;
   std::optional<Duration> endpoints_read_at;  // as a reader for all instances
   LoggedLines speed_lines;       // on endpoints that became slow or fast
   uint64_t entries_skipped = 0;  // endpoint entries that don't decode
--- a/include/celerykeel/node/version_feed.h
+++ b/include/celerykeel/node/version_feed.h
@@ -19,7 +19,9 @@
 /// @brief The software versions that the store has recorded for each service.
 struct VersionFeed {
   ServiceVersions versions;
-  KeyedTopic topic{.name = "keyed.celerykeel-versions", .next = {}};
+  KeyedTopic topic{.name = "keyed.celerykeel-versions"};
+  bool is_listed = false;         // the list has ended, or takes too long
+  bool is_list_complete = false;  // and its last read held all keys
   bool endpoints_changed = true;  // since the last review of the versions
   bool reading = false;
   std::vector<std::shared_ptr<Promise<bool>>> waiting;  // for the next read
--- a/src/celerykeel/node/crash_store.cc
+++ b/src/celerykeel/node/crash_store.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+constexpr Duration kListTime = std::chrono::seconds(1);
+constexpr size_t kMaxStoredCrashes = 4096;  // that are renewed or deleted
 // The instance that saw a crash writes it at once. Readers write it after this
 // time, in case that instance has failed.
 constexpr Duration kReaderDelay = std::chrono::seconds(1);
@@ -110,11 +112,14 @@
   const Duration now = Now();
   const auto run = DecodeStoredCrash(record.value, now, WallNow());
   if (!run) {
-    WriteLog(node.log, LogLevel::kUnusual, "crash record unreadable",
+    WriteLog(node.log, LogLevel::kOrdinary, "crash record unreadable",
              {{"offset", record.offset}});
     return;
   }
   RecordCrashedRun(node.crash_watch.records, *run, now);
+  if (node.crash_store.stored.size() >= kMaxStoredCrashes) {
+    return;  // the store keeps it
+  }
   // An expired one is deleted with the next update.
   node.crash_store.stored[record.key] = {.others_missing = run->others_missing,
                                          .seen_at = run->seen_at};
@@ -123,12 +128,15 @@
 }  // namespace
 
 Task<> ReadStoredCrashes(Node& node) {
+  const ApplyRecords apply = [&node](const auto& records) {
+    for (const KeyedRecord& record : records) {
+      ApplyRecord(node, record);
+    }
+  };
   while (true) {
-    const auto records = co_await ReadAllKeys(node, node.crash_store.topic);
-    if (records) {
-      for (const KeyedRecord& record : *records) {
-        ApplyRecord(node, record);
-      }
+    const auto done =
+        co_await ReadList(node, node.crash_store.topic, kListTime, apply);
+    if (done && *done != ListEnd::kGoesOn) {
       co_return;
     }
     co_await PauseForStore(node, kRetryPause);
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -1,7 +1,7 @@
 #include "celerykeel/node/endpoint_feed.h"
 
 #include <algorithm>  // for std::any_of, std::max
-#include <set>        // for std::set
+#include <utility>    // for std::exchange
 #include <vector>     // for std::vector
 
 #include "celerykeel/base/clock.h"           // for Now
@@ -9,9 +9,10 @@
 #include "celerykeel/core/reader_choice.h"   // for IsReader
 #include "celerykeel/node/crash_watch.h"     // for HandleStart
 #include "celerykeel/node/isolation.h"       // for ApplyIsolationNews
-#include "celerykeel/node/keyed_topic.h"     // for ReadAllKeys
+#include "celerykeel/node/keyed_topic.h"     // for ReadList
 #include "celerykeel/node/node.h"            // for Node
 #include "platform/deployment_json.h"        // for platform::DecodeEndpoint
+#include "platform/ids.h"                    // for platform::IsValidId
 
 namespace celerykeel {
 
@@ -28,6 +29,15 @@
 // A reader's state is too old to rely on at this age: a read interval and a
 // heartbeat interval, plus half as much again.
 constexpr Duration kMaxReaderAge = std::chrono::milliseconds(1200);
+// Of one call that reads the list; new records are read between calls.
+constexpr Duration kListTime = std::chrono::milliseconds(400);
+constexpr int kMaxReadsAtOnce = 4;  // 1 MiB each
+// Bounds the removals of endpoints that this instance doesn't know in one
+// message to the peers: another writer may remove any number of keys.
+constexpr int kMaxUnknownRemovals = 256;
+// Above the largest planned number of endpoints, 4,700.
+constexpr size_t kMaxEndpoints = 8192;
+constexpr size_t kMaxUnservedEndpoints = 1024;
 // Sources in log lines.
 constexpr std::string_view kStoreSource = "the store";
 constexpr std::string_view kPeerSource = "a peer";
@@ -43,6 +53,25 @@
        {"source", source}});
 }
 
+// Endpoints of services that the configuration doesn't have may be those of its
+// next version, or entries of other writers, whose number has no bound.
+bool HasRoom(const Node& node, const EndpointEntry& entry) {
+  const bool is_served = node.deployment != nullptr &&
+                         node.deployment->services.contains(entry.service);
+  return node.endpoints.endpoints.size() <
+         (is_served ? kMaxEndpoints : kMaxUnservedEndpoints);
+}
+
+void LeaveOut(Node& node, const EndpointEntry& entry) {
+  node.endpoint_list.has_left_out = true;
+  ++node.endpoint_list.left_out;
+  WriteLog(node.log, LogLevel::kOrdinary, "endpoint left out",
+           {{"endpoint", entry.id},
+            {"service", entry.service},
+            {"endpoints", node.endpoints.endpoints.size()},
+            {"reason", "too many entries"}});
+}
+
 // Applies an endpoint's record to the table.
 // @param is_first the record is one of the first complete list.
 // @return true if the record changes more than the time of the last heartbeat.
@@ -53,11 +82,18 @@
   if (record.key.empty()) {
     return false;
   }
+  const auto known = node.endpoints.endpoints.find(record.key);
+  const bool is_known = known != node.endpoints.endpoints.end();
   if (record.dropped) {
-    HandleRemoval(node, record.key);
-    RecordRemoval(node.endpoints, record.key, Now());
-    node.version_feed.endpoints_changed = true;
-    return true;
+    if (is_known) {
+      HandleRemoval(node, record.key);
+      RecordRemoval(node.endpoints, record.key, Now());
+      node.version_feed.endpoints_changed = true;
+    }
+    return is_known || platform::IsValidId(record.key);
+  }
+  if (is_known) {
+    known->second.listed_at = Now();
   }
   const auto entry = platform::DecodeEndpoint(record.key, record.value);
   if (!entry) {
@@ -66,8 +102,11 @@
              {{"endpoint", record.key}, {"field", entry.error().field}});
     return false;
   }
-  const auto known = node.endpoints.endpoints.find(record.key);
-  const bool changed = known == node.endpoints.endpoints.end() ||
+  if (!is_known && !HasRoom(node, *entry)) {
+    LeaveOut(node, *entry);
+    return false;
+  }
+  const bool changed = !is_known ||
                        known->second.entry.leaving != entry->leaving ||
                        known->second.entry.address != entry->address ||
                        known->second.entry.version != entry->version ||
@@ -77,6 +116,7 @@
     HandleStart(node, *entry);
   }
   RecordEntry(node.endpoints, *entry);
+  node.endpoints.endpoints.at(entry->id).listed_at = Now();
   const bool is_coldness_new =
       RecordColdness(node.endpoints, *entry, !is_first, Now());
   if (is_coldness_new) {
@@ -107,67 +147,86 @@
   return found != node.endpoints.endpoints.end() && found->second.entry.leaving;
 }
 
-// Reads the complete list. A reader sends the changes to the peers, as they
-// rely on it. Of its first list these are the endpoints that leave: its peers
-// may have had no reader when they began to.
-Task<> ReadCompleteList(Node& node, KeyedTopic& topic, bool is_reader) {
-  const Duration began = Now();
-  const bool is_first = node.endpoints.endpoints.empty();
-  const auto records = co_await ReadAllKeys(node, topic);
-  if (!records) {
-    co_return;
-  }
+// A read of the complete list.
+struct EndpointList {
+  KeyedTopic topic{.name = platform::kEndpointTopic};
+  Duration began{};
+  bool is_first = false;  // no endpoint was known when it began
+};
+
+// Applies records that were read from the store. A reader sends the changes to
+// the peers, as they rely on it. Of its first list these are the endpoints that
+// leave: its peers may have had no reader when they began to.
+void ApplyEndpointRecords(Node& node,
+                          const std::vector<KeyedRecord>& records,
+                          bool is_reader,
+                          bool is_first) {
   pb::NodeFrame frame;
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
-  std::set<std::string> seen;
-  for (const KeyedRecord& record : *records) {
-    if (ApplyEndpointRecord(node, record, kStoreSource, is_first) &&
-        (!is_first || IsLeaving(node, record.key))) {
+  int unknown_removals = 0;
+  for (const KeyedRecord& record : records) {
+    const bool is_known = node.endpoints.endpoints.contains(record.key);
+    if (!ApplyEndpointRecord(node, record, kStoreSource, is_first) ||
+        (is_first && !IsLeaving(node, record.key))) {
+      continue;
+    }
+    if (!record.dropped || is_known ||
+        ++unknown_removals <= kMaxUnknownRemovals) {
       AddChange(news, record);
     }
-    seen.insert(record.key);
   }
-  // This instance missed the removal of endpoints that the store no longer
-  // lists.
-  std::vector<std::string> removed;
+  if (is_reader && news.changes_size() > 0) {
+    SendToAll(node.peers, frame);
+  }
+}
+
+// Removes the endpoints that the complete list did not hold: this instance
+// missed their removal.
+void RemoveUnlisted(Node& node, Duration list_began, bool is_reader) {
+  std::vector<KeyedRecord> removed;
   for (const auto& [id, endpoint] : node.endpoints.endpoints) {
-    if (!seen.contains(id)) {
-      removed.push_back(id);
+    if (endpoint.listed_at < list_began) {
+      removed.push_back({.key = id, .value = "", .dropped = true, .offset = 0});
     }
   }
-  for (const std::string& id : removed) {
-    const KeyedRecord record{
-        .key = id, .value = "", .dropped = true, .offset = 0};
-    ApplyEndpointRecord(node, record, kStoreSource);
-    AddChange(news, record);
-  }
-  if (!is_reader) {
-    co_return;
-  }
-  if (news.changes_size() > 0) {
-    SendToAll(node.peers, frame);
-  }
-  node.endpoints_read_at = began;
+  ApplyEndpointRecords(node, removed, is_reader, false);
 }
 
-// Reads new records as a reader, and sends the changes to the peers.
-Task<> ReadAsReader(Node& node, KeyedTopic& topic) {
-  const Duration began = Now();
-  const auto records = co_await ReadNewRecords(node, topic, 0);
-  if (!records) {
-    co_return;
+// Reads the complete list, or goes on where the last call stopped.
+Task<> ReadCompleteList(Node& node, EndpointList& list, bool is_reader) {
+  if (!list.topic.list) {
+    list.began = Now();
+    list.is_first = node.endpoints.endpoints.empty();
   }
-  pb::NodeFrame frame;
-  pb::EndpointNews& news = *frame.mutable_endpoint_news();
-  for (const KeyedRecord& record : *records) {
-    if (ApplyEndpointRecord(node, record, kStoreSource)) {
-      AddChange(news, record);
+  const ApplyRecords apply = [&node, &list, is_reader](const auto& records) {
+    ApplyEndpointRecords(node, records, is_reader, list.is_first);
+  };
+  const auto done = co_await ReadList(node, list.topic, kListTime, apply);
+  if (done && *done == ListEnd::kComplete) {
+    RemoveUnlisted(node, list.began, is_reader);
+    if (is_reader) {
+      node.endpoints_read_at = list.began;
     }
   }
-  if (news.changes_size() > 0) {
-    SendToAll(node.peers, frame);
+}
+
+// Reads new records, a bounded number at once, as another writer may add them
+// faster than they are read.
+Task<> ReadNew(Node& node, KeyedTopic& topic, bool is_reader) {
+  for (int reads = 0; reads < kMaxReadsAtOnce; ++reads) {
+    const Duration began = Now();
+    const auto records = co_await ReadNewRecords(node, topic, 0);
+    if (!records) {
+      co_return;
+    }
+    ApplyEndpointRecords(node, *records, is_reader, false);
+    if (records->empty() || *topic.next >= topic.end) {
+      if (is_reader) {
+        node.endpoints_read_at = began;
+      }
+      co_return;
+    }
   }
-  node.endpoints_read_at = began;
 }
 
 bool HasFreshReader(const Node& node, Duration now) {
@@ -188,6 +247,12 @@
 
 }  // namespace
 
+void ReadLeftOutEndpoints(EndpointListState& list) {
+  if (std::exchange(list.has_left_out, false)) {
+    list.is_due = true;
+  }
+}
+
 void HandleDeparture(Node& node, const EndpointEntry& endpoint) {
   if (!RecordDeparture(node.endpoints, endpoint.id, endpoint.started_at)) {
     return;
@@ -241,24 +306,35 @@
   }
 }
 
+// While the list goes on, new records are read as well: endpoints write at each
+// heartbeat, so they bring each live one however long the list is.
 Task<> FollowEndpoints(Node& node) {
-  KeyedTopic topic{.name = platform::kEndpointTopic, .next = std::nullopt};
+  EndpointList list;
+  KeyedTopic& topic = list.topic;
   Duration read_all_at{};
   while (true) {
     const Duration now = Now();
     const bool reads = IsReader(node.fleet, now) || !HasFreshReader(node, now);
-    if (!topic.next || (!reads && now >= read_all_at + kReadAllInterval)) {
+    const bool is_due = std::exchange(node.endpoint_list.is_due, false);
+    if (is_due) {
+      topic.list.reset();
+    }
+    const bool lists = !topic.next || topic.list || is_due ||
+                       (!reads && now >= read_all_at + kReadAllInterval);
+    if (lists) {
       co_await AwaitStore(node, kMaxFeedStoreWait);
-      read_all_at = Now();
-      co_await ReadCompleteList(node, topic, reads);
-    } else if (reads) {
+      read_all_at = topic.list ? read_all_at : Now();
+      co_await ReadCompleteList(node, list, reads);
+    }
+    if (topic.next && (topic.list || (reads && !lists))) {
       co_await AwaitStore(node, kMaxFeedStoreWait);
-      co_await ReadAsReader(node, topic);
+      co_await ReadNew(node, topic, reads);
     }
     if (!reads) {
       node.endpoints_read_at.reset();
     }
-    co_await Sleep(node.io, topic.next ? kEndpointReadInterval : kPause);
+    co_await Sleep(node.io,
+                   topic.next && !topic.list ? kEndpointReadInterval : kPause);
   }
 }
 
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -9,10 +9,11 @@
 #include "celerykeel/core/cold_endpoints.h"    // for SetColdTraits
 #include "celerykeel/core/deployment_check.h"  // for CheckDeployment
 #include "celerykeel/node/deployment_copy.h"   // for CopyDeployment
+#include "celerykeel/node/endpoint_feed.h"     // for ReadLeftOutEndpoints
 #include "celerykeel/node/fleet.h"             // for AnnounceSoon
-#include "celerykeel/node/keyed_topic.h"       // for ReadAllKeys
+#include "celerykeel/node/keyed_topic.h"       // for ReadNewRecords
 #include "celerykeel/node/node.h"              // for Node
-#include "celerykeel/node/operator_feed.h"     // for ApplyAllEvacuations
+#include "celerykeel/node/operator_feed.h"     // for ReadOperatorList
 #include "celerykeel/node/rates.h"             // for ReturnTokens
 #include "platform/deployment_json.h"          // for platform::DecodeDeployment
 
@@ -45,17 +46,6 @@
          std::max(VersionInForce(node), node.deployment_feed.unusable_version);
 }
 
-Task<> ReadNewestDeployment(Node& node, KeyedTopic& topic) {
-  const Duration began = Now();
-  const auto records = co_await ReadAllKeys(node, topic);
-  if (records) {
-    ApplyAllEvacuations(node, *records, *topic.next, began);
-    for (const KeyedRecord& record : *records) {
-      ApplyDeployment(node, record);
-    }
-  }
-}
-
 // Ends the wait for a long read. Its connection may be silent for good, and the
 // read would hang until its timeout, more than 6 s.
 void AbandonLongRead(Node& node) {
@@ -66,14 +56,14 @@
 }
 
 Task<> CatchUpWithPeers(Node& node) {
-  KeyedTopic topic{.name = platform::kConfigurationTopic, .next = std::nullopt};
+  OperatorList list;
   PartialCopy copy;
   co_await Sleep(node.io, kOwnReadTime);
   while (IsBehindPeers(node)) {
     const bool is_copied = co_await CopyDeployment(node, copy);
     AbandonLongRead(node);
     if (!is_copied) {
-      co_await ReadNewestDeployment(node, topic);
+      co_await ReadOperatorList(node, list);
       co_await Sleep(node.io, kRereadPause);
     }
   }
@@ -83,17 +73,20 @@
 // A task of its own, as the wait for it may be abandoned.
 Task<> ReadLong(Node& node,
                 uint64_t from,
+                uint64_t wait_ms,
                 std::shared_ptr<Promise<KeyedRecords>> done) {
   KeyedTopic topic{.name = platform::kConfigurationTopic, .next = from};
-  auto records = co_await ReadNewRecords(node, topic, kLongReadMillis);
+  auto records = co_await ReadNewRecords(node, topic, wait_ms);
   done->SetValue(std::move(records));
 }
 
 // @return nothing if the read was abandoned or got no answer.
-Task<std::optional<KeyedRecords>> AwaitNewRecords(Node& node, uint64_t from) {
+Task<std::optional<KeyedRecords>> AwaitNewRecords(Node& node,
+                                                  uint64_t from,
+                                                  uint64_t wait_ms) {
   const auto done = std::make_shared<Promise<KeyedRecords>>(node.io);
   node.deployment_feed.long_read = done;
-  Spawn(node.io, ReadLong(node, from, done));
+  Spawn(node.io, ReadLong(node, from, wait_ms, done));
   auto records = co_await done->Wait(kMaxLongReadTime);
   node.deployment_feed.long_read = nullptr;
   co_return records;
@@ -171,6 +164,7 @@
     ReturnTokensOfCutRates(node, *before);
   }
   SetColdTraits(node.endpoints, *node.deployment);
+  ReadLeftOutEndpoints(node.endpoint_list);
   feed.value = record.value;
   feed.offset = record.offset;
   feed.digest = digest;
@@ -199,23 +193,26 @@
 }
 
 Task<> FollowDeployment(Node& node) {
-  KeyedTopic topic{.name = platform::kConfigurationTopic, .next = std::nullopt};
+  OperatorList list;
+  KeyedTopic& topic = list.topic;
   while (true) {
     co_await AwaitStore(node, kMaxFeedStoreWait);
-    if (!topic.next) {
-      co_await ReadNewestDeployment(node, topic);
-      if (!topic.next || node.deployment == nullptr) {
+    if (!topic.next || topic.list) {
+      co_await ReadOperatorList(node, list);
+      if (!topic.next || (node.deployment == nullptr && !topic.list)) {
         // Without a valid configuration, all keys are read again.
         topic.next.reset();
         co_await Sleep(node.io, kPause);
+        continue;
       }
-      continue;
     }
-    const auto records = co_await AwaitNewRecords(node, *topic.next);
+    const auto records = co_await AwaitNewRecords(
+        node, *topic.next, topic.list ? 0 : kLongReadMillis);
     if (!records || !*records) {
       // The next read begins at the same record, so none is missed.
       if (records && std::holds_alternative<Expired>(records->error())) {
         topic.next.reset();
+        topic.list.reset();
       } else {
         co_await Sleep(node.io, kPause);
       }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -8,7 +8,7 @@
 #include "celerykeel/node/endpoint_feed.h"    // for KnownAnnouncements
 #include "celerykeel/node/endpoint_speeds.h"  // for AssessEndpoints
 #include "celerykeel/node/isolation.h"        // for ReportEndedIsolations
-#include "celerykeel/node/keyed_topic.h"      // for ReadAllKeys, WriteKey
+#include "celerykeel/node/keyed_topic.h"      // for ReadList, WriteKey
 #include "celerykeel/node/node.h"             // for Node
 #include "celerykeel/node/operator_feed.h"    // for KnownEvacuations
 #include "celerykeel/node/rate_lending.h"     // for RewriteDriftedReserves
@@ -39,6 +39,13 @@
 // A member without a heartbeat and without a new entry for this long is
 // removed.
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
+// Of one call that reads the list; new entries are read between calls.
+constexpr Duration kMemberListTime = std::chrono::milliseconds(400);
+// Slots are claimed without the rest of a list that takes longer: each claim is
+// fenced by its epoch, and without it nothing is served.
+constexpr Duration kMaxMemberListWait = std::chrono::seconds(2);
+// Several times the largest planned fleet.
+constexpr size_t kMaxMembers = 2048;
 constexpr std::string_view kMemberTopic = "keyed.celerykeel-members";
 
 std::string PeerAddress(const Node& node) {
@@ -215,11 +222,16 @@
   }
   pb::MemberEntry entry;
   if (!entry.ParseFromString(record.value)) {
-    WriteLog(node.log, LogLevel::kUnusual, "member entry unreadable",
+    WriteLog(node.log, LogLevel::kOrdinary, "member entry unreadable",
              {{"member", record.key}});
     return;
   }
   const bool known = node.fleet.members.contains(record.key);
+  if (!known && node.fleet.members.size() >= kMaxMembers) {
+    WriteLog(node.log, LogLevel::kOrdinary, "member left out",
+             {{"member", record.key}, {"reason", "too many entries"}});
+    return;
+  }
   FleetMember& member = node.fleet.members[record.key];
   if (known && member.incarnation == entry.incarnation() &&
       entry.beat() <= member.beat) {
@@ -256,24 +268,36 @@
       node, kMemberTopic, node.options.instance, entry.SerializeAsString());
 }
 
-Task<> ReadMembers(Node& node, KeyedTopic& members) {
-  const bool all = !members.next;
-  KeyedRecords records;
-  if (all) {
-    records = co_await ReadAllKeys(node, members);
-  } else {
-    records = co_await ReadNewRecords(node, members, 0);
-  }
-  if (!records) {
-    co_return;
-  }
+void ApplyMemberEntries(Node& node, const std::vector<KeyedRecord>& records) {
   const Duration now = Now();
   node.fleet.entries_read_at = now;
-  for (const KeyedRecord& record : *records) {
+  for (const KeyedRecord& record : records) {
     ApplyMemberEntry(node, record, now);
   }
-  if (all && !node.fleet.members_read_at) {
-    node.fleet.members_read_at = now;
+}
+
+Task<> ReadMemberList(Node& node, KeyedTopic& members) {
+  const ApplyRecords apply = [&node](const auto& records) {
+    ApplyMemberEntries(node, records);
+  };
+  const auto done = co_await ReadList(node, members, kMemberListTime, apply);
+  const bool has_ended = done && *done != ListEnd::kGoesOn;
+  const bool takes_long = members.list && members.list->pages > 0 &&
+                          Now() >= members.list->began_at + kMaxMemberListWait;
+  if (!node.fleet.members_read_at && (has_ended || takes_long)) {
+    node.fleet.members_read_at = Now();
+  }
+}
+
+Task<> ReadMembers(Node& node, KeyedTopic& members) {
+  if (!members.next || members.list) {
+    co_await ReadMemberList(node, members);
+    if (!members.next || !members.list) {
+      co_return;
+    }
+  }
+  if (const auto records = co_await ReadNewRecords(node, members, 0)) {
+    ApplyMemberEntries(node, *records);
   }
 }
 
@@ -353,7 +377,7 @@
 }
 
 Task<> RunMembership(Node& node) {
-  KeyedTopic members{.name = kMemberTopic, .next = std::nullopt};
+  KeyedTopic members{.name = kMemberTopic};
   uint64_t beat = 0;
   const Duration started = Now();
   while (true) {
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -1,7 +1,7 @@
 #include "celerykeel/node/keyed_topic.h"
 
-#include <iterator>  // for std::make_move_iterator
-#include <utility>   // for std::move
+#include <algorithm>  // for std::min
+#include <utility>    // for std::move
 
 #include "celerykeel/base/clock.h"         // for Now
 #include "celerykeel/node/list_log.h"      // for RecordPage
@@ -11,31 +11,106 @@
 
 namespace celerykeel {
 
-Task<KeyedRecords> ReadAllKeys(Node& node, KeyedTopic& topic) {
-  NewestRecordsCall call{.topic = std::string(topic.name), .after = {}};
-  std::vector<KeyedRecord> all;
-  std::optional<uint64_t> next;
+namespace {
+
+// Others write the lists, and all instances share the calls that the store
+// takes, also when all start at once. The pauses between the pages of a long
+// list grow.
+constexpr uint64_t kPagesWithoutPause = 16;
+constexpr Duration kPauseStep = std::chrono::milliseconds(2);
+constexpr Duration kMaxPagePause = std::chrono::milliseconds(400);
+constexpr int kTooMany = 429;
+constexpr int kServerError = 500;
+
+Duration PauseAfter(uint64_t pages) {
+  return pages < kPagesWithoutPause
+             ? Duration::zero()
+             : std::min(kMaxPagePause,
+                        kPauseStep *
+                            static_cast<int64_t>(pages - kPagesWithoutPause));
+}
+
+void BeginList(KeyedTopic& topic) {
   topic.list.emplace();
+  topic.list->cursor.wanted = topic.wanted;
   topic.list->began_at = Now();
-  while (true) {
-    auto done = co_await ReadNewest(node, call);
-    if (!done) {
-      RecordFailedPage(node, topic, done.error());
-      co_return tl::unexpected(done.error());
+}
+
+// The same call would get the same answer again.
+bool IsUnreadable(const StoreError& error) {
+  const auto* refused = std::get_if<StoreRefused>(&error);
+  return std::holds_alternative<BadAnswer>(error) ||
+         (refused != nullptr && refused->status < kServerError &&
+          refused->status != kTooMany);
+}
+
+// Reads a page and moves the list's cursor on.
+Task<tl::expected<ListStep, StoreError>> ReadPage(Node& node,
+                                                  KeyedTopic& topic,
+                                                  const ApplyRecords& apply) {
+  KeyedList& list = *topic.list;
+  const NewestRecordsCall call{.topic = std::string(topic.name),
+                               .after = list.cursor.after};
+  const auto page = co_await ReadNewest(node, call);
+  if (!page) {
+    RecordFailedPage(node, topic, page.error());
+    const ListStep step = IsUnreadable(page.error())
+                              ? AdvancePastUnreadable(list.cursor)
+                              : ListStep::kNextPage;
+    if (IsUnreadable(page.error()) &&
+        (list.end || step == ListStep::kNextPage)) {
+      co_return step;
     }
+    if (!list.end) {
+      topic.list
+          .reset();  // nothing was read that a later call could go on from
+    }
+    co_return tl::unexpected(page.error());
+  }
+  if (!list.end) {
     // A key that was written after its part was read is found from here on.
-    next = next.value_or(done->end);
-    RecordPage(node, topic, done->records);
-    all.insert(all.end(), std::make_move_iterator(done->records.begin()),
-               std::make_move_iterator(done->records.end()));
-    if (!done->more || done->records.empty()) {
-      RecordListEnd(node, topic);
+    list.end = page->end;
+    topic.next = page->end;
+  }
+  apply(page->records);
+  const ListStep step = Advance(list.cursor, page->records, page->more);
+  RecordPage(node, topic, page->records);
+  list.next_page_at = Now() + PauseAfter(list.pages);
+  co_return step;
+}
+
+}  // namespace
+
+Task<tl::expected<ListEnd, StoreError>> ReadList(Node& node,
+                                                 KeyedTopic& topic,
+                                                 Duration time,
+                                                 ApplyRecords apply) {
+  const Duration until = Now() + time;
+  if (!topic.list) {
+    BeginList(topic);
+  }
+  while (true) {
+    if (topic.list->next_page_at >= until) {
+      co_return ListEnd::kGoesOn;
+    }
+    if (const Duration pause = topic.list->next_page_at - Now();
+        pause > Duration::zero()) {
+      co_await Sleep(node.io, pause);
+    }
+    const auto step = co_await ReadPage(node, topic, apply);
+    if (!step) {
+      co_return tl::unexpected(step.error());
+    }
+    if (*step != ListStep::kNextPage) {
+      const ListEnd end = *step == ListStep::kComplete ? ListEnd::kComplete
+                                                       : ListEnd::kIncomplete;
+      RecordListEnd(node, topic, end);
       topic.list.reset();
-      topic.next = next;
-      co_return all;
+      co_return end;
+    }
+    if (Now() >= until) {
+      co_return ListEnd::kGoesOn;
     }
-    call.after = all.back().key;
-    topic.list->after = call.after;
   }
 }
 
@@ -50,9 +125,11 @@
   if (!done) {
     if (std::holds_alternative<Expired>(done.error())) {
       topic.next.reset();
+      topic.list.reset();
     }
     co_return tl::unexpected(done.error());
   }
+  topic.end = done->end;
   std::vector<KeyedRecord> records;
   records.reserve(done->records.size());
   for (const std::string& bytes : done->records) {
--- a/src/celerykeel/node/list_log.cc
+++ b/src/celerykeel/node/list_log.cc
@@ -23,7 +23,8 @@
             {"pages", list.pages},
             {"records", list.records},
             {"bytes", list.bytes},
-            {"after", list.after},
+            {"after", list.cursor.after},
+            {"skips", list.cursor.skips},
             {"after_ms", Now() - list.began_at},
             {"reason", reason}});
 }
@@ -65,9 +66,15 @@
   LogLongList(node, topic, Describe(error));
 }
 
-void RecordListEnd(Node& node, const KeyedTopic& topic) {
-  node.list_reads[std::string(topic.name)].since.reset();
-  if (topic.list->pages > 1) {
+void RecordListEnd(Node& node, const KeyedTopic& topic, ListEnd end) {
+  ListReads& reads = node.list_reads[std::string(topic.name)];
+  reads.since.reset();
+  reads.skips += topic.list->cursor.skips;
+  if (end == ListEnd::kIncomplete) {
+    ++reads.incomplete;
+    LogList(node, topic, "list incomplete",
+            "no page follows " + topic.list->cursor.last_skipped);
+  } else if (topic.list->pages > 1) {
     LogList(node, topic, "list read", "complete");
   }
 }
--- a/src/celerykeel/node/lists_unittest.cc
+++ b/src/celerykeel/node/lists_unittest.cc
@@ -145,6 +145,8 @@
   }));
   const std::string logs = fleet.Logs();
   CHECK(logs.find("\"waits_for_configuration\":true") != std::string::npos);
+  CHECK(logs.find("\"list incomplete\",\"topic\":\"keyed.op\"") !=
+        std::string::npos);
   const std::string metrics = fleet.MetricsOf(0);
   CHECK(metrics.find("celerykeel_level{of=\"waits_for_configuration\"} 1") !=
         std::string::npos);
--- a/src/celerykeel/node/metrics.cc
+++ b/src/celerykeel/node/metrics.cc
@@ -108,6 +108,8 @@
   SetGauge(metrics, "waits_for_evacuations", needs.evacuations ? 1 : 0);
   SetGauge(metrics, "waits_for_endpoints", needs.endpoints ? 1 : 0);
   SetGauge(metrics, "waits_for_members", needs.members ? 1 : 0);
+  SetGauge(metrics, "endpoints_left_out",
+           static_cast<double>(node.endpoint_list.left_out));
 }
 
 void SetListGauges(Node& node, Duration now) {
@@ -121,6 +123,8 @@
     set("records", static_cast<double>(reads.records));
     set("bytes", static_cast<double>(reads.bytes));
     set("failed_pages", static_cast<double>(reads.failed_pages));
+    set("skips", static_cast<double>(reads.skips));
+    set("incomplete", static_cast<double>(reads.incomplete));
   }
 }
 
--- a/src/celerykeel/node/operator_feed.cc
+++ b/src/celerykeel/node/operator_feed.cc
@@ -5,6 +5,7 @@
 
 #include "celerykeel/base/clock.h"           // for Now
 #include "celerykeel/core/cold_endpoints.h"  // for PresumeZoneCold
+#include "celerykeel/node/feeds.h"           // for ApplyDeployment
 #include "celerykeel/node/node.h"            // for Node
 #include "platform/store_calls.h"            // for platform::ZoneOfKey
 
@@ -15,6 +16,11 @@
 // Sources in log lines.
 constexpr std::string_view kStoreSource = "the store";
 constexpr std::string_view kPeerSource = "a peer";
+// Of one call; records that are written meanwhile are read between calls.
+constexpr Duration kListTime = std::chrono::seconds(1);
+// Without a whole list, an instance serves after this time: an evacuation of a
+// zone may be missing, while without it no call is served at all.
+constexpr Duration kMaxEvacuationWait = std::chrono::seconds(3);
 
 // Logs an evacuation that began or was revoked, and applies the consequences
 // that go beyond the choice of endpoints.
@@ -48,7 +54,7 @@
   if (is_change) {
     HandleChange(node, zone, source);
   } else if (in_force && !evacuations.zones.contains(zone)) {
-    WriteLog(node.log, LogLevel::kUnusual, "evacuation not recorded",
+    WriteLog(node.log, LogLevel::kOrdinary, "evacuation not recorded",
              {{"zone", zone}, {"reason", "too many zones"}});
   }
   return is_change;
@@ -84,7 +90,7 @@
       continue;
     }
     if (zone->empty()) {
-      WriteLog(node.log, LogLevel::kUnusual, "evacuation of an unknown zone",
+      WriteLog(node.log, LogLevel::kOrdinary, "evacuation of an unknown zone",
                {{"zone", *zone}});
       continue;
     }
@@ -94,6 +100,37 @@
   }
 }
 
+// Applies a page of the list.
+void ApplyPage(Node& node,
+               OperatorList& list,
+               const std::vector<KeyedRecord>& records) {
+  if (list.topic.list->pages == 0) {
+    list.read = {.zones = {},
+                 .end = *list.topic.list->end,
+                 .began_at = list.topic.list->began_at};
+  }
+  ApplyEvacuationRecords(node, records);
+  for (const KeyedRecord& record : records) {
+    ApplyDeployment(node, record);
+    // Others are not in force here, so they can't be revoked.
+    if (auto zone = platform::ZoneOfKey(record.key);
+        zone && IsPresent(record) &&
+        IsEvacuated(node.endpoints.evacuations, *zone)) {
+      list.read.zones.insert(std::move(*zone));
+    }
+  }
+}
+
+void RevokeUnlistedEvacuations(Node& node, const CompleteKeyRead& read) {
+  pb::NodeFrame frame;
+  for (const std::string& zone :
+       RevokeUnlisted(node.endpoints.evacuations, read, Now())) {
+    HandleChange(node, zone, kStoreSource);
+    AddZone(node, zone, *frame.mutable_operator_news());
+  }
+  Notify(node, frame);
+}
+
 }  // namespace
 
 void ApplyEvacuationRecords(Node& node,
@@ -103,29 +140,25 @@
   Notify(node, frame);
 }
 
-void ApplyAllEvacuations(Node& node,
-                         const std::vector<KeyedRecord>& records,
-                         uint64_t end,
-                         Duration began_at) {
-  pb::NodeFrame frame;
-  pb::OperatorNews& news = *frame.mutable_operator_news();
-  AddRecords(node, records, news);
-  CompleteKeyRead read{.zones = {}, .end = end, .began_at = began_at};
-  for (const KeyedRecord& record : records) {
-    if (auto zone = platform::ZoneOfKey(record.key);
-        zone && IsPresent(record)) {
-      read.zones.insert(std::move(*zone));
-    }
+Task<> ReadOperatorList(Node& node, OperatorList& list) {
+  const ApplyRecords apply = [&node, &list](const auto& records) {
+    ApplyPage(node, list, records);
+  };
+  const auto done = co_await ReadList(node, list.topic, kListTime, apply);
+  if (done && *done == ListEnd::kComplete) {
+    RevokeUnlistedEvacuations(node, list.read);
   }
-  ZoneEvacuations& evacuations = node.endpoints.evacuations;
-  for (const std::string& zone : RevokeUnlisted(evacuations, read, Now())) {
-    HandleChange(node, zone, kStoreSource);
-    AddZone(node, zone, news);
-  }
-  if (!evacuations.read_at) {
-    evacuations.read_at = Now();
+  const bool has_ended = done && *done != ListEnd::kGoesOn;
+  const bool takes_long =
+      list.topic.list && list.topic.list->pages > 0 &&
+      Now() >= list.topic.list->began_at + kMaxEvacuationWait;
+  if (!node.endpoints.evacuations.read_at && (has_ended || takes_long)) {
+    node.endpoints.evacuations.read_at = Now();
+    if (!has_ended || *done == ListEnd::kIncomplete) {
+      WriteLog(node.log, LogLevel::kUnusual, "evacuations may be missing",
+               {{"reason", has_ended ? "list incomplete" : "list too long"}});
+    }
   }
-  Notify(node, frame);
 }
 
 void ApplyOperatorNews(Node& node, const pb::OperatorNews& news) {
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -21,6 +21,9 @@
 constexpr Duration kReviewInterval = std::chrono::seconds(1);
 constexpr Duration kRetryPause = std::chrono::milliseconds(400);
 constexpr Duration kReadTimeout = std::chrono::seconds(1);
+// Versions are recorded without the rest of a list that takes longer; one that
+// is recorded again stays the same.
+constexpr Duration kMaxListWait = std::chrono::seconds(2);
 // Readers record a new version at once, and tell the other instances. These
 // record it themselves if no news of it arrives for this long.
 constexpr Duration kReaderTime = std::chrono::seconds(1);
@@ -54,7 +57,7 @@
 void ApplyRecord(Node& node, const KeyedRecord& record) {
   const size_t at = record.key.find(kSeparator);
   if (at == std::string::npos) {
-    WriteLog(node.log, LogLevel::kUnusual, "service version unreadable",
+    WriteLog(node.log, LogLevel::kOrdinary, "service version unreadable",
              {{"offset", record.offset}});
     return;
   }
@@ -62,25 +65,52 @@
         {.in_use = !record.dropped, .offset = record.offset}, "the store");
 }
 
+void ApplyVersionRecords(Node& node, const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    ApplyRecord(node, record);
+  }
+}
+
+Task<bool> ReadVersionList(Node& node) {
+  VersionFeed& feed = node.version_feed;
+  const ApplyRecords apply = [&node](const auto& records) {
+    ApplyVersionRecords(node, records);
+  };
+  const auto done = co_await ReadList(node, feed.topic, kReadTimeout, apply);
+  if (done && *done != ListEnd::kGoesOn) {
+    feed.is_list_complete = *done == ListEnd::kComplete;
+  }
+  feed.is_listed = feed.is_listed || (done && *done != ListEnd::kGoesOn) ||
+                   (feed.topic.list && feed.topic.list->pages > 0 &&
+                    Now() >= feed.topic.list->began_at + kMaxListWait);
+  co_return done&&* done != ListEnd::kGoesOn;
+}
+
+// Reads the records that the store has now: another writer may always be ahead.
+// @return true if all of them were read.
 Task<bool> ReadToEnd(Node& node) {
-  KeyedTopic& topic = node.version_feed.topic;
+  VersionFeed& feed = node.version_feed;
+  KeyedTopic& topic = feed.topic;
+  std::optional<uint64_t> end;
   while (true) {
-    KeyedRecords records;
-    if (topic.next) {
-      records = co_await ReadNewRecords(node, topic, 0);
-    }
-    // The store deletes old records, but keeps the newest of each key.
-    if (!topic.next) {
-      records = co_await ReadAllKeys(node, topic);
+    if ((!topic.next || topic.list) && !co_await ReadVersionList(node)) {
+      co_return false;
     }
+    const auto records = co_await ReadNewRecords(node, topic, 0);
     if (!records) {
+      // The store deletes old records, but keeps the newest of each key.
+      if (!topic.next) {
+        continue;
+      }
       co_return false;
     }
-    if (records->empty()) {
-      co_return true;
+    ApplyVersionRecords(node, *records);
+    end = end.value_or(topic.end);
+    if (*topic.next >= *end) {
+      co_return feed.is_list_complete;
     }
-    for (const KeyedRecord& record : *records) {
-      ApplyRecord(node, record);
+    if (records->empty()) {
+      co_return false;
     }
   }
 }
@@ -208,10 +238,10 @@
 }
 
 Task<> FollowVersions(Node& node) {
-  while (!co_await ReadVersions(node, kReadTimeout)) {
+  VersionFeed& feed = node.version_feed;
+  while (!co_await ReadVersions(node, kReadTimeout) && !feed.is_listed) {
     co_await PauseForStore(node, kInterval);
   }
-  VersionFeed& feed = node.version_feed;
   Duration review_at{};
   while (true) {
     if (!feed.endpoints_changed && feed.missing_since.empty() &&
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -216,6 +216,7 @@
       AddKeys(partition, rules->second);
     }
   } else if (target.find("log-read") != std::string::npos) {
+    ++store.log_reads[query["topic"]];
     const uint64_t from = std::stoull(query["from"]);
     const bool waits = query.contains("wait_ms") && query["wait_ms"] != "0";
     if (waits && store.drops_waiting_reads) {
--- a/src/celerykeel/testing/store_standin.h
+++ b/src/celerykeel/testing/store_standin.h
@@ -43,7 +43,8 @@
   std::atomic<bool> drops_waiting_reads{false};
   std::atomic<uint64_t> appends{0};
   std::atomic<uint64_t> list_reads{0};
-  PageRules pages;  // of all topics but these
+  std::map<std::string, uint64_t> log_reads;  // by topic; of the loop's thread
+  PageRules pages;                            // of all topics but these
   std::map<std::string, PageRules> pages_of_topics;
   // Of one read, which takes `read_delay_ms`.
   std::atomic<size_t> max_records_per_read{std::numeric_limits<size_t>::max()};
