core, node: evacuations of unknown zones leave room for those of known ones

Callers' calls went to an evacuated zone: an instance keeps 256 zones, and 2,000 keys of zones that nobody has, written before, took them all.

Change: at most 128 of them are zones that are neither in the settings nor those of an endpoint or of the instance.

--- a/include/celerykeel/core/zone_evacuations.h
+++ b/include/celerykeel/core/zone_evacuations.h
@@ -32,12 +32,20 @@
 /// @brief True if no further calls may be sent to endpoints of the zone.
 bool IsEvacuated(const ZoneEvacuations& evacuations, std::string_view zone);
 
+/// @brief Bounds the memory for zones that operators or peers name.
+inline constexpr size_t kMaxEvacuationZones = 256;
+/// @brief Most of them that are no zone of the installation: other writers'
+/// keys leave room for the real zones.
+inline constexpr size_t kMaxUnknownEvacuationZones = 128;
+
 /// @brief Records what a record of the store says, unless a record with the
 /// same or a higher offset is known.
+/// @param max_zones no further zone is added to this many.
 /// @return true if the evacuation began or was revoked by this.
 bool RecordEvacuation(ZoneEvacuations& evacuations,
                       std::string_view zone,
-                      const ZoneEvacuation& record);
+                      const ZoneEvacuation& record,
+                      size_t max_zones = kMaxEvacuationZones);
 
 /// @brief A complete read of the keys, which is not a snapshot.
 struct CompleteKeyRead {
@@ -58,7 +66,4 @@
 /// same digest know the same evacuations. 0 if none is known.
 uint64_t DigestOf(const ZoneEvacuations& evacuations);
 
-/// @brief Bounds the memory for zones that operators or peers name.
-inline constexpr size_t kMaxEvacuationZones = 256;
-
 }  // namespace celerykeel
--- a/src/celerykeel/core/zone_evacuations.cc
+++ b/src/celerykeel/core/zone_evacuations.cc
@@ -11,10 +11,11 @@
 
 bool RecordEvacuation(ZoneEvacuations& evacuations,
                       std::string_view zone,
-                      const ZoneEvacuation& record) {
+                      const ZoneEvacuation& record,
+                      size_t max_zones) {
   const auto found = evacuations.zones.find(zone);
   if (found == evacuations.zones.end()) {
-    if (evacuations.zones.size() >= kMaxEvacuationZones) {
+    if (evacuations.zones.size() >= max_zones) {
       return false;
     }
     evacuations.zones.emplace(zone, record);
--- a/src/celerykeel/node/operator_feed.cc
+++ b/src/celerykeel/node/operator_feed.cc
@@ -50,7 +50,9 @@
   ZoneEvacuations& evacuations = node.endpoints.evacuations;
   const bool is_change = RecordEvacuation(
       evacuations, zone,
-      {.in_force = in_force, .offset = offset, .recorded_at = Now()});
+      {.in_force = in_force, .offset = offset, .recorded_at = Now()},
+      IsKnownZone(node, zone) ? kMaxEvacuationZones
+                              : kMaxUnknownEvacuationZones);
   if (is_change) {
     HandleChange(node, zone, source);
   } else if (in_force && !evacuations.zones.contains(zone)) {
