node: others' records in the operators' topic don't set the pace of reads

A long read ends with the next record. Another writer that adds them without a pause cost a call for each, from all instances, which share the calls that the store takes; calls beyond them get 429, as in an outage.

Change: after records without one of ours the next read begins 200 ms later.

--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -2,7 +2,7 @@
 
 #include <xxhash.h>  // for XXH3_64bits
 
-#include <algorithm>  // for std::max, std::min
+#include <algorithm>  // for std::max, std::min, std::none_of
 #include <utility>    // for std::move, std::exchange
 
 #include "celerykeel/base/clock.h"             // for Now
@@ -25,6 +25,10 @@
 // write rarely, and the store charges for each read.
 constexpr uint64_t kLongReadMillis = 5000;
 constexpr Duration kPause = std::chrono::milliseconds(100);
+// A long read ends with the next record, and another writer may add them
+// without a pause: each would cost a call, and all instances share the calls
+// that the store takes.
+constexpr Duration kForeignRecordPause = std::chrono::milliseconds(200);
 // The store may serve data that is seconds old, so the read is repeated.
 constexpr Duration kRereadPause = std::chrono::milliseconds(150);
 // The own long read of an instance that reaches the store brings a new version
@@ -70,6 +74,11 @@
   node.deployment_feed.is_catching_up = false;
 }
 
+bool IsUsed(const KeyedRecord& record) {
+  return record.key == platform::kConfigurationKey ||
+         platform::ZoneOfKey(record.key).has_value();
+}
+
 // A task of its own, as the wait for it may be abandoned.
 Task<> ReadLong(Node& node,
                 uint64_t from,
@@ -223,6 +232,9 @@
     for (const KeyedRecord& record : **records) {
       ApplyDeployment(node, record);
     }
+    if (std::none_of((*records)->begin(), (*records)->end(), IsUsed)) {
+      co_await Sleep(node.io, kForeignRecordPause);
+    }
   }
 }
 
--- a/src/celerykeel/node/lists_unittest.cc
+++ b/src/celerykeel/node/lists_unittest.cc
@@ -118,6 +118,25 @@
   }
 }
 
+// Guards against one call for each record that another writer adds.
+TEST_CASE("others' records don't set the pace of reads") {
+  constexpr int kWrites = 300;
+  NodeFleet fleet(kInstances);
+  REQUIRE(fleet.WaitUntilServing());
+  uint64_t before = 0;
+  uint64_t after = 0;
+  fleet.RunOnStandinLoop([&] { before = fleet.store.log_reads["keyed.op"]; });
+  for (int i = 0; i < kWrites; ++i) {
+    fleet.RunOnStandinLoop(
+        [&] { PutKeyed(fleet.store, "keyed.op", "a05", std::to_string(i)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  fleet.RunOnStandinLoop([&] { after = fleet.store.log_reads["keyed.op"]; });
+  CHECK(after - before < kWrites / 4 * kInstances);
+  fleet.AddRoutes(8);
+  CHECK(fleet.WaitUntilInForce(8));
+}
+
 // Guards against other writers' zones that leave no room for the real ones.
 TEST_CASE("evacuations of unknown zones leave room for those of known ones") {
   NodeFleet fleet(kInstances, {"v1", "v1"}, {"za", "zb"});
--- a/src/celerykeel/testing/store_standin.cc
+++ b/src/celerykeel/testing/store_standin.cc
@@ -226,7 +226,12 @@
     }
     if (waits && from >= partition.records.size()) {
       constexpr Duration kShortWait = std::chrono::milliseconds(50);
-      co_await Sleep(loop, kShortWait);
+      constexpr Duration kPoll = std::chrono::milliseconds(5);
+      for (Duration waited{};
+           waited < kShortWait && from >= partition.records.size();
+           waited += kPoll) {
+        co_await Sleep(loop, kPoll);
+      }
     }
     if (store.read_delay_ms > 0) {
       co_await Sleep(loop, std::chrono::milliseconds(store.read_delay_ms));
