core, node: what a review of the lists found

Mended: a list of wanted keys with a page left out ended as complete, so evacuations on that page were revoked ("a list of wanted keys with a page left out isn't complete" failed on the code before); later places that lead nowhere were sought by less and less of their key ("each place that leads nowhere is passed for itself", as well); an empty long read of the operators' topic was followed by 200 ms without one; endpoints of a service that the next configuration brings had no room beside 1,024 served ones. A list that ended without all keys is read again after 10 s, and moves no reader past records that it has not read; items without a key make a list incomplete; a list that the store deletes while it is read is begun once more, not without end.

--- a/include/celerykeel/core/list_cursor.h
+++ b/include/celerykeel/core/list_cursor.h
@@ -38,6 +38,7 @@
   uint64_t pages_since_anchor = 0;
 
   uint32_t skips = 0;        // times that the pages didn't advance
+  uint32_t skip_level = 0;   // of these, since a page that did
   bool is_complete = true;   // false: keys may have been left out
   std::string last_skipped;  // key that didn't lead to the next page
 };
@@ -58,8 +59,8 @@
 /// @brief Moves on after a page that can't be read.
 ListStep AdvancePastUnreadable(ListCursor& cursor);
 
-/// @brief Most skips in a list. Each halves the part of the key that the next
-/// page is sought by, so a key of 255 bytes takes nine.
+/// @brief Most skips in a list. Each in a row halves the part of the key that
+/// the next page is sought by, so a key of 255 bytes takes nine.
 inline constexpr uint32_t kMaxListSkips = 16;
 
 }  // namespace celerykeel
--- a/include/celerykeel/core/store_call.h
+++ b/include/celerykeel/core/store_call.h
@@ -57,8 +57,9 @@
 
 struct NewestRecordsDone {
   std::vector<KeyedRecord> records;
-  bool more = false;  // further keys follow; continue with `after`
-  uint64_t end = 0;   // offset from which to read later records
+  bool more = false;      // further keys follow; continue with `after`
+  uint64_t end = 0;       // offset from which to read later records
+  uint64_t left_out = 0;  // items without a key that can be read
 };
 
 /// @brief Another writer has a higher epoch.
--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -35,10 +35,18 @@
   std::string_view name;
   std::optional<uint64_t> next{};  // offset; nothing: read all keys first
   uint64_t end = 0;                // of the topic, at the last read of records
+  // The records from `next` on are read all the time, so that a list must not
+  // move it past some of them.
+  bool is_followed = true;
   std::vector<WantedKeys> wanted{};  // see ListCursor
   std::optional<KeyedList> list{};   // under way
+  // When a list that ended without all keys is read again.
+  std::optional<Duration> list_again_at{};
 };
 
+/// @brief True if the list is under way or has to be read.
+bool IsListDue(const KeyedTopic& topic);
+
 using KeyedRecords = tl::expected<std::vector<KeyedRecord>, StoreError>;
 
 enum class ListEnd {
--- a/src/celerykeel/core/list_cursor.cc
+++ b/src/celerykeel/core/list_cursor.cc
@@ -69,23 +69,28 @@
   return next == cursor.wanted.end() ? nullptr : &next->key;
 }
 
+ListStep EndOf(const ListCursor& cursor) {
+  return cursor.is_complete ? ListStep::kComplete : ListStep::kIncomplete;
+}
+
 // Seeks the next page by less and less of a key that leads nowhere.
 ListStep Skip(ListCursor& cursor, const std::string& key) {
   cursor.is_complete = false;
   cursor.last_skipped = key;
+  const std::string* wanted = NextWanted(cursor, key);
   while (cursor.skips < kMaxListSkips) {
     // A key of the list that holds replaced bytes is known up to these.
     const size_t exact = std::min(key.find(kReplacement), key.size());
-    const size_t size = exact >> cursor.skips;
+    const size_t size = exact >> cursor.skip_level;
     ++cursor.skips;
+    ++cursor.skip_level;
     std::string above = JustAbove(key.substr(0, size));
+    if (wanted != nullptr && (above.empty() || *wanted <= above)) {
+      above = JustBefore(*wanted);
+    }
     if (above.empty()) {
       break;
     }
-    if (const std::string* wanted = NextWanted(cursor, key);
-        wanted != nullptr && *wanted <= above) {
-      above = JustBefore(*wanted);
-    }
     if (above != cursor.after) {
       cursor.after = std::move(above);
       return ListStep::kNextPage;
@@ -139,7 +144,7 @@
     cursor.jumped_from.reset();
   }
   if (!more) {
-    return cursor.is_complete ? ListStep::kComplete : ListStep::kIncomplete;
+    return EndOf(cursor);
   }
   if (records.empty()) {
     return Skip(cursor, cursor.after);
@@ -158,11 +163,12 @@
   if (IsRepeated(cursor, cursor.after)) {
     return Skip(cursor, cursor.after);
   }
+  cursor.skip_level = 0;
   if (cursor.may_jump && is_in_order && !cursor.wanted.empty() &&
       !IsAmongWanted(cursor, cursor.after)) {
     const std::string* wanted = NextWanted(cursor, cursor.after);
     if (wanted == nullptr) {
-      return ListStep::kComplete;
+      return EndOf(cursor);
     }
     JumpTo(cursor, *wanted);
   }
--- a/src/celerykeel/core/list_cursor_unittest.cc
+++ b/src/celerykeel/core/list_cursor_unittest.cc
@@ -163,6 +163,44 @@
   }
 }
 
+// Guards against evacuations that are revoked, as a page that was left out did
+// not list them.
+TEST_CASE("a list of wanted keys with a page left out isn't complete") {
+  const auto records_of = [](const std::vector<std::string>& keys) {
+    std::vector<KeyedRecord> records;
+    for (const std::string& key : keys) {
+      records.push_back(
+          {.key = key, .value = "v", .dropped = false, .offset = 0});
+    }
+    return records;
+  };
+  ListCursor cursor;
+  cursor.wanted = kWanted;
+  CHECK(Advance(cursor, records_of({"config", "evacuate/a"}), true) ==
+        ListStep::kNextPage);
+  SUBCASE("it can't be read") {
+    CHECK(AdvancePastUnreadable(cursor) == ListStep::kNextPage);
+  }
+  SUBCASE("it has no keys") {
+    CHECK(Advance(cursor, {}, true) == ListStep::kNextPage);
+  }
+  CHECK(Advance(cursor, records_of({"x1", "x2"}), true) ==
+        ListStep::kIncomplete);
+}
+
+// Guards against a key that is stuck at a list's end after others were passed.
+TEST_CASE("each place that leads nowhere is passed for itself") {
+  ListCursor cursor;
+  for (const std::string key : {"a0000001", "b0000001", "c0000001"}) {
+    cursor.after = key;
+    CHECK(Advance(cursor, {}, true) == ListStep::kNextPage);
+    CHECK(cursor.after.substr(0, 7) == key.substr(0, 7));
+    const KeyedRecord record{
+        .key = key + "1", .value = "v", .dropped = false, .offset = 0};
+    CHECK(Advance(cursor, {&record, 1}, true) == ListStep::kNextPage);
+  }
+}
+
 TEST_CASE("a page that can't be read is passed") {
   ListCursor cursor;
   cursor.wanted = kWanted;
@@ -172,7 +210,7 @@
   ListCursor all;
   CHECK(AdvancePastUnreadable(all) == ListStep::kIncomplete);
   all.after = "a05";
-  all.skips = 0;
+  all.skip_level = 0;
   CHECK(AdvancePastUnreadable(all) == ListStep::kNextPage);
   CHECK(all.after == "a06");
   CHECK_FALSE(all.is_complete);
--- a/src/celerykeel/node/crash_store.cc
+++ b/src/celerykeel/node/crash_store.cc
@@ -117,7 +117,8 @@
     return;
   }
   RecordCrashedRun(node.crash_watch.records, *run, now);
-  if (node.crash_store.stored.size() >= kMaxStoredCrashes) {
+  if (node.crash_store.stored.size() >= kMaxStoredCrashes &&
+      !node.crash_store.stored.contains(record.key)) {
     return;  // the store keeps it
   }
   // An expired one is deleted with the next update.
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -53,13 +53,29 @@
        {"source", source}});
 }
 
+bool IsServed(const Node& node, const EndpointEntry& entry) {
+  return node.deployment != nullptr &&
+         node.deployment->services.contains(entry.service);
+}
+
 // Endpoints of services that the configuration doesn't have may be those of its
 // next version, or entries of other writers, whose number has no bound.
 bool HasRoom(const Node& node, const EndpointEntry& entry) {
-  const bool is_served = node.deployment != nullptr &&
-                         node.deployment->services.contains(entry.service);
-  return node.endpoints.endpoints.size() <
-         (is_served ? kMaxEndpoints : kMaxUnservedEndpoints);
+  const auto& endpoints = node.endpoints.endpoints;
+  if (endpoints.size() >= kMaxEndpoints) {
+    return false;
+  }
+  if (IsServed(node, entry) || endpoints.size() < kMaxUnservedEndpoints) {
+    return true;
+  }
+  size_t unserved = 0;
+  for (const auto& [id, endpoint] : endpoints) {
+    unserved += IsServed(node, endpoint.entry) ? 0 : 1;
+    if (unserved == kMaxUnservedEndpoints) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void LeaveOut(Node& node, const EndpointEntry& entry) {
@@ -319,11 +335,12 @@
     if (is_due) {
       topic.list.reset();
     }
-    const bool lists = !topic.next || topic.list || is_due ||
+    const bool lists = IsListDue(topic) || is_due ||
                        (!reads && now >= read_all_at + kReadAllInterval);
     if (lists) {
       co_await AwaitStore(node, kMaxFeedStoreWait);
       read_all_at = topic.list ? read_all_at : Now();
+      topic.is_followed = reads;
       co_await ReadCompleteList(node, list, reads);
     }
     if (topic.next && (topic.list || (reads && !lists))) {
--- a/src/celerykeel/node/feeds.cc
+++ b/src/celerykeel/node/feeds.cc
@@ -206,7 +206,7 @@
   KeyedTopic& topic = list.topic;
   while (true) {
     co_await AwaitStore(node, kMaxFeedStoreWait);
-    if (!topic.next || topic.list) {
+    if (IsListDue(topic)) {
       co_await ReadOperatorList(node, list);
       if (!topic.next || (node.deployment == nullptr && !topic.list)) {
         // Without a valid configuration, all keys are read again.
@@ -232,7 +232,8 @@
     for (const KeyedRecord& record : **records) {
       ApplyDeployment(node, record);
     }
-    if (std::none_of((*records)->begin(), (*records)->end(), IsUsed)) {
+    if (!(*records)->empty() &&
+        std::none_of((*records)->begin(), (*records)->end(), IsUsed)) {
       co_await Sleep(node.io, kForeignRecordPause);
     }
   }
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -290,7 +290,7 @@
 }
 
 Task<> ReadMembers(Node& node, KeyedTopic& members) {
-  if (!members.next || members.list) {
+  if (IsListDue(members)) {
     co_await ReadMemberList(node, members);
     if (!members.next || !members.list) {
       co_return;
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -19,6 +19,8 @@
 constexpr uint64_t kPagesWithoutPause = 16;
 constexpr Duration kPauseStep = std::chrono::milliseconds(2);
 constexpr Duration kMaxPagePause = std::chrono::milliseconds(400);
+// What kept keys from being read may pass.
+constexpr Duration kListAgainInterval = std::chrono::seconds(10);
 constexpr int kTooMany = 429;
 constexpr int kServerError = 500;
 
@@ -34,6 +36,7 @@
   topic.list.emplace();
   topic.list->cursor.wanted = topic.wanted;
   topic.list->began_at = Now();
+  topic.list_again_at.reset();
 }
 
 // The same call would get the same answer again.
@@ -62,15 +65,20 @@
       co_return step;
     }
     if (!list.end) {
-      topic.list
-          .reset();  // nothing was read that a later call could go on from
+      // Nothing was read that a later call could go on from.
+      topic.list.reset();
     }
     co_return tl::unexpected(page.error());
   }
   if (!list.end) {
     // A key that was written after its part was read is found from here on.
     list.end = page->end;
-    topic.next = page->end;
+    topic.next = topic.is_followed
+                     ? std::min(topic.next.value_or(page->end), page->end)
+                     : page->end;
+  }
+  if (page->left_out > 0) {
+    list.cursor.is_complete = false;
   }
   apply(page->records);
   const ListStep step = Advance(list.cursor, page->records, page->more);
@@ -81,6 +89,11 @@
 
 }  // namespace
 
+bool IsListDue(const KeyedTopic& topic) {
+  return !topic.next || topic.list ||
+         (topic.list_again_at && Now() >= *topic.list_again_at);
+}
+
 Task<tl::expected<ListEnd, StoreError>> ReadList(Node& node,
                                                  KeyedTopic& topic,
                                                  Duration time,
@@ -106,6 +119,9 @@
                                                        : ListEnd::kIncomplete;
       RecordListEnd(node, topic, end);
       topic.list.reset();
+      if (end == ListEnd::kIncomplete) {
+        topic.list_again_at = Now() + kListAgainInterval;
+      }
       co_return end;
     }
     if (Now() >= until) {
--- a/src/celerykeel/node/lists_unittest.cc
+++ b/src/celerykeel/node/lists_unittest.cc
@@ -118,6 +118,29 @@
   }
 }
 
+// Guards against others' entries that leave no room for the endpoints of the
+// configuration, which may come after the list.
+TEST_CASE("entries of unknown services leave room for the endpoints") {
+  NodeFleet fleet(kInstances);
+  ChangeWhileDown(fleet, [&] {
+    for (int i = 0; i < 1500; ++i) {
+      PutKeyed(fleet.store, "keyed.servers", fmt::format("a{}", 10'000 + i),
+               R"({"service":"other","address":"127.0.0.1:9","zone":"z",)"
+               R"("version":"v","slots":1,"state":"ready","sequence":1})");
+    }
+  });
+  for (size_t i = 0; i < kInstances; ++i) {
+    CHECK(WaitFor([&] {
+      return fleet
+                 .Send(i, "GET", "/look/x",
+                       ToolHeaders("after-" + std::to_string(i)), "")
+                 .status == 200;
+    }));
+    CHECK(fleet.MetricsOf(i).find("{of=\"endpoints\"} 1026") !=
+          std::string::npos);
+  }
+}
+
 // Guards against one call for each record that another writer adds.
 TEST_CASE("others' records don't set the pace of reads") {
   constexpr int kWrites = 300;
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -92,9 +92,13 @@
   VersionFeed& feed = node.version_feed;
   KeyedTopic& topic = feed.topic;
   std::optional<uint64_t> end;
+  bool has_listed = false;
   while (true) {
-    if ((!topic.next || topic.list) && !co_await ReadVersionList(node)) {
-      co_return false;
+    if (IsListDue(topic)) {
+      if (has_listed || !co_await ReadVersionList(node)) {
+        co_return false;
+      }
+      has_listed = true;
     }
     const auto records = co_await ReadNewRecords(node, topic, 0);
     if (!records) {
