--- a/src/celerykeel/core/list_cursor_unittest.cc
+++ b/src/celerykeel/core/list_cursor_unittest.cc
@@ -147,9 +147,9 @@
       list.keys = {"config", "i-1", "i-2", "j"};
       for (int i = 0; i < 20; ++i) {
         const std::string rest = std::to_string(10 + i);
-        const std::string key = prefix + byte + rest;
+        const std::string key = std::string(prefix).append(byte).append(rest);
         list.keys.insert(key);
-        list.shown_as[key] = prefix + replaced + rest;
+        list.shown_as[key] = std::string(prefix).append(replaced).append(rest);
       }
       CAPTURE(prefix);
       CAPTURE(int(static_cast<unsigned char>(byte[0])));
@@ -168,6 +168,7 @@
 TEST_CASE("a list of wanted keys with a page left out isn't complete") {
   const auto records_of = [](const std::vector<std::string>& keys) {
     std::vector<KeyedRecord> records;
+    records.reserve(keys.size());
     for (const std::string& key : keys) {
       records.push_back(
           {.key = key, .value = "v", .dropped = false, .offset = 0});
--- a/src/celerykeel/testing/keyed_pages.cc
+++ b/src/celerykeel/testing/keyed_pages.cc
@@ -41,9 +41,7 @@
   std::string quoted = "\"";
   for (const char c : key) {
     const auto byte = static_cast<unsigned char>(c);
-    if (byte < 0x80) {
-      quoted += c;
-    } else if (text == KeyText::kSurrogates) {
+    if (byte >= 0x80 && text == KeyText::kSurrogates) {
       quoted += fmt::format("\\udc{:02x}", byte);
     } else {
       quoted += c;
