core, node: checks of the lists' readers that stood twice

No change of behaviour. A last read of the change found work done twice: a record of a known endpoint set its time twice, each record was looked up once more for a case that only removals have, pages were checked for their order where no key is sought, and a start checked what it waits for beside the list of its needs.

--- a/src/celerykeel/core/list_cursor.cc
+++ b/src/celerykeel/core/list_cursor.cc
@@ -149,7 +149,8 @@
   if (records.empty()) {
     return Skip(cursor, cursor.after);
   }
-  const bool is_in_order = IsInOrder(cursor, records);
+  const bool may_jump =
+      cursor.may_jump && !cursor.wanted.empty() && IsInOrder(cursor, records);
   // Prefers a key that the store has, even if it repeats some records.
   const auto exact = std::find_if(
       records.rbegin(), records.rend(),
@@ -164,8 +165,7 @@
     return Skip(cursor, cursor.after);
   }
   cursor.skip_level = 0;
-  if (cursor.may_jump && is_in_order && !cursor.wanted.empty() &&
-      !IsAmongWanted(cursor, cursor.after)) {
+  if (may_jump && !IsAmongWanted(cursor, cursor.after)) {
     const std::string* wanted = NextWanted(cursor, cursor.after);
     if (wanted == nullptr) {
       return EndOf(cursor);
--- a/src/celerykeel/core/list_cursor_unittest.cc
+++ b/src/celerykeel/core/list_cursor_unittest.cc
@@ -132,7 +132,6 @@
       CHECK(result.pages <= 2 * kMaxListSkips + 4);
     }
   }
-  PagedList empty_pages;
   ListCursor cursor;
   CHECK(Advance(cursor, {}, true) == ListStep::kIncomplete);
 }
--- a/src/celerykeel/node/endpoint_feed.cc
+++ b/src/celerykeel/node/endpoint_feed.cc
@@ -132,7 +132,9 @@
     HandleStart(node, *entry);
   }
   RecordEntry(node.endpoints, *entry);
-  node.endpoints.endpoints.at(entry->id).listed_at = Now();
+  if (!is_known) {
+    node.endpoints.endpoints.at(entry->id).listed_at = Now();
+  }
   const bool is_coldness_new =
       RecordColdness(node.endpoints, *entry, !is_first, Now());
   if (is_coldness_new) {
@@ -181,13 +183,13 @@
   pb::EndpointNews& news = *frame.mutable_endpoint_news();
   int unknown_removals = 0;
   for (const KeyedRecord& record : records) {
-    const bool is_known = node.endpoints.endpoints.contains(record.key);
+    const bool removes_unknown =
+        record.dropped && !node.endpoints.endpoints.contains(record.key);
     if (!ApplyEndpointRecord(node, record, kStoreSource, is_first) ||
         (is_first && !IsLeaving(node, record.key))) {
       continue;
     }
-    if (!record.dropped || is_known ||
-        ++unknown_removals <= kMaxUnknownRemovals) {
+    if (!removes_unknown || ++unknown_removals <= kMaxUnknownRemovals) {
       AddChange(news, record);
     }
   }
--- a/src/celerykeel/node/start_record.cc
+++ b/src/celerykeel/node/start_record.cc
@@ -70,10 +70,10 @@
   if (start.is_logged) {
     return;
   }
-  NoteFirst(start.configuration_at, node.deployment != nullptr);
-  NoteFirst(start.endpoints_at, !node.endpoints.endpoints.empty());
-  NoteFirst(start.members_at, node.fleet.members_read_at.has_value());
   const StartNeeds needs = MissingAtStart(node);
+  NoteFirst(start.configuration_at, !needs.configuration);
+  NoteFirst(start.endpoints_at, !needs.endpoints);
+  NoteFirst(start.members_at, !needs.members);
   NoteFirst(start.slots_held_at, needs.slots == 0);
   if (!IsReady(node) || !start.slots_held_at) {
     ReportWait(node, needs);
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -77,13 +77,14 @@
     ApplyVersionRecords(node, records);
   };
   const auto done = co_await ReadList(node, feed.topic, kReadTimeout, apply);
-  if (done && *done != ListEnd::kGoesOn) {
+  const bool has_ended = done && *done != ListEnd::kGoesOn;
+  if (has_ended) {
     feed.is_list_complete = *done == ListEnd::kComplete;
   }
-  feed.is_listed = feed.is_listed || (done && *done != ListEnd::kGoesOn) ||
+  feed.is_listed = feed.is_listed || has_ended ||
                    (feed.topic.list && feed.topic.list->pages > 0 &&
                     Now() >= feed.topic.list->began_at + kMaxListWait);
-  co_return done&&* done != ListEnd::kGoesOn;
+  co_return has_ended;
 }
 
 // Reads the records that the store has now: another writer may always be ahead.
