--- a/include/celerykeel/node/keyed_topic.h
+++ b/include/celerykeel/node/keyed_topic.h
@@ -55,6 +55,15 @@
   kGoesOn,      // the time is up; the next call goes on there
 };
 
+using ListResult = tl::expected<ListEnd, StoreError>;
+
+/// @brief True if the list has ended, with all keys or without some.
+bool HasEnded(const ListResult& result);
+
+/// @brief True if the list under way has had pages for `max_wait`: its reader
+/// is to go on without the rest.
+bool TakesLongerThan(const KeyedTopic& topic, Duration max_wait);
+
 /// @brief Takes the records of one page.
 using ApplyRecords = std::function<void(const std::vector<KeyedRecord>&)>;
 
@@ -63,10 +72,10 @@
 /// where ReadNewRecords continues; records that were written during the read
 /// may be read again. After an error the next call goes on at the same page.
 /// @param time after which no further page is read.
-Task<tl::expected<ListEnd, StoreError>> ReadList(Node& node,
-                                                 KeyedTopic& topic,
-                                                 Duration time,
-                                                 ApplyRecords apply);
+Task<ListResult> ReadList(Node& node,
+                          KeyedTopic& topic,
+                          Duration time,
+                          ApplyRecords apply);
 
 /// @brief Reads the records from `topic.next` on, which must be set; one call's
 /// worth of them. Clears `topic.next` if the store has deleted records from
--- a/src/celerykeel/node/crash_store.cc
+++ b/src/celerykeel/node/crash_store.cc
@@ -137,7 +137,7 @@
   while (true) {
     const auto done =
         co_await ReadList(node, node.crash_store.topic, kListTime, apply);
-    if (done && *done != ListEnd::kGoesOn) {
+    if (HasEnded(done)) {
       co_return;
     }
     co_await PauseForStore(node, kRetryPause);
--- a/src/celerykeel/node/fleet.cc
+++ b/src/celerykeel/node/fleet.cc
@@ -281,10 +281,8 @@
     ApplyMemberEntries(node, records);
   };
   const auto done = co_await ReadList(node, members, kMemberListTime, apply);
-  const bool has_ended = done && *done != ListEnd::kGoesOn;
-  const bool takes_long = members.list && members.list->pages > 0 &&
-                          Now() >= members.list->began_at + kMaxMemberListWait;
-  if (!node.fleet.members_read_at && (has_ended || takes_long)) {
+  if (!node.fleet.members_read_at &&
+      (HasEnded(done) || TakesLongerThan(members, kMaxMemberListWait))) {
     node.fleet.members_read_at = Now();
   }
 }
--- a/src/celerykeel/node/keyed_topic.cc
+++ b/src/celerykeel/node/keyed_topic.cc
@@ -94,10 +94,19 @@
          (topic.list_again_at && Now() >= *topic.list_again_at);
 }
 
-Task<tl::expected<ListEnd, StoreError>> ReadList(Node& node,
-                                                 KeyedTopic& topic,
-                                                 Duration time,
-                                                 ApplyRecords apply) {
+bool HasEnded(const ListResult& result) {
+  return result && *result != ListEnd::kGoesOn;
+}
+
+bool TakesLongerThan(const KeyedTopic& topic, Duration max_wait) {
+  return topic.list && topic.list->pages > 0 &&
+         Now() >= topic.list->began_at + max_wait;
+}
+
+Task<ListResult> ReadList(Node& node,
+                          KeyedTopic& topic,
+                          Duration time,
+                          ApplyRecords apply) {
   const Duration until = Now() + time;
   if (!topic.list) {
     BeginList(topic);
--- a/src/celerykeel/node/operator_feed.cc
+++ b/src/celerykeel/node/operator_feed.cc
@@ -150,11 +150,9 @@
   if (done && *done == ListEnd::kComplete) {
     RevokeUnlistedEvacuations(node, list.read);
   }
-  const bool has_ended = done && *done != ListEnd::kGoesOn;
-  const bool takes_long =
-      list.topic.list && list.topic.list->pages > 0 &&
-      Now() >= list.topic.list->began_at + kMaxEvacuationWait;
-  if (!node.endpoints.evacuations.read_at && (has_ended || takes_long)) {
+  const bool has_ended = HasEnded(done);
+  if (!node.endpoints.evacuations.read_at &&
+      (has_ended || TakesLongerThan(list.topic, kMaxEvacuationWait))) {
     node.endpoints.evacuations.read_at = Now();
     if (!has_ended || *done == ListEnd::kIncomplete) {
       WriteLog(node.log, LogLevel::kUnusual, "evacuations may be missing",
--- a/src/celerykeel/node/version_feed.cc
+++ b/src/celerykeel/node/version_feed.cc
@@ -77,13 +77,12 @@
     ApplyVersionRecords(node, records);
   };
   const auto done = co_await ReadList(node, feed.topic, kReadTimeout, apply);
-  const bool has_ended = done && *done != ListEnd::kGoesOn;
+  const bool has_ended = HasEnded(done);
   if (has_ended) {
     feed.is_list_complete = *done == ListEnd::kComplete;
   }
-  feed.is_listed = feed.is_listed || has_ended ||
-                   (feed.topic.list && feed.topic.list->pages > 0 &&
-                    Now() >= feed.topic.list->began_at + kMaxListWait);
+  feed.is_listed =
+      feed.is_listed || has_ended || TakesLongerThan(feed.topic, kMaxListWait);
   co_return has_ended;
 }
 
